--- a/daemon/http-client.c
+++ b/daemon/http-client.c
@@ -3,9 +3,12 @@
 #include <apr_portable.h>
 #include <curl/curl.h>
 #include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define US_PER_MS 1000
 #define IDLE_HANDLES_MAX 256
@@ -18,6 +21,15 @@
 /* A peer that takes longer to accept is treated as down. */
 #define CONNECT_TIMEOUT_MS 2000
 
+/* The default of libcurl. */
+#define KEPT_MAX_S 118
+
+/* A peer behind a partition is detected after two to three seconds. */
+#define KEEPALIVE_IDLE_S 1
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_PROBES 2
+#define UNACKNOWLEDGED_MAX_MS 3000u
+
 /* A handle of libcurl with what it is set up for: most calls of a client are alike, and
  * setting all options anew is a good part of the cost of a short call. */
 typedef struct {
@@ -27,10 +39,13 @@
   bool once;
 } Handle;
 
-typedef struct Transfer {
-  struct Transfer *next_waiting;
-  struct Transfer *next;
-  struct Transfer *previous;
+typedef struct BurdockHttpTransfer Transfer;
+
+struct BurdockHttpTransfer {
+  struct BurdockHttpTransfer *next_waiting;
+  struct BurdockHttpTransfer *next_cancelled;
+  struct BurdockHttpTransfer *next;
+  struct BurdockHttpTransfer *previous;
   BurdockHttpClient *client;
   Handle handle;
   char *request;
@@ -38,11 +53,16 @@
   size_t body_bytes;
   size_t body_capacity;
   size_t scanned_bytes;
+  struct curl_slist *headers;
+  bool added;
+  bool cancelled;
   void *ctx;
+  int (*head) (void *ctx, BurdockHttpTransfer *transfer, int32_t http_status);
+  int (*data) (void *ctx, const char *data, size_t length_bytes);
   void (*line) (void *ctx, const char *line, size_t line_bytes);
   void (*done) (void *ctx, const BurdockHttpResult *result);
   void (*drop) (void *ctx);
-} Transfer;
+};
 
 /* One record for each descriptor that libcurl has ever watched. */
 typedef struct {
@@ -58,6 +78,7 @@
   uint64_t timer_us;
   Transfer *open;
   Transfer *waiting;
+  Transfer *cancelled;
   bool in_curl;
   Handle idle[IDLE_HANDLES_MAX];
   uint32_t idle_count;
@@ -83,7 +104,11 @@
     client->open = transfer->next;
   if (transfer->next != NULL)
     transfer->next->previous = transfer->previous;
-  curl_multi_remove_handle (client->multi, transfer->handle.easy);
+  if (transfer->added)
+    curl_multi_remove_handle (client->multi, transfer->handle.easy);
+  curl_slist_free_all (transfer->headers);
+  if (transfer->headers != NULL)
+    curl_easy_setopt (transfer->handle.easy, CURLOPT_HTTPHEADER, client->headers);
   if (client->idle_count < IDLE_HANDLES_MAX)
     client->idle[client->idle_count++] = transfer->handle;
   else
@@ -115,14 +140,16 @@
   BurdockHttpResult result = { .status = status_of (code), .body = "" };
   long http_status = 0;
   long sent_bytes = 0;
+  long connections = 0;
 
   curl_easy_getinfo (transfer->handle.easy, CURLINFO_RESPONSE_CODE, &http_status);
+  curl_easy_getinfo (transfer->handle.easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
+  curl_easy_getinfo (transfer->handle.easy, CURLINFO_NUM_CONNECTS, &connections);
   result.http_status = (int32_t)http_status;
-  if (code == CURLE_OPERATION_TIMEDOUT) {
-    curl_easy_getinfo (transfer->handle.easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
-    if (sent_bytes == 0)
-      result.status = -ECONNREFUSED;
-  }
+  result.sent = sent_bytes > 0;
+  result.new_connection = connections > 0;
+  if (code == CURLE_OPERATION_TIMEDOUT && !result.sent)
+    result.status = -ECONNREFUSED;
   if (transfer->body != NULL) {
     transfer->body[transfer->body_bytes] = '\0';
     result.body = transfer->body;
@@ -158,10 +185,23 @@
     Transfer *transfer = client->waiting;
 
     client->waiting = transfer->next_waiting;
+    transfer->added = true;
     curl_multi_add_handle (client->multi, transfer->handle.easy);
   }
 }
 
+/* Ends the transfers cancelled from within a callback of libcurl. */
+static void
+release_cancelled (BurdockHttpClient *client)
+{
+  while (client->cancelled != NULL) {
+    Transfer *transfer = client->cancelled;
+
+    client->cancelled = transfer->next_cancelled;
+    release_transfer (transfer);
+  }
+}
+
 static void
 run_socket (BurdockHttpClient *client, curl_socket_t descriptor, int mask)
 {
@@ -170,6 +210,7 @@
   client->in_curl = true;
   curl_multi_socket_action (client->multi, descriptor, mask, &running);
   client->in_curl = false;
+  release_cancelled (client);
   add_waiting (client);
   collect_results (client);
 }
@@ -343,6 +384,10 @@
   size_t length_bytes = size * count;
   long http_status = 0;
 
+  if (transfer->cancelled)
+    return 0;
+  if (transfer->data != NULL)
+    return transfer->data (transfer->ctx, data, length_bytes) < 0 ? 0 : length_bytes;
   if (transfer->body_bytes + length_bytes > BODY_MAX_BYTES)
     return 0;
   if (transfer->body_bytes + length_bytes + 1 > transfer->body_capacity) {
@@ -364,6 +409,70 @@
   return length_bytes;
 }
 
+/* libcurl passes the lines of the header one by one; the empty line ends it. Interim
+ * answers have headers of their own. */
+static size_t
+take_header (char *line, size_t size, size_t count, void *ctx)
+{
+  Transfer *transfer = ctx;
+  size_t length_bytes = size * count;
+  long http_status = 0;
+
+  if (transfer->cancelled)
+    return 0;
+  if (transfer->head == NULL || length_bytes > 2 || line[0] != '\r')
+    return length_bytes;
+  curl_easy_getinfo (transfer->handle.easy, CURLINFO_RESPONSE_CODE, &http_status);
+  if (http_status < 200)
+    return length_bytes;
+  return transfer->head (transfer->ctx, transfer, (int32_t)http_status) < 0
+             ? 0
+             : length_bytes;
+}
+
+const char *
+burdock_http_transfer_header (BurdockHttpTransfer *transfer, const char *name)
+{
+  struct curl_header *header = NULL;
+
+  if (curl_easy_header (transfer->handle.easy, name, 0, CURLH_HEADER, -1, &header) !=
+      CURLHE_OK)
+    return NULL;
+  return header->value;
+}
+
+void
+burdock_http_transfer_each_header (BurdockHttpTransfer *transfer,
+                                   void (*function) (void *ctx, const char *name,
+                                                     const char *value),
+                                   void *ctx)
+{
+  struct curl_header *header = NULL;
+
+  while ((header = curl_easy_nextheader (transfer->handle.easy, CURLH_HEADER, -1,
+                                         header)) != NULL)
+    function (ctx, header->name, header->value);
+}
+
+/* Detects a peer that went silent without a reset. */
+static int
+keep_alive (void *ctx, curl_socket_t descriptor, curlsocktype purpose)
+{
+  static const int on = 1;
+  static const int idle_s = KEEPALIVE_IDLE_S;
+  static const int interval_s = KEEPALIVE_INTERVAL_S;
+  static const int probes = KEEPALIVE_PROBES;
+  static const unsigned unacknowledged_ms = UNACKNOWLEDGED_MAX_MS;
+
+  setsockopt (descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt (descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
+  setsockopt (descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof interval_s);
+  setsockopt (descriptor, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+  setsockopt (descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms,
+              sizeof unacknowledged_ms);
+  return CURL_SOCKOPT_OK;
+}
+
 /* Sets the options that are the same for all calls of a method. */
 static void
 set_up_handle (const BurdockHttpClient *client, Handle *handle,
@@ -382,7 +491,8 @@
   curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, client->headers);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, take_body);
-  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, take_header);
+  curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, keep_alive);
   if (call->once)
     curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, refuse_repetition);
   if (strcmp (call->method, "GET") == 0)
@@ -426,8 +536,38 @@
   curl_easy_setopt (easy, CURLOPT_POSTFIELDS, transfer->request);
 }
 
+static void
+set_headers (Transfer *transfer, const BurdockHttpCall *call)
+{
+  for (uint32_t i = 0; i < call->header_count; i++)
+    transfer->headers = curl_slist_append (transfer->headers, call->headers[i]);
+  if (transfer->headers != NULL)
+    curl_easy_setopt (transfer->handle.easy, CURLOPT_HTTPHEADER, transfer->headers);
+}
+
+static void
+set_connection (CURL *easy, const BurdockHttpCall *call)
+{
+  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, call->fresh ? 1L : 0L);
+  curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN,
+                    (long)(call->kept_max_s > 0 ? call->kept_max_s : KEPT_MAX_S));
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    (long)(call->connect_timeout_ms > 0 ? call->connect_timeout_ms
+                                                        : CONNECT_TIMEOUT_MS));
+  curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, call->target);
+}
+
 int
 burdock_http_client_start (BurdockHttpClient *client, const BurdockHttpCall *call)
+{
+  BurdockHttpTransfer *transfer;
+
+  return burdock_http_client_open (client, call, &transfer);
+}
+
+int
+burdock_http_client_open (BurdockHttpClient *client, const BurdockHttpCall *call,
+                          BurdockHttpTransfer **out)
 {
   Transfer *transfer = calloc (1, sizeof *transfer);
 
@@ -437,15 +577,21 @@
   }
   transfer->client = client;
   transfer->ctx = call->ctx;
+  transfer->head = call->head;
+  transfer->data = call->data;
   transfer->line = call->line;
   transfer->done = call->done;
   transfer->drop = call->drop;
   curl_easy_setopt (transfer->handle.easy, CURLOPT_PRIVATE, transfer);
   curl_easy_setopt (transfer->handle.easy, CURLOPT_WRITEDATA, transfer);
+  curl_easy_setopt (transfer->handle.easy, CURLOPT_HEADERDATA, transfer);
   curl_easy_setopt (transfer->handle.easy, CURLOPT_PREREQDATA, transfer);
   curl_easy_setopt (transfer->handle.easy, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
+  set_connection (transfer->handle.easy, call);
+  set_headers (transfer, call);
   if (strcmp (call->method, "GET") != 0)
     set_body (transfer, call);
+  *out = transfer;
   transfer->next = client->open;
   if (client->open != NULL)
     client->open->previous = transfer;
@@ -455,10 +601,40 @@
     client->waiting = transfer;
     return 0;
   }
+  transfer->added = true;
   curl_multi_add_handle (client->multi, transfer->handle.easy);
   return 0;
 }
 
+static void
+forget_waiting (Transfer *transfer)
+{
+  Transfer **at = &transfer->client->waiting;
+
+  while (*at != NULL && *at != transfer)
+    at = &(*at)->next_waiting;
+  if (*at != NULL)
+    *at = transfer->next_waiting;
+}
+
+void
+burdock_http_transfer_cancel (BurdockHttpTransfer *transfer)
+{
+  BurdockHttpClient *client = transfer->client;
+
+  if (transfer->cancelled)
+    return;
+  transfer->cancelled = true;
+  if (!transfer->added)
+    forget_waiting (transfer);
+  if (!client->in_curl) {
+    release_transfer (transfer);
+    return;
+  }
+  transfer->next_cancelled = client->cancelled;
+  client->cancelled = transfer;
+}
+
 char *
 burdock_http_escape (const char *text)
 {
--- a/daemon/http-server.c
+++ b/daemon/http-server.c
@@ -10,22 +10,31 @@
 #include <unistd.h>
 
 #define BACKLOG 1024
-#define CONNECTIONS_MAX 16384
-#define IDLE_TIMEOUT_S 75
-#define BODY_MAX_BYTES (1u << 20)
+#define STREAM_TYPE "application/jsonl"
 #define STREAM_BLOCK_BYTES 4096
 
-/* Headers and output of one connection; the headers of the interface need about 1 KiB. */
-#define CONNECTION_MEMORY_BYTES (12u << 10)
-
 /* Tokens kept for a caller that reads slowly. */
 #define STREAM_MAX_BYTES (1u << 20)
 
-/* libmicrohttpd does not watch a suspended connection, and misses the end of one that
- * arrives together with a part of a request, so callers that went away are looked for at
- * this interval. */
-#define GONE_CHECK_US UINT64_C (500000)
 #define GONE_TIMEOUT_S 1u
+#define US_PER_MS UINT64_C (1000)
+
+/* The headers of the interface need about 1 KiB of the memory of a connection.
+ *
+ * libmicrohttpd does not watch a suspended connection, and misses the end of one that
+ * arrives together with a part of a request, so callers that went away are looked for at
+ * intervals. */
+static const BurdockHttpLimits default_limits = { .body_bytes = 1u << 20,
+                                                  .connection_memory_bytes = 12u << 10,
+                                                  .connections = 16384,
+                                                  .idle_s = 75,
+                                                  .gone_check_ms = 500 };
+
+typedef struct Header {
+  struct Header *next;
+  char *value;
+  char name[];
+} Header;
 
 #define ROUNDS_TO_CLOSE 16
 #define RUNS_PER_ROUND 4
@@ -45,8 +54,7 @@
   uint32_t peer;
   struct MHD_Response *response;
   uint32_t status;
-  const char *header_name;
-  char *header_value;
+  Header *headers;
   bool handed;
   bool suspended;
   bool too_large;
@@ -64,6 +72,7 @@
 struct BurdockHttpServer {
   BurdockLoop *loop;
   BurdockHttpHandler handler;
+  BurdockHttpLimits limits;
   struct MHD_Daemon *daemon;
   BurdockLoopSource source;
   bool run_needed;
@@ -141,6 +150,18 @@
     handler->closed (handler->ctx, request, whole);
 }
 
+static void
+free_headers (Header *header)
+{
+  while (header != NULL) {
+    Header *next = header->next;
+
+    free (header->value);
+    free (header);
+    header = next;
+  }
+}
+
 static void
 free_request (BurdockHttpRequest *request)
 {
@@ -160,7 +181,7 @@
   free (request->path);
   free (request->body);
   free (request->output);
-  free (request->header_value);
+  free_headers (request->headers);
   free (request);
 }
 
@@ -237,7 +258,7 @@
 static void
 take_body (BurdockHttpRequest *request, const char *data, size_t length_bytes)
 {
-  if (request->body_bytes + length_bytes > BODY_MAX_BYTES)
+  if (request->body_bytes + length_bytes > request->server->limits.body_bytes)
     request->too_large = true;
   if (!request->too_large &&
       !append (&request->body, &request->body_bytes, &request->body_capacity, data,
@@ -253,7 +274,7 @@
   if (request->too_large) {
     burdock_http_answer (request, MHD_HTTP_CONTENT_TOO_LARGE, "application/json",
                          strdup ("{\"refused\":\"bad-request\",\"ran\":\"not-run\","
-                                 "\"error\":\"body above 1048576 bytes\"}\n"),
+                                 "\"error\":\"body above the limit\"}\n"),
                          "not-run");
     return;
   }
@@ -370,7 +391,7 @@
 
   if (now_us >= server->next_check_us) {
     check_gone (server);
-    server->next_check_us = now_us + GONE_CHECK_US;
+    server->next_check_us = now_us + server->limits.gone_check_ms * US_PER_MS;
     server->run_needed = true; /* for the timeouts of idle connections */
   }
   run_daemon (server);
@@ -382,9 +403,39 @@
 {
 }
 
+static uint32_t
+limit_or (uint32_t limit, uint32_t fallback)
+{
+  return limit > 0 ? limit : fallback;
+}
+
+static BurdockHttpLimits
+effective_limits (const BurdockHttpLimits *limits)
+{
+  const BurdockHttpLimits * or = &default_limits;
+
+  return (BurdockHttpLimits){
+    .body_bytes = limit_or (limits->body_bytes, or->body_bytes),
+    .connection_memory_bytes =
+        limit_or (limits->connection_memory_bytes, or->connection_memory_bytes),
+    .connections = limit_or (limits->connections, or->connections),
+    .idle_s = limit_or (limits->idle_s, or->idle_s),
+    .gone_check_ms = limit_or (limits->gone_check_ms, or->gone_check_ms),
+  };
+}
+
 BurdockHttpServer *
 burdock_http_server_new (BurdockLoop *loop, BurdockAddress *address,
                          const BurdockHttpTls *tls, const BurdockHttpHandler *handler)
+{
+  return burdock_http_server_new_limited (loop, address, tls, handler, &default_limits);
+}
+
+BurdockHttpServer *
+burdock_http_server_new_limited (BurdockLoop *loop, BurdockAddress *address,
+                                 const BurdockHttpTls *tls,
+                                 const BurdockHttpHandler *handler,
+                                 const BurdockHttpLimits *limits)
 {
   BurdockHttpServer *server = calloc (1, sizeof *server);
   struct sockaddr_in local = { .sin_family = AF_INET,
@@ -405,15 +456,16 @@
     return NULL;
   server->loop = loop;
   server->handler = *handler;
+  server->limits = effective_limits (limits);
   server->daemon = MHD_start_daemon (
       flags, 0, NULL, NULL, handle_request, server, MHD_OPTION_EXTERNAL_LOGGER,
       log_nothing, NULL, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&local,
       MHD_OPTION_URI_LOG_CALLBACK, begin_request, server, MHD_OPTION_NOTIFY_COMPLETED,
-      end_request, server, MHD_OPTION_CONNECTION_LIMIT, (unsigned)CONNECTIONS_MAX,
-      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
-      MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned)BACKLOG,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_ARRAY,
+      end_request, server, MHD_OPTION_CONNECTION_LIMIT,
+      (unsigned)server->limits.connections, MHD_OPTION_CONNECTION_TIMEOUT,
+      (unsigned)server->limits.idle_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      (size_t)server->limits.connection_memory_bytes, MHD_OPTION_LISTEN_BACKLOG_SIZE,
+      (unsigned)BACKLOG, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_ARRAY,
       tls != NULL ? tls_options : no_options, MHD_OPTION_END);
   if (server->daemon == NULL) {
     free (server);
@@ -547,12 +599,43 @@
   return request->data;
 }
 
+typedef struct {
+  void (*function) (void *ctx, const char *name, const char *value);
+  void *ctx;
+} HeaderVisitor;
+
+static enum MHD_Result
+visit_header (void *ctx, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+  const HeaderVisitor *visitor = ctx;
+
+  visitor->function (visitor->ctx, name, value != NULL ? value : "");
+  return MHD_YES;
+}
+
+void
+burdock_http_each_header (BurdockHttpRequest *request,
+                          void (*function) (void *ctx, const char *name,
+                                            const char *value),
+                          void *ctx)
+{
+  HeaderVisitor visitor = { .function = function, .ctx = ctx };
+
+  MHD_get_connection_values (request->connection, MHD_HEADER_KIND, visit_header,
+                             &visitor);
+}
+
 void
 burdock_http_set_header (BurdockHttpRequest *request, const char *name, const char *value)
 {
-  free (request->header_value);
-  request->header_name = name;
-  request->header_value = strdup (value);
+  Header *header = malloc (sizeof *header + strlen (name) + 1);
+
+  if (header == NULL)
+    abort ();
+  memcpy (header->name, name, strlen (name) + 1);
+  header->value = strdup (value);
+  header->next = request->headers;
+  request->headers = header;
 }
 
 static void
@@ -560,9 +643,10 @@
 {
   struct MHD_Response *response = request->response;
 
-  MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE, type);
-  if (request->header_value != NULL)
-    MHD_add_response_header (response, request->header_name, request->header_value);
+  if (type != NULL)
+    MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE, type);
+  for (const Header *header = request->headers; header != NULL; header = header->next)
+    MHD_add_response_header (response, header->name, header->value);
   if (request->server->leaving)
     MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
 }
@@ -585,6 +669,28 @@
   resume (request);
 }
 
+void
+burdock_http_answer_bytes (BurdockHttpRequest *request, uint32_t status,
+                           BurdockBytes body)
+{
+  if (request->response != NULL || request->gone)
+    return;
+  request->status = status;
+  request->ended = true;
+  request->response =
+      MHD_create_response_from_buffer (body.length_bytes, (void *)body.data,
+                                       MHD_RESPMEM_MUST_COPY);
+  add_headers (request, NULL);
+  resume (request);
+}
+
+void
+burdock_http_abort (BurdockHttpRequest *request)
+{
+  request->gone = true;
+  resume (request);
+}
+
 static ssize_t
 read_stream (void *ctx, uint64_t position, char *out, size_t size_bytes)
 {
@@ -608,6 +714,26 @@
   return 0;
 }
 
+static void
+start_stream (BurdockHttpRequest *request, uint32_t status, const char *type)
+{
+  request->streaming = true;
+  request->status = status;
+  request->response =
+      MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES,
+                                         read_stream, request, NULL);
+  add_headers (request, type);
+}
+
+void
+burdock_http_stream_start (BurdockHttpRequest *request, uint32_t status)
+{
+  if (request->gone || request->response != NULL)
+    return;
+  start_stream (request, status, NULL);
+  resume (request);
+}
+
 int
 burdock_http_stream_write (BurdockHttpRequest *request, const char *data,
                            uint32_t length_bytes)
@@ -620,14 +746,8 @@
     cut (request);
     return -ENOBUFS;
   }
-  if (!request->streaming) {
-    request->streaming = true;
-    request->status = MHD_HTTP_OK;
-    request->response =
-        MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES,
-                                           read_stream, request, NULL);
-    add_headers (request, "application/jsonl");
-  }
+  if (!request->streaming)
+    start_stream (request, MHD_HTTP_OK, STREAM_TYPE);
   resume (request);
   return 0;
 }
--- a/daemon/http-server.h
+++ b/daemon/http-server.h
@@ -31,11 +31,35 @@
   const char *key;
 } BurdockHttpTls;
 
+/**
+ * struct BurdockHttpLimits - bounds of a server; a field that is 0 has its default
+ * @body_bytes: largest body of a request; a larger one is answered with 413
+ * @connection_memory_bytes: request line, headers and output buffer of a connection
+ * @connections: connections open at the same time
+ * @idle_s: time after which an idle connection is closed
+ * @gone_check_ms: interval at which requests in progress are checked for peers that went
+ *   away
+ */
+typedef struct {
+  uint32_t body_bytes;
+  uint32_t connection_memory_bytes;
+  uint32_t connections;
+  uint32_t idle_s;
+  uint32_t gone_check_ms;
+} BurdockHttpLimits;
+
 /** burdock_http_server_new() - listens; a port of 0 is replaced by the port bound */
 BurdockHttpServer *burdock_http_server_new (BurdockLoop *loop, BurdockAddress *address,
                                             const BurdockHttpTls *tls,
                                             const BurdockHttpHandler *handler);
 
+/** burdock_http_server_new_limited() - as above, with other limits */
+BurdockHttpServer *burdock_http_server_new_limited (BurdockLoop *loop,
+                                                    BurdockAddress *address,
+                                                    const BurdockHttpTls *tls,
+                                                    const BurdockHttpHandler *handler,
+                                                    const BurdockHttpLimits *limits);
+
 /** burdock_http_server_free() - cuts the connections that are still open */
 void burdock_http_server_free (BurdockHttpServer *server);
 
@@ -77,7 +101,13 @@
 void burdock_http_set_data (BurdockHttpRequest *request, void *data);
 void *burdock_http_data (const BurdockHttpRequest *request);
 
-/** burdock_http_set_header() - one further header of the answer; @name is not copied */
+/** burdock_http_each_header() - calls @function for each header of the request */
+void burdock_http_each_header (BurdockHttpRequest *request,
+                               void (*function) (void *ctx, const char *name,
+                                                 const char *value),
+                               void *ctx);
+
+/** burdock_http_set_header() - adds a header to the answer; both texts are copied */
 void burdock_http_set_header (BurdockHttpRequest *request, const char *name,
                               const char *value);
 
@@ -90,8 +120,25 @@
                           char *body, const char *ran);
 
 /**
- * burdock_http_stream_write() - appends to a streamed answer of status 200
- * The first call starts the answer. Returns -ENOBUFS if the peer reads too slowly; the
+ * burdock_http_answer_bytes() - whole answer of any content
+ * The content type and all other headers are set with burdock_http_set_header().
+ */
+void burdock_http_answer_bytes (BurdockHttpRequest *request, uint32_t status,
+                                BurdockBytes body);
+
+/**
+ * burdock_http_stream_start() - starts a streamed answer
+ * The content type is set with burdock_http_set_header().
+ */
+void burdock_http_stream_start (BurdockHttpRequest *request, uint32_t status);
+
+/** burdock_http_abort() - ends the connection so that the answer is seen as incomplete */
+void burdock_http_abort (BurdockHttpRequest *request);
+
+/**
+ * burdock_http_stream_write() - appends to a streamed answer
+ * Without burdock_http_stream_start(), the first call starts an answer of JSON lines with
+ * status 200. Returns -ENOBUFS if the peer reads too slowly; the
  * request is then closed.
  */
 int burdock_http_stream_write (BurdockHttpRequest *request, const char *data,
--- a/daemon/log.c
+++ b/daemon/log.c
@@ -4,11 +4,14 @@
 #include <errno.h>
 #include <glib.h>
 #include <inttypes.h>
+#include <poll.h>
 #include <stdarg.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #define LINE_BYTES 1024
 #define TIME_BYTES 32
@@ -16,6 +19,8 @@
 /* Set once by burdock_log_init() before the threads start. */
 static char instance_name[BURDOCK_NAME_BYTES];
 static BurdockLogLevel lowest_level = BURDOCK_LOG_INFO;
+static bool to_stdout;
+static atomic_uint dropped_lines;
 
 static const char *const level_names[] = {
   [BURDOCK_LOG_DEBUG] = "debug",
@@ -67,6 +72,36 @@
   g_string_append_printf (line, "time=%s.%03ldZ", text, now.tv_nsec / 1000000);
 }
 
+void
+burdock_log_to_stdout (void)
+{
+  to_stdout = true;
+}
+
+static bool
+stdout_takes_bytes (void)
+{
+  struct pollfd state = { .fd = STDOUT_FILENO, .events = POLLOUT };
+
+  return poll (&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
+}
+
+static void
+write_or_drop (GString *line)
+{
+  uint32_t lost;
+
+  if (!stdout_takes_bytes ()) {
+    atomic_fetch_add (&dropped_lines, 1);
+    return;
+  }
+  lost = atomic_exchange (&dropped_lines, 0);
+  if (lost > 0)
+    g_string_prepend (line, "step=\"log lines dropped\"\n");
+  if (write (STDOUT_FILENO, line->str, line->len) < 0)
+    atomic_fetch_add (&dropped_lines, lost + 1);
+}
+
 static GLogWriterOutput
 write_line (GLogLevelFlags level, const GLogField *fields, gsize field_count,
             gpointer ctx)
@@ -83,7 +118,10 @@
     g_free (key);
   }
   g_string_append_c (line, '\n');
-  fwrite (line->str, 1, line->len, stderr);
+  if (to_stdout)
+    write_or_drop (line);
+  else
+    fwrite (line->str, 1, line->len, stderr);
   g_string_free (line, TRUE);
   return G_LOG_WRITER_HANDLED;
 }
@@ -132,24 +170,44 @@
   g_log_structured_array (glib_level (level), fields, G_N_ELEMENTS (fields));
 }
 
+static void __attribute__ ((format (printf, 5, 0)))
+log_text (BurdockLogLevel level, const char *step, const char *subject, const char *peer,
+          const char *format, va_list args)
+{
+  char *detail = g_strdup_vprintf (format, args);
+  GLogField fields[] = {
+    { "LEVEL", level_names[level], -1 }, { "INSTANCE", instance_name, -1 },
+    { "STEP", step, -1 },                { "PEER", peer, -1 },
+    { "DETAIL", detail, -1 },            { "SUBJECT", subject, -1 },
+  };
+
+  g_log_structured_array (glib_level (level), fields,
+                          G_N_ELEMENTS (fields) - (subject == NULL ? 1 : 0));
+  g_free (detail);
+}
+
 void
 burdock_log (BurdockLogLevel level, const char *step, const char *peer,
              const char *format, ...)
 {
-  char *detail = NULL;
   va_list args;
 
   if (level < lowest_level)
     return;
   va_start (args, format);
-  detail = g_strdup_vprintf (format, args);
+  log_text (level, step, NULL, peer, format, args);
+  va_end (args);
+}
+
+void
+burdock_log_about (BurdockLogLevel level, const char *step, const char *subject,
+                   const char *peer, const char *format, ...)
+{
+  va_list args;
+
+  if (level < lowest_level)
+    return;
+  va_start (args, format);
+  log_text (level, step, subject, peer, format, args);
   va_end (args);
-  g_log_structured_array (glib_level (level),
-                          (GLogField[]){ { "LEVEL", level_names[level], -1 },
-                                         { "INSTANCE", instance_name, -1 },
-                                         { "STEP", step, -1 },
-                                         { "PEER", peer, -1 },
-                                         { "DETAIL", detail, -1 } },
-                          5);
-  g_free (detail);
 }
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -20,7 +20,10 @@
 #define VARIABLE_BYTES 64
 #define ENTRY (1u << BURDOCK_ROLE_ENTRY)
 #define AGENT (1u << BURDOCK_ROLE_AGENT)
+#define GATEWAY (1u << BURDOCK_ROLE_GATEWAY)
+#define RANK_AGENT (1u << BURDOCK_ROLE_RANK_AGENT)
 #define BOTH (ENTRY | AGENT)
+#define ALL (BOTH | GATEWAY | RANK_AGENT)
 #define SEEDS_MAX 16
 
 /* argp takes keys up to the range of a character as short options. */
@@ -32,6 +35,7 @@
   TYPE_FILE,
   TYPE_ADDRESS,
   TYPE_U32,
+  TYPE_RATIO,
   TYPE_SEEDS,
   TYPE_LEVEL,
 } Type;
@@ -56,20 +60,20 @@
 #define FIELD(field) offsetof (BurdockDaemonSettings, field)
 
 static const Option options[] = {
-  { "name", "NAME", "name of the instance, unique in the fleet", BOTH, BOTH, TYPE_NAME,
+  { "name", "NAME", "name of the instance, unique in the fleet", ALL, ALL, TYPE_NAME,
     FIELD (library.name), 0, 0 },
-  { "failure-domain", "NAME", "failure domain of the instance", BOTH, BOTH, TYPE_NAME,
+  { "failure-domain", "NAME", "failure domain of the instance", ALL, ALL, TYPE_NAME,
     FIELD (library.failure_domain), 0, 0 },
-  { "control", "IP:PORT", "address for messages between members", BOTH, BOTH,
+  { "control", "IP:PORT", "address for messages between members", ALL, ALL,
     TYPE_ADDRESS, FIELD (library.control_address), 0, 0 },
   { "traffic", "IP:PORT", "address for attempts of entries", AGENT, AGENT, TYPE_ADDRESS,
     FIELD (library.traffic_address), 0, 0 },
   { "http", "IP:PORT", "address for HTTP: callers and operators of an entry, metrics",
-    BOTH, BOTH, TYPE_ADDRESS, FIELD (library.http_address), 0, 0 },
+    BOTH | GATEWAY, BOTH | GATEWAY, TYPE_ADDRESS, FIELD (library.http_address), 0, 0 },
   { "store", "URL", "base address of table service, object store and instance list",
-    ENTRY, ENTRY, TYPE_URL, FIELD (store_url), 0, 0 },
-  { "upstream", "URL", "base address of the local model engine or plain service", AGENT,
-    AGENT, TYPE_URL, FIELD (upstream_url), 0, 0 },
+    ENTRY | GATEWAY, ENTRY | GATEWAY, TYPE_URL, FIELD (store_url), 0, 0 },
+  { "upstream", "URL", "base address of the local model engine or plain service",
+    AGENT | RANK_AGENT, AGENT | RANK_AGENT, TYPE_URL, FIELD (upstream_url), 0, 0 },
   { "pool", "NAME", "pool of the local upstream", AGENT, AGENT, TYPE_NAME,
     FIELD (library.pool), 0, 0 },
   { "group", "NAME", "rank group of the local upstream, none by default", AGENT, 0,
@@ -78,19 +82,31 @@
     FIELD (library.rank), 0, 4095 },
   { "capacity", "N", "requests that the local upstream runs at a time, 16 by default",
     AGENT, 0, TYPE_U32, FIELD (library.capacity), 1, 65535 },
-  { "seeds", "IP:PORT,...", "control addresses contacted first, up to 16", BOTH, 0,
+  { "seeds", "IP:PORT,...", "control addresses contacted first, up to 16", BOTH | GATEWAY, 0,
     TYPE_SEEDS, FIELD (library.seeds), 0, 0 },
   { "answer-lifetime-ms", "MS",
     "time for which callers keep a list of entries, 5000 by default", ENTRY, 0, TYPE_U32,
     FIELD (library.answer_lifetime_ms), 100, 3600000 },
   { "stop-limit-ms", "MS",
-    "time that a planned stop waits for running requests, 60000 by default", BOTH, 0,
+    "time that a planned stop waits for running requests, 60000 by default", ALL, 0,
     TYPE_U32, FIELD (library.stop_limit_ms), 0, 86400000 },
   { "tls-certificate", "FILE", "PEM certificate of the HTTP address", ENTRY, 0, TYPE_FILE,
     FIELD (tls_certificate), 0, 0 },
   { "tls-key", "FILE", "PEM key of the HTTP address", ENTRY, 0, TYPE_FILE,
     FIELD (tls_key), 0, 0 },
-  { "log-level", "LEVEL", "debug, info (default), warning or error", BOTH, 0, TYPE_LEVEL,
+  { "ready", "IP:PORT", "address of the readiness question", GATEWAY, GATEWAY,
+    TYPE_ADDRESS, FIELD (ready_address), 0, 0 },
+  { "directory", "IP:PORT", "address at which callers ask where to connect", GATEWAY,
+    GATEWAY, TYPE_ADDRESS, FIELD (directory_address), 0, 0 },
+  { "metrics", "IP:PORT", "address of the metrics, none by default", GATEWAY | RANK_AGENT,
+    0, TYPE_ADDRESS, FIELD (metrics_address), 0, 0 },
+  { "retry-ratio", "RATIO",
+    "repeated sends of all gateways for each request, 0.1 by default", GATEWAY, 0,
+    TYPE_RATIO, FIELD (retry_ratio), 0, 1 },
+  { "retry-allowance", "N",
+    "further repeated sends of all gateways in 10 s, 20 by default", GATEWAY, 0, TYPE_U32,
+    FIELD (retry_allowance), 0, 1000000 },
+  { "log-level", "LEVEL", "debug, info (default), warning or error", ALL, 0, TYPE_LEVEL,
     FIELD (log_level), 0, 0 },
 };
 
@@ -110,6 +126,25 @@
     "Takes requests of callers and routes them to upstreams." ENVIRONMENT_HELP;
 static const char agent_help[] =
     "Runs requests of entries at the local upstream." ENVIRONMENT_HELP;
+static const char gateway_help[] =
+    "Forwards requests of callers to the upstreams of a platform." ENVIRONMENT_HELP;
+static const char rank_agent_help[] =
+    "Keeps the expert map of the local rank in step with its group." ENVIRONMENT_HELP;
+
+static const char *
+help_of (uint32_t role)
+{
+  switch (role) {
+  case ENTRY:
+    return entry_help;
+  case AGENT:
+    return agent_help;
+  case GATEWAY:
+    return gateway_help;
+  default:
+    return rank_agent_help;
+  }
+}
 
 typedef struct {
   BurdockDaemonSettings *settings;
@@ -168,6 +203,19 @@
   return true;
 }
 
+static bool
+read_ratio (const Option *option, double *out, const char *value)
+{
+  char *end;
+  double number = strtod (value, &end);
+
+  if (end == value || *end != '\0' || !(number >= option->minimum) ||
+      !(number <= option->maximum))
+    return false;
+  *out = number;
+  return true;
+}
+
 static bool
 read_seeds (BurdockSettings *library, const char *value)
 {
@@ -216,6 +264,12 @@
     snprintf (allowed, sizeof allowed, "a number from %u to %u", option->minimum,
               option->maximum);
     return refuse (parser->program, option->name, value, allowed);
+  case TYPE_RATIO:
+    if (read_ratio (option, field, value))
+      return 0;
+    snprintf (allowed, sizeof allowed, "a number from %u to %u", option->minimum,
+              option->maximum);
+    return refuse (parser->program, option->name, value, allowed);
   case TYPE_SEEDS:
     if (read_seeds (&settings->library, value))
       return 0;
@@ -350,7 +404,7 @@
   struct argp_option rows[OPTION_COUNT + 1] = { 0 };
   struct argp argp = { .options = rows,
                        .parser = take_flag,
-                       .doc = (role & ENTRY) != 0 ? entry_help : agent_help };
+                       .doc = help_of (role) };
   uint32_t count = 0;
 
   for (uint32_t i = 0; i < OPTION_COUNT; i++)
@@ -378,6 +432,8 @@
   settings->library.capacity = 16;
   settings->library.answer_lifetime_ms = 5000;
   settings->library.stop_limit_ms = 60000;
+  settings->retry_ratio = 0.1;
+  settings->retry_allowance = 20;
   settings->library.incarnation = new_incarnation ();
   if (read_environment (&parser, role_bit) < 0 ||
       run_argp (&parser, role_bit, argc, argv) < 0 ||
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -14,14 +14,24 @@
 /**
  * struct BurdockDaemonSettings - settings of a process
  * @library: what the library needs
- * @store_url: entries: base address of table service, object store and instance list
- * @upstream_url: agents: base address of the local upstream
+ * @store_url: entries and gateways: base address of the platform's store
+ * @upstream_url: agents and rank agents: base address of the local upstream
+ * @ready_address: gateways: address of the readiness question
+ * @directory_address: gateways: address at which callers ask where to connect
+ * @metrics_address: gateways and rank agents: address of the metrics, port 0 for none
+ * @retry_ratio: gateways: repeated sends of all gateways for each request of a pool
+ * @retry_allowance: gateways: further repeated sends of all gateways in a window
  * @tls_certificate: entries: PEM file, empty for plain HTTP
  */
 typedef struct {
   BurdockSettings library;
   char store_url[BURDOCK_URL_BYTES];
   char upstream_url[BURDOCK_URL_BYTES];
+  BurdockAddress ready_address;
+  BurdockAddress directory_address;
+  BurdockAddress metrics_address;
+  double retry_ratio;
+  uint32_t retry_allowance;
   char tls_certificate[BURDOCK_URL_BYTES];
   char tls_key[BURDOCK_URL_BYTES];
   BurdockLogLevel log_level;
--- a/daemon/stop.c
+++ b/daemon/stop.c
@@ -23,6 +23,7 @@
   sigaddset (&set, SIGTERM);
   sigaddset (&set, SIGINT);
   sigaddset (&set, SIGUSR1);
+  sigaddset (&set, SIGHUP);
   return set;
 }
 
@@ -62,7 +63,7 @@
                                 .tv_nsec = (long)(left_ms % MS_PER_S) * NS_PER_MS };
     int number = sigtimedwait (set, NULL, &timeout);
 
-    if (number == SIGUSR1 && !atomic_load (&drained))
+    if ((number == SIGUSR1 && !atomic_load (&drained)) || number == SIGHUP)
       continue;
     if (number > 0)
       return number;
@@ -77,9 +78,13 @@
   sigset_t set = stop_signals ();
   int number = 0;
 
-  while (number != SIGTERM && number != SIGINT)
+  while (number != SIGTERM && number != SIGINT) {
     if (sigwait (&set, &number) != 0)
       return false;
+    if (number == SIGHUP)
+      burdock_log (BURDOCK_LOG_INFO, "reload", "-",
+                   "settings come from flags and environment and stay as they are");
+  }
   burdock_log (BURDOCK_LOG_INFO, "planned stop", "-", "limit %u ms", limit_ms);
   leave (ctx);
   number = wait_signal (&set, now_ms () + limit_ms);
--- /dev/null
+++ b/gateway/attempt.c
@@ -0,0 +1,251 @@
+/* Sends a request to an upstream and takes its answer. */
+#include "forward.h"
+
+#include "log.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define US_PER_MS UINT64_C (1000)
+
+/* A new connection takes a few milliseconds; a lost packet is sent again after a second,
+ * for which no objective leaves room. */
+#define CONNECT_TIMEOUT_MS 700
+
+/* The largest answer that is held until it is whole. */
+#define ANSWER_MAX_BYTES (8u << 20)
+
+/* Idle connections are not used in the last second before the upstream closes them. */
+#define KEPT_MARGIN_S 1
+
+static int
+keep_body (BurdockForward *forward, const char *data, size_t length_bytes)
+{
+  size_t needed = forward->body_bytes + length_bytes;
+
+  if (needed > ANSWER_MAX_BYTES)
+    return -EMSGSIZE;
+  if (needed > forward->body_capacity_bytes) {
+    char *grown = realloc (forward->body, needed * 2);
+
+    if (grown == NULL)
+      return -ENOMEM;
+    forward->body = grown;
+    forward->body_capacity_bytes = (uint32_t)needed * 2;
+  }
+  memcpy (forward->body + forward->body_bytes, data, length_bytes);
+  forward->body_bytes = (uint32_t)needed;
+  return 0;
+}
+
+static int
+answer_head (void *ctx, BurdockHttpTransfer *transfer, int32_t http_status)
+{
+  BurdockForward *forward = ctx;
+  uint32_t kept_s = burdock_exchange_kept_s (transfer);
+  uint32_t *kept_max_s = &forward->gateway->traffic.kept_max_s;
+
+  forward->http_status = http_status;
+  forward->form =
+      burdock_exchange_judge (transfer, http_status, forward->call.attempt_id);
+  if (kept_s > KEPT_MARGIN_S && (*kept_max_s == 0 || kept_s - KEPT_MARGIN_S < *kept_max_s))
+    *kept_max_s = kept_s - KEPT_MARGIN_S;
+  return forward->form == BURDOCK_ANSWER_UNUSABLE ? -EPROTO : 0;
+}
+
+static void
+note_first_event (BurdockForward *forward, uint64_t now_us)
+{
+  BurdockGatewayCounters *counters = &forward->gateway->traffic.counters;
+  uint64_t waited_ms = (now_us - forward->arrived_us) / US_PER_MS;
+  uint32_t bucket = 0;
+
+  forward->first_event_us = now_us;
+  while (bucket < BURDOCK_HISTOGRAM_BUCKETS - 1 && waited_ms >> bucket > 0)
+    bucket++;
+  counters->first_event_ms[bucket]++;
+}
+
+static void
+pass_event (void *ctx, const char *event, uint32_t length_bytes)
+{
+  BurdockForward *forward = ctx;
+  BurdockGatewayTraffic *traffic = &forward->gateway->traffic;
+  uint64_t now_us = burdock_loop_now_us ();
+
+  if (!forward->answer_started) {
+    forward->answer_started = true;
+    forward->answered_status = (uint32_t)forward->http_status;
+    burdock_exchange_copy_headers (forward->transfer, forward->http);
+    burdock_http_stream_start (forward->http, forward->answered_status);
+    note_first_event (forward, now_us);
+  } else if (forward->attempt_events > 0) {
+    burdock_balancer_pause (traffic->balancer, forward->upstream.key,
+                            now_us - forward->last_event_us, forward->route->pause_ms);
+  }
+  forward->attempt_events++;
+  forward->last_event_us = now_us;
+  traffic->counters.events++;
+  burdock_http_stream_write (forward->http, event, length_bytes);
+}
+
+static int
+answer_data (void *ctx, const char *data, size_t length_bytes)
+{
+  BurdockForward *forward = ctx;
+
+  if (forward->form != BURDOCK_ANSWER_STREAM)
+    return keep_body (forward, data, length_bytes);
+  return burdock_event_stream_add (&forward->events, data, (uint32_t)length_bytes,
+                                   pass_event, forward);
+}
+
+static BurdockAttemptResult
+broken_result (const BurdockForward *forward, const BurdockHttpResult *result)
+{
+  if (forward->form == BURDOCK_ANSWER_NOT_RUN)
+    return BURDOCK_ATTEMPT_NOT_RUN;
+  if (forward->form == BURDOCK_ANSWER_MISDIRECTED)
+    return BURDOCK_ATTEMPT_MISDIRECTED;
+  if (!result->sent)
+    return BURDOCK_ATTEMPT_NOT_RUN;
+  return forward->answer_started ? BURDOCK_ATTEMPT_CUT : BURDOCK_ATTEMPT_LOST;
+}
+
+static BurdockAttemptResult
+whole_result (const BurdockForward *forward)
+{
+  switch (forward->form) {
+  case BURDOCK_ANSWER_NOT_RUN:
+    return BURDOCK_ATTEMPT_NOT_RUN;
+  case BURDOCK_ANSWER_MISDIRECTED:
+    return BURDOCK_ATTEMPT_MISDIRECTED;
+  case BURDOCK_ANSWER_FAILURE:
+    return BURDOCK_ATTEMPT_FAILURE;
+  case BURDOCK_ANSWER_WHOLE:
+    return BURDOCK_ATTEMPT_WHOLE;
+  case BURDOCK_ANSWER_STREAM:
+    if (burdock_event_stream_has_rest (&forward->events))
+      return forward->answer_started ? BURDOCK_ATTEMPT_CUT : BURDOCK_ATTEMPT_LOST;
+    return BURDOCK_ATTEMPT_WHOLE;
+  default:
+    return BURDOCK_ATTEMPT_LOST;
+  }
+}
+
+static BurdockUpstreamOutcome
+outcome_of (BurdockAttemptResult result, bool sent)
+{
+  switch (result) {
+  case BURDOCK_ATTEMPT_WHOLE:
+    return BURDOCK_UPSTREAM_OK;
+  case BURDOCK_ATTEMPT_NOT_RUN:
+    return sent ? BURDOCK_UPSTREAM_BUSY : BURDOCK_UPSTREAM_UNREACHABLE;
+  case BURDOCK_ATTEMPT_MISDIRECTED:
+    return BURDOCK_UPSTREAM_REPLACED;
+  default:
+    return BURDOCK_UPSTREAM_FAILED;
+  }
+}
+
+static void
+answer_done (void *ctx, const BurdockHttpResult *result)
+{
+  BurdockForward *forward = ctx;
+  BurdockAttemptResult end =
+      result->status == 0 ? whole_result (forward) : broken_result (forward, result);
+
+  forward->sent_any = result->sent;
+  if (result->new_connection)
+    forward->gateway->traffic.counters.connections++;
+  if (end != BURDOCK_ATTEMPT_WHOLE)
+    burdock_log_about (BURDOCK_LOG_INFO, "attempt failed", forward->call.attempt_id,
+                       forward->upstream.id,
+                       "result %d status %d http %d form %d sent %d new %d after_ms %u "
+                       "events %u",
+                       end, result->status, result->http_status, forward->form,
+                       result->sent, result->new_connection,
+                       (uint32_t)((burdock_loop_now_us () - forward->sent_us) /
+                                  US_PER_MS),
+                       forward->attempt_events);
+  burdock_forward_ended (forward, end, outcome_of (end, result->sent));
+}
+
+static void
+reset_attempt (BurdockForward *forward, uint64_t now_us)
+{
+  forward->phase = BURDOCK_FORWARD_SENT;
+  forward->form = 0;
+  forward->http_status = 0;
+  forward->body_bytes = 0;
+  forward->attempt_events = 0;
+  forward->sent_us = now_us;
+  burdock_event_stream_restart (&forward->events);
+  forward->sent++;
+}
+
+static uint32_t
+left_ms (const BurdockForward *forward, uint64_t now_us)
+{
+  if (forward->deadline_us <= now_us)
+    return 0;
+  return (uint32_t)((forward->deadline_us - now_us) / US_PER_MS);
+}
+
+void
+burdock_forward_send (BurdockForward *forward)
+{
+  BurdockGatewayTraffic *traffic = &forward->gateway->traffic;
+  uint64_t now_us = burdock_loop_now_us ();
+  BurdockBytes body = burdock_http_body (forward->http);
+  BurdockForwarding forwarding = {
+    .expected_upstream = forward->upstream.id,
+    .workspace = forward->workspace,
+    .passes_key = !forward->table->has_workspaces,
+    .left_ms = left_ms (forward, now_us),
+    .resume_after = forward->events.last_id,
+  };
+  char address[24];
+  char url[40];
+  BurdockHttpCall call = { .method = burdock_http_method (forward->http),
+                           .url = url,
+                           .target = burdock_http_target (forward->http),
+                           .body = body.data,
+                           .body_bytes = body.length_bytes,
+                           .once = true,
+                           .kept_max_s = traffic->kept_max_s,
+                           .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+                           .ctx = forward,
+                           .head = answer_head,
+                           .data = answer_data,
+                           .done = answer_done };
+  int status = burdock_exchange_headers (forward->http, &forwarding, &forward->lines);
+
+  reset_attempt (forward, now_us);
+  burdock_address_format (forward->upstream.address, address, sizeof address);
+  snprintf (url, sizeof url, "http://%s", address);
+  call.headers = (const char *const *)forward->lines.lines;
+  call.header_count = forward->lines.count;
+  if (status == 0)
+    status = burdock_http_client_open (traffic->runtime.client, &call,
+                                       &forward->transfer);
+  burdock_header_lines_clear (&forward->lines);
+  if (status < 0) {
+    burdock_log_about (BURDOCK_LOG_ERROR, "send request", forward->call.attempt_id,
+                       forward->upstream.id, "%s", strerror (-status));
+    forward->transfer = NULL;
+    burdock_forward_ended (forward, BURDOCK_ATTEMPT_NOT_RUN, BURDOCK_UPSTREAM_ABANDONED);
+  }
+}
+
+void
+burdock_forward_cancel (BurdockForward *forward, BurdockUpstreamOutcome outcome)
+{
+  if (forward->transfer == NULL)
+    return;
+  burdock_http_transfer_cancel (forward->transfer);
+  forward->transfer = NULL;
+  burdock_balancer_finish (forward->gateway->traffic.balancer, forward->upstream.key,
+                           outcome, burdock_loop_now_us ());
+}
--- /dev/null
+++ b/gateway/main.c
@@ -0,0 +1,76 @@
+#include "gateway.h"
+
+#include "log.h"
+#include "stop.h"
+
+#include <apr_general.h>
+#include <curl/curl.h>
+#include <sodium.h>
+#include <stdlib.h>
+
+#define PROGRAM "burdock-gateway"
+
+static void
+leave (void *ctx)
+{
+  BurdockGateway *gateway = ctx;
+
+  burdock_loop_post (gateway->traffic.runtime.loop, burdock_gateway_traffic_leave,
+                     gateway);
+}
+
+static void
+discard_published (BurdockGateway *gateway)
+{
+  while (burdock_loop_drain (gateway->control.runtime.loop) ||
+         burdock_loop_drain (gateway->traffic.runtime.loop))
+    ;
+  burdock_route_table_unref (burdock_slot_take (&gateway->tables));
+  free (burdock_slot_take (&gateway->upstreams));
+}
+
+static int
+run (BurdockGateway *gateway)
+{
+  bool drained;
+
+  if (burdock_gateway_traffic_init (gateway) < 0 ||
+      burdock_gateway_control_init (gateway) < 0)
+    return EXIT_FAILURE;
+  if (burdock_runtime_start (&gateway->traffic.runtime) < 0 ||
+      burdock_runtime_start (&gateway->control.runtime) < 0)
+    return EXIT_FAILURE;
+  burdock_log (BURDOCK_LOG_INFO, "started", "-", "failure domain %s store %s",
+               gateway->settings.library.failure_domain, gateway->settings.store_url);
+  drained = burdock_stop_wait (gateway->settings.library.stop_limit_ms, leave, gateway);
+  burdock_runtime_stop (&gateway->control.runtime);
+  burdock_runtime_stop (&gateway->traffic.runtime);
+  discard_published (gateway);
+  burdock_gateway_control_clear (gateway);
+  burdock_gateway_traffic_clear (gateway);
+  burdock_log (BURDOCK_LOG_INFO, "stopped", "-", "drained %d", drained);
+  return EXIT_SUCCESS;
+}
+
+int
+main (int argc, char **argv)
+{
+  static BurdockGateway gateway;
+  int status;
+
+  burdock_stop_prepare ();
+  if (sodium_init () < 0 || apr_initialize () != APR_SUCCESS ||
+      curl_global_init (CURL_GLOBAL_DEFAULT) != CURLE_OK)
+    return EXIT_FAILURE;
+  if (burdock_settings_parse (&gateway.settings, BURDOCK_ROLE_GATEWAY, PROGRAM, argc,
+                              argv) < 0)
+    return 2;
+  gateway.id = burdock_member_id (gateway.settings.library.name);
+  gateway.incarnation = gateway.settings.library.incarnation;
+  burdock_log_init (gateway.settings.library.name, gateway.settings.log_level);
+  burdock_log_to_stdout ();
+  status = run (&gateway);
+  curl_global_cleanup ();
+  apr_terminate ();
+  return status;
+}
--- /dev/null
+++ b/gateway/peers.c
@@ -0,0 +1,212 @@
+#include "gateway.h"
+
+#include "log.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#define US_PER_MS UINT64_C (1000)
+
+/* Heartbeats carry the load of a gateway; a place at an upstream is used for a second or
+ * more, so a tenth of that is recent enough. With more gateways they are sent less often:
+ * the number received by each stays at about 80 a second. */
+#define HEARTBEAT_MS 100
+#define HEARTBEATS_PER_S 80
+
+/* Ten heartbeats. */
+#define PEER_SILENT_US UINT64_C (1000000)
+
+/* A peer that is not heard of for this long is not written to any more. */
+#define PEER_FORGET_US UINT64_C (10000000)
+
+/* Agents need their group only to coordinate maps, which takes longer than this. */
+#define ROSTER_MS 500
+
+static BurdockGatewayPeer *
+find_peer (BurdockGatewayTraffic *traffic, BurdockAddress address)
+{
+  for (uint32_t i = 0; i < traffic->peer_count; i++) {
+    BurdockGatewayPeer *peer = &traffic->peers[i];
+
+    if (peer->address.ipv4 == address.ipv4 && peer->address.port == address.port)
+      return peer;
+  }
+  return NULL;
+}
+
+static BurdockGatewayPeer *
+add_peer (BurdockGateway *gateway, BurdockAddress address)
+{
+  BurdockGatewayTraffic *traffic = &gateway->traffic;
+  BurdockAddress own = gateway->settings.library.control_address;
+  BurdockGatewayPeer *peer = find_peer (traffic, address);
+
+  if (peer != NULL || (address.ipv4 == own.ipv4 && address.port == own.port))
+    return peer;
+  if (traffic->peer_count == BURDOCK_PEERS_MAX)
+    return NULL;
+  peer = &traffic->peers[traffic->peer_count++];
+  *peer = (BurdockGatewayPeer){ .address = address, .added_us = burdock_loop_now_us () };
+  return peer;
+}
+
+bool
+burdock_gateway_peer_is_heard (const BurdockGatewayPeer *peer, uint64_t now_us)
+{
+  return peer->heard_us != 0 && now_us - peer->heard_us < PEER_SILENT_US;
+}
+
+static void
+take_load (BurdockGateway *gateway, BurdockAddress from, const BurdockMessage *message)
+{
+  BurdockGatewayTraffic *traffic = &gateway->traffic;
+  const BurdockGatewayLoadMessage *load = &message->gateway_load;
+  uint64_t now_us = burdock_loop_now_us ();
+  BurdockGatewayPeer *peer = add_peer (gateway, from);
+
+  if (peer == NULL || message->header.sender_incarnation < peer->incarnation)
+    return;
+  if (!burdock_gateway_peer_is_heard (peer, now_us) || load->leaving != peer->leaving)
+    burdock_log (BURDOCK_LOG_INFO, load->leaving ? "gateway leaving" : "gateway heard",
+                 load->name, "incarnation %" PRIu64 " ready %d generation %" PRIu64,
+                 message->header.sender_incarnation, load->ready, load->generation);
+  peer->id = message->header.sender_id;
+  peer->incarnation = message->header.sender_incarnation;
+  peer->heard_us = now_us;
+  peer->callers = load->callers;
+  peer->ready = load->ready;
+  peer->leaving = load->leaving;
+  for (uint32_t i = 0; i < load->peer_count; i++)
+    add_peer (gateway, load->peers[i].address);
+  burdock_balancer_peer_load (traffic->balancer, peer->id, load->items, load->item_count,
+                              now_us);
+}
+
+void
+burdock_gateway_peers_receive (void *ctx, BurdockAddress from,
+                               const BurdockMessage *message)
+{
+  BurdockGateway *gateway = ctx;
+
+  if (message->header.type == BURDOCK_MSG_GATEWAY_LOAD)
+    take_load (gateway, from, message);
+  else if (message->header.type == BURDOCK_MSG_RANK_STATE)
+    burdock_balancer_rank_state (gateway->traffic.balancer, &message->rank_state,
+                                 burdock_loop_now_us ());
+}
+
+static void
+list_peers (BurdockGateway *gateway, BurdockGatewayLoadMessage *load, uint64_t now_us)
+{
+  BurdockGatewayTraffic *traffic = &gateway->traffic;
+
+  for (uint32_t i = 0;
+       i < traffic->peer_count && load->peer_count < BURDOCK_GATEWAY_ITEMS_MAX; i++) {
+    const BurdockGatewayPeer *peer =
+        &traffic->peers[(traffic->spread + i) % traffic->peer_count];
+
+    if (burdock_gateway_peer_is_heard (peer, now_us))
+      load->peers[load->peer_count++].address = peer->address;
+  }
+  traffic->spread++;
+}
+
+static void
+send_heartbeat (BurdockGateway *gateway, uint64_t now_us)
+{
+  BurdockGatewayTraffic *traffic = &gateway->traffic;
+  BurdockGatewayLoadMessage *load = &traffic->outgoing.gateway_load;
+  BurdockAddress to[BURDOCK_PEERS_MAX];
+
+  traffic->outgoing.header =
+      (BurdockMessageHeader){ .type = BURDOCK_MSG_GATEWAY_LOAD,
+                              .sender_id = gateway->id,
+                              .sender_incarnation = gateway->incarnation };
+  load->callers = gateway->settings.library.http_address;
+  load->ready = burdock_gateway_is_ready (gateway);
+  load->leaving = traffic->leaving;
+  load->generation = traffic->table != NULL ? traffic->table->version : 0;
+  load->waiting = burdock_balancer_figures (traffic->balancer).waiting;
+  memcpy (load->name, gateway->settings.library.name, sizeof load->name);
+  load->peer_count = 0;
+  list_peers (gateway, load, now_us);
+  load->item_count =
+      burdock_balancer_own_load (traffic->balancer, load->items, BURDOCK_LOAD_ITEMS_MAX);
+  for (uint32_t i = 0; i < traffic->peer_count; i++)
+    to[i] = traffic->peers[i].address;
+  burdock_datagrams_send (traffic->datagrams, &traffic->outgoing, to,
+                          traffic->peer_count);
+}
+
+/* Agents listen on the port of the heartbeats, at the instance of their runner. */
+static void
+send_roster (BurdockGateway *gateway, const BurdockAgentPeer *agent)
+{
+  BurdockGatewayTraffic *traffic = &gateway->traffic;
+  BurdockRosterMessage *roster = &traffic->outgoing.roster;
+  const BurdockPool *pool =
+      apr_hash_get (traffic->table->pools, agent->pool, APR_HASH_KEY_STRING);
+
+  if (pool == NULL || pool->shape.layers == 0)
+    return;
+  traffic->outgoing.header =
+      (BurdockMessageHeader){ .type = BURDOCK_MSG_RANK_ROSTER,
+                              .sender_id = gateway->id,
+                              .sender_incarnation = gateway->incarnation };
+  roster->layers = pool->shape.layers;
+  roster->experts = pool->shape.experts;
+  roster->slots = pool->shape.slots;
+  roster->loads_max = pool->shape.loads_max;
+  roster->copy_us = pool->shape.copy_us;
+  roster->rank_count = burdock_balancer_group_ranks (
+      traffic->balancer, agent->upstream, roster->ranks, BURDOCK_ROSTER_RANKS_MAX);
+  burdock_datagrams_send (traffic->datagrams, &traffic->outgoing, &agent->address, 1);
+}
+
+static void
+forget_silent_peers (BurdockGateway *gateway, uint64_t now_us)
+{
+  BurdockGatewayTraffic *traffic = &gateway->traffic;
+  uint32_t kept = 0;
+
+  for (uint32_t i = 0; i < traffic->peer_count; i++) {
+    const BurdockGatewayPeer *peer = &traffic->peers[i];
+    uint64_t since_us = peer->heard_us > peer->added_us ? peer->heard_us : peer->added_us;
+
+    if (now_us - since_us < PEER_FORGET_US)
+      traffic->peers[kept++] = *peer;
+  }
+  traffic->peer_count = kept;
+}
+
+static uint64_t
+heartbeat_interval_us (const BurdockGatewayTraffic *traffic)
+{
+  uint64_t interval_ms = traffic->peer_count * UINT64_C (1000) / HEARTBEATS_PER_S;
+
+  return (interval_ms > HEARTBEAT_MS ? interval_ms : HEARTBEAT_MS) * US_PER_MS;
+}
+
+uint64_t
+burdock_gateway_peers_tick (BurdockGateway *gateway, uint64_t now_us)
+{
+  BurdockGatewayTraffic *traffic = &gateway->traffic;
+  const BurdockSettings *library = &gateway->settings.library;
+
+  if (now_us >= traffic->next_heartbeat_us) {
+    traffic->next_heartbeat_us = now_us + heartbeat_interval_us (traffic);
+    forget_silent_peers (gateway, now_us);
+    /* All gateways of a deployment use the same port, and seeds name another one. */
+    for (uint32_t i = 0; i < library->seed_count; i++)
+      add_peer (gateway, (BurdockAddress){ library->seeds[i].ipv4,
+                                           library->control_address.port });
+    send_heartbeat (gateway, now_us);
+  }
+  if (now_us >= traffic->next_roster_us && traffic->table != NULL) {
+    traffic->next_roster_us = now_us + ROSTER_MS * US_PER_MS;
+    for (uint32_t i = 0; i < traffic->agent_count; i++)
+      send_roster (gateway, &traffic->agents[i]);
+  }
+  return traffic->next_heartbeat_us < traffic->next_roster_us ? traffic->next_heartbeat_us
+                                                              : traffic->next_roster_us;
+}
--- /dev/null
+++ b/gateway/questions.c
@@ -0,0 +1,111 @@
+/* Answers questions about the gateway itself: readiness, directory and metrics. */
+#include "gateway.h"
+
+#include "exchange.h"
+#include "text.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Callers keep an answer for this time, some of them three times as long; a gateway that
+ * leaves serves for longer than that. */
+#define DIRECTORY_TTL_S 1
+
+bool
+burdock_gateway_is_ready (const BurdockGateway *gateway)
+{
+  const BurdockGatewayTraffic *traffic = &gateway->traffic;
+
+  return !traffic->leaving && traffic->table != NULL && traffic->has_upstreams;
+}
+
+static void
+answer_resolve (BurdockGateway *gateway, BurdockHttpRequest *request)
+{
+  BurdockGatewayTraffic *traffic = &gateway->traffic;
+  BurdockAddress addresses[BURDOCK_PEERS_MAX + 1];
+  uint64_t now_us = burdock_loop_now_us ();
+  uint32_t count = 0;
+
+  if (burdock_gateway_is_ready (gateway))
+    addresses[count++] = gateway->settings.library.http_address;
+  for (uint32_t i = 0; i < traffic->peer_count; i++) {
+    const BurdockGatewayPeer *peer =
+        &traffic->peers[(traffic->spread + i) % traffic->peer_count];
+
+    if (burdock_gateway_peer_is_heard (peer, now_us) && peer->ready && !peer->leaving)
+      addresses[count++] = peer->callers;
+  }
+  traffic->spread++;
+  if (count == 0) {
+    burdock_http_answer (request, 503, "application/json",
+                         strdup ("{\"error\":\"no gateway is ready\"}\n"), NULL);
+    return;
+  }
+  burdock_exchange_answer_resolve (request, addresses, count, DIRECTORY_TTL_S);
+}
+
+static void
+answer_metrics (BurdockGateway *gateway, BurdockHttpRequest *request)
+{
+  const BurdockGatewayTraffic *traffic = &gateway->traffic;
+  const BurdockGatewayCounters *counters = &traffic->counters;
+  BurdockBalancerFigures figures = burdock_balancer_figures (traffic->balancer);
+  BurdockText text = { 0 };
+  struct {
+    const char *name;
+    uint64_t value;
+  } rows[] = {
+    { "burdock_requests_total", counters->requests },
+    { "burdock_answers_whole_total", counters->whole },
+    { "burdock_requests_refused_total", counters->refused },
+    { "burdock_requests_failed_total", counters->failed },
+    { "burdock_streams_broken_total", counters->broken },
+    { "burdock_requests_rejected_total", counters->rejected },
+    { "burdock_requests_abandoned_total", counters->abandoned },
+    { "burdock_streams_resumed_total", counters->resumed },
+    { "burdock_events_total", counters->events },
+    { "burdock_upstream_connections_total", counters->connections },
+    { "burdock_requests_waiting", figures.waiting },
+    { "burdock_upstreams", figures.upstreams },
+    { "burdock_outstanding_own", figures.outstanding_own },
+    { "burdock_outstanding_all", figures.outstanding_all },
+    { "burdock_repeats_total", figures.repeats },
+    { "burdock_repeats_denied_total", figures.repeats_denied },
+    { "burdock_generation", traffic->table != NULL ? traffic->table->version : 0 },
+    { "burdock_peers", traffic->peer_count },
+  };
+  char *process = burdock_runtime_metrics ();
+
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    burdock_text_format (&text, "%s %" PRIu64 "\n", rows[i].name, rows[i].value);
+  for (uint32_t i = 0; i < BURDOCK_HISTOGRAM_BUCKETS; i++)
+    burdock_text_format (&text, "burdock_first_event_ms{below=\"%u\"} %" PRIu64 "\n",
+                         1u << i, counters->first_event_ms[i]);
+  if (process != NULL)
+    burdock_text_add_string (&text, process);
+  free (process);
+  burdock_http_answer (request, 200, "text/plain", burdock_text_take (&text), NULL);
+}
+
+void
+burdock_gateway_answer_question (void *ctx, BurdockHttpRequest *request)
+{
+  BurdockGateway *gateway = ctx;
+
+  if (burdock_exchange_is_resolve (request)) {
+    answer_resolve (gateway, request);
+  } else if (burdock_exchange_is_ready (request)) {
+    bool ready = burdock_gateway_is_ready (gateway);
+
+    burdock_http_answer (request, ready ? 200 : 503, "application/json",
+                         strdup (ready ? "{\"ready\":true}\n" : "{\"ready\":false}\n"),
+                         NULL);
+  } else if (strcmp (burdock_http_path (request), "/metrics") == 0) {
+    answer_metrics (gateway, request);
+  } else {
+    burdock_http_answer (request, 404, "application/json",
+                         strdup ("{\"error\":\"no such question\"}\n"), NULL);
+  }
+}
--- a/libburdock/burdock.h
+++ b/libburdock/burdock.h
@@ -60,6 +60,8 @@
 typedef enum {
   BURDOCK_ROLE_ENTRY = 1,
   BURDOCK_ROLE_AGENT = 2,
+  BURDOCK_ROLE_GATEWAY = 3,
+  BURDOCK_ROLE_RANK_AGENT = 4,
 } BurdockRole;
 
 typedef enum {
--- /dev/null
+++ b/libburdock/event-stream.c
@@ -0,0 +1,108 @@
+#include "event-stream.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ID_FIELD "id:"
+
+void
+burdock_event_stream_clear (BurdockEventStream *stream)
+{
+  free (stream->buffer);
+  *stream = (BurdockEventStream){ 0 };
+}
+
+void
+burdock_event_stream_restart (BurdockEventStream *stream)
+{
+  stream->length_bytes = 0;
+}
+
+bool
+burdock_event_stream_has_rest (const BurdockEventStream *stream)
+{
+  return stream->length_bytes > 0;
+}
+
+/* Length of the first event with its empty line, or 0. Lines end in LF or CR LF. */
+static uint32_t
+event_length (const char *data, uint32_t length_bytes)
+{
+  uint32_t start = 0;
+  const char *end;
+
+  while ((end = memchr (data + start, '\n', length_bytes - start)) != NULL) {
+    uint32_t line_bytes = (uint32_t)(end - data) - start;
+
+    if (line_bytes == 0 || (line_bytes == 1 && data[start] == '\r'))
+      return (uint32_t)(end - data) + 1;
+    start = (uint32_t)(end - data) + 1;
+  }
+  return 0;
+}
+
+/* Id of an event, or 0 for an event without one. */
+static uint64_t
+event_id (const char *event, uint32_t length_bytes)
+{
+  const char *line = event;
+  const char *end = event + length_bytes;
+
+  while (line < end) {
+    const char *next = memchr (line, '\n', (size_t)(end - line));
+
+    if (strncmp (line, ID_FIELD, strlen (ID_FIELD)) == 0)
+      return strtoull (line + strlen (ID_FIELD), NULL, 10);
+    if (next == NULL)
+      return 0;
+    line = next + 1;
+  }
+  return 0;
+}
+
+static int
+append (BurdockEventStream *stream, const char *data, uint32_t length_bytes)
+{
+  uint32_t needed = stream->length_bytes + length_bytes + 1;
+
+  if (needed > BURDOCK_STREAM_EVENT_MAX_BYTES)
+    return -EMSGSIZE;
+  if (needed > stream->capacity_bytes) {
+    char *grown = realloc (stream->buffer, needed * 2);
+
+    if (grown == NULL)
+      return -ENOMEM;
+    stream->buffer = grown;
+    stream->capacity_bytes = needed * 2;
+  }
+  memcpy (stream->buffer + stream->length_bytes, data, length_bytes);
+  stream->length_bytes += length_bytes;
+  stream->buffer[stream->length_bytes] = '\0';
+  return 0;
+}
+
+int
+burdock_event_stream_add (BurdockEventStream *stream, const char *data,
+                          uint32_t length_bytes, BurdockEventStreamSink sink, void *ctx)
+{
+  int status = append (stream, data, length_bytes);
+  uint32_t at = 0;
+  uint32_t length;
+
+  if (status < 0)
+    return status;
+  while ((length = event_length (stream->buffer + at, stream->length_bytes - at)) > 0) {
+    uint64_t id = event_id (stream->buffer + at, length);
+
+    if (id == 0 || id > stream->last_id) {
+      if (id != 0)
+        stream->last_id = id;
+      sink (ctx, stream->buffer + at, length);
+    }
+    at += length;
+  }
+  stream->length_bytes -= at;
+  memmove (stream->buffer, stream->buffer + at, stream->length_bytes);
+  return 0;
+}
--- a/libburdock/message-fields.c
+++ b/libburdock/message-fields.c
@@ -192,6 +192,77 @@
               limit_item_record),
 };
 
+static const BurdockField load_item_fields[] = {
+  FIELD (BURDOCK_FIELD_U64, BurdockLoadItem, upstream),
+  FIELD (BURDOCK_FIELD_U32, BurdockLoadItem, outstanding),
+};
+static const BurdockFieldRecord load_item_record =
+    RECORD (BurdockLoadItem, load_item_fields);
+
+static const BurdockField gateway_item_fields[] = {
+  FIELD (BURDOCK_FIELD_ADDRESS, BurdockGatewayItem, address),
+};
+static const BurdockFieldRecord gateway_item_record =
+    RECORD (BurdockGatewayItem, gateway_item_fields);
+
+static const BurdockField gateway_load_fields[] = {
+  FIELD (BURDOCK_FIELD_NAME, BurdockGatewayLoadMessage, name),
+  FIELD (BURDOCK_FIELD_ADDRESS, BurdockGatewayLoadMessage, callers),
+  FIELD (BURDOCK_FIELD_BOOL, BurdockGatewayLoadMessage, ready),
+  FIELD (BURDOCK_FIELD_BOOL, BurdockGatewayLoadMessage, leaving),
+  FIELD (BURDOCK_FIELD_U64, BurdockGatewayLoadMessage, generation),
+  FIELD (BURDOCK_FIELD_U32, BurdockGatewayLoadMessage, waiting),
+  LIST_FIELD (BurdockGatewayLoadMessage, peers, peer_count, BURDOCK_GATEWAY_ITEMS_MAX,
+              gateway_item_record),
+  LIST_FIELD (BurdockGatewayLoadMessage, items, item_count, BURDOCK_LOAD_ITEMS_MAX,
+              load_item_record),
+};
+
+static const BurdockField roster_rank_fields[] = {
+  FIELD (BURDOCK_FIELD_ADDRESS, BurdockRosterRank, address),
+  FIELD (BURDOCK_FIELD_U32, BurdockRosterRank, rank),
+};
+static const BurdockFieldRecord roster_rank_record =
+    RECORD (BurdockRosterRank, roster_rank_fields);
+
+static const BurdockField roster_fields[] = {
+  FIELD (BURDOCK_FIELD_U32, BurdockRosterMessage, layers),
+  FIELD (BURDOCK_FIELD_U32, BurdockRosterMessage, experts),
+  FIELD (BURDOCK_FIELD_U32, BurdockRosterMessage, slots),
+  FIELD (BURDOCK_FIELD_U32, BurdockRosterMessage, loads_max),
+  FIELD (BURDOCK_FIELD_U32, BurdockRosterMessage, copy_us),
+  LIST_FIELD (BurdockRosterMessage, ranks, rank_count, BURDOCK_ROSTER_RANKS_MAX,
+              roster_rank_record),
+};
+
+static const BurdockField rank_state_fields[] = {
+  FIELD (BURDOCK_FIELD_NAME, BurdockRankStateMessage, group),
+  FIELD (BURDOCK_FIELD_ADDRESS, BurdockRankStateMessage, upstream),
+  FIELD (BURDOCK_FIELD_U64, BurdockRankStateMessage, epoch),
+  FIELD (BURDOCK_FIELD_U32, BurdockRankStateMessage, rank),
+  FIELD (BURDOCK_FIELD_U32, BurdockRankStateMessage, size),
+  FIELD (BURDOCK_FIELD_BOOL, BurdockRankStateMessage, open),
+  FIELD (BURDOCK_FIELD_U64, BurdockRankStateMessage, step),
+  FIELD (BURDOCK_FIELD_U32, BurdockRankStateMessage, step_time_us),
+  FIELD (BURDOCK_FIELD_U64, BurdockRankStateMessage, map_version),
+  FIELD (BURDOCK_FIELD_U64, BurdockRankStateMessage, loaded_version),
+  FIELD (BURDOCK_FIELD_U64, BurdockRankStateMessage, armed_version),
+  FIELD (BURDOCK_FIELD_U64, BurdockRankStateMessage, armed_step),
+  FIELD (BURDOCK_FIELD_U64, BurdockRankStateMessage, held_step),
+  FIELD (BURDOCK_FIELD_BALLOT, BurdockRankStateMessage, ballot),
+  FIELD (BURDOCK_FIELD_BYTES, BurdockRankStateMessage, hosted),
+  FIELD (BURDOCK_FIELD_BYTES, BurdockRankStateMessage, tokens),
+};
+
+static const BurdockField map_command_fields[] = {
+  FIELD (BURDOCK_FIELD_U32, BurdockMapCommandMessage, kind),
+  FIELD (BURDOCK_FIELD_BALLOT, BurdockMapCommandMessage, ballot),
+  FIELD (BURDOCK_FIELD_U64, BurdockMapCommandMessage, epoch),
+  FIELD (BURDOCK_FIELD_U64, BurdockMapCommandMessage, version),
+  FIELD (BURDOCK_FIELD_U64, BurdockMapCommandMessage, step),
+  FIELD (BURDOCK_FIELD_BYTES, BurdockMapCommandMessage, map),
+};
+
 static const BurdockMessageKind kinds[BURDOCK_MSG_TYPE_COUNT] = {
   [BURDOCK_MSG_ATTEMPT] = { "ATTEMPT", RECORD (BurdockAttemptMessage, attempt_fields) },
   [BURDOCK_MSG_ATTEMPT_REFUSED] = { "ATTEMPT_REFUSED",
@@ -238,6 +309,14 @@
                                  RECORD (BurdockLimitMessage, limit_fields) },
   [BURDOCK_MSG_LIMIT_GRANT] = { "LIMIT_GRANT",
                                 RECORD (BurdockLimitMessage, limit_fields) },
+  [BURDOCK_MSG_GATEWAY_LOAD] = { "GATEWAY_LOAD", RECORD (BurdockGatewayLoadMessage,
+                                                         gateway_load_fields) },
+  [BURDOCK_MSG_RANK_ROSTER] = { "RANK_ROSTER",
+                                RECORD (BurdockRosterMessage, roster_fields) },
+  [BURDOCK_MSG_RANK_STATE] = { "RANK_STATE",
+                               RECORD (BurdockRankStateMessage, rank_state_fields) },
+  [BURDOCK_MSG_MAP_COMMAND] = { "MAP_COMMAND", RECORD (BurdockMapCommandMessage,
+                                                       map_command_fields) },
 };
 
 const BurdockMessageKind *
--- a/libburdock/message.h
+++ b/libburdock/message.h
@@ -22,6 +22,11 @@
 #define BURDOCK_SYNC_MAX 64
 #define BURDOCK_LIMIT_ITEMS_MAX 32
 
+/* 600 upstreams at the target size, with room for those that are being replaced. */
+#define BURDOCK_LOAD_ITEMS_MAX 1024
+#define BURDOCK_ROSTER_RANKS_MAX 64
+#define BURDOCK_GATEWAY_ITEMS_MAX 16
+
 typedef enum {
   BURDOCK_MSG_ATTEMPT = 1,
   BURDOCK_MSG_ATTEMPT_REFUSED,
@@ -47,6 +52,10 @@
   BURDOCK_MSG_LOAD,
   BURDOCK_MSG_LIMIT_REPORT,
   BURDOCK_MSG_LIMIT_GRANT,
+  BURDOCK_MSG_GATEWAY_LOAD,
+  BURDOCK_MSG_RANK_ROSTER,
+  BURDOCK_MSG_RANK_STATE,
+  BURDOCK_MSG_MAP_COMMAND,
   BURDOCK_MSG_TYPE_COUNT,
 } BurdockMessageType;
 
@@ -288,6 +297,116 @@
   BurdockLimitItem items[BURDOCK_LIMIT_ITEMS_MAX];
 } BurdockLimitMessage;
 
+/**
+ * struct BurdockLoadItem - requests of one gateway at one upstream
+ * @upstream: burdock_member_id() of the id of the upstream
+ */
+typedef struct {
+  uint64_t upstream;
+  uint32_t outstanding;
+} BurdockLoadItem;
+
+/** struct BurdockGatewayItem - another gateway that the sender hears of directly */
+typedef struct {
+  BurdockAddress address;
+} BurdockGatewayItem;
+
+/**
+ * struct BurdockGatewayLoadMessage - heartbeat between gateways
+ * @callers: address at which callers connect
+ * @ready: whether callers may be sent to the gateway
+ * @leaving: the gateway has been told to stop
+ * @waiting: requests that wait for an upstream
+ * @peers: some of the gateways that the sender hears, so that newcomers find all others
+ */
+typedef struct {
+  char name[BURDOCK_NAME_BYTES];
+  BurdockAddress callers;
+  bool ready;
+  bool leaving;
+  uint64_t generation;
+  uint32_t waiting;
+  uint32_t peer_count;
+  BurdockGatewayItem peers[BURDOCK_GATEWAY_ITEMS_MAX];
+  uint32_t item_count;
+  BurdockLoadItem items[BURDOCK_LOAD_ITEMS_MAX];
+} BurdockGatewayLoadMessage;
+
+/** struct BurdockRosterRank - runner of a group, reached at @address */
+typedef struct {
+  BurdockAddress address;
+  uint32_t rank;
+} BurdockRosterRank;
+
+/**
+ * struct BurdockRosterMessage - what a gateway tells the agent of a rank
+ * @layers: layers with experts of their own, 0 while the gateway knows no configuration
+ * @slots: copies of experts that a rank can hold in a layer
+ * @loads_max: copies of a layer that one new map may add to a rank
+ * @copy_us: time to load one expert
+ * @ranks: known members of the group that the receiver reported last
+ */
+typedef struct {
+  uint32_t layers;
+  uint32_t experts;
+  uint32_t slots;
+  uint32_t loads_max;
+  uint32_t copy_us;
+  uint32_t rank_count;
+  BurdockRosterRank ranks[BURDOCK_ROSTER_RANKS_MAX];
+} BurdockRosterMessage;
+
+/**
+ * struct BurdockRankStateMessage - state of a rank, sent by its agent
+ * @upstream: address of the runner
+ * @epoch: grows whenever the group is formed anew
+ * @open: the group is complete and runs steps
+ * @step: last step that was begun
+ * @map_version: version of the map in use
+ * @loaded_version: version whose experts have been loaded, 0 for none
+ * @armed_version: version that the rank switches to at @armed_step, 0 for none
+ * @held_step: step that the group does not begin, 0 for none
+ * @ballot: highest ballot that the agent has promised to obey
+ * @hosted: experts of the rank in the map in use, one byte each, layer by layer; each
+ *   layer starts with their number
+ * @tokens: tokens per layer and expert since the runner started, big-endian u32
+ */
+typedef struct {
+  char group[BURDOCK_NAME_BYTES];
+  BurdockAddress upstream;
+  uint64_t epoch;
+  uint32_t rank;
+  uint32_t size;
+  bool open;
+  uint64_t step;
+  uint32_t step_time_us;
+  uint64_t map_version;
+  uint64_t loaded_version;
+  uint64_t armed_version;
+  uint64_t armed_step;
+  uint64_t held_step;
+  BurdockBallot ballot;
+  BurdockBytes hosted;
+  BurdockBytes tokens;
+} BurdockRankStateMessage;
+
+typedef enum {
+  BURDOCK_MAP_PROMISE = 1, /* obey no lower ballot from now on */
+  BURDOCK_MAP_LOAD,        /* load the experts of @map */
+  BURDOCK_MAP_ARM,         /* use @version from @step on */
+  BURDOCK_MAP_RELEASE,     /* let the group begin the step that this rank holds */
+} BurdockMapCommandKind;
+
+/** struct BurdockMapCommandMessage - order of the coordinator of a group to a rank */
+typedef struct {
+  uint32_t kind;
+  BurdockBallot ballot;
+  uint64_t epoch;
+  uint64_t version;
+  uint64_t step;
+  BurdockBytes map;
+} BurdockMapCommandMessage;
+
 typedef struct {
   BurdockMessageHeader header;
   union {
@@ -307,6 +426,10 @@
     BurdockOrderResultMessage order_result;
     BurdockLoadMessage load;
     BurdockLimitMessage limit;
+    BurdockGatewayLoadMessage gateway_load;
+    BurdockRosterMessage roster;
+    BurdockRankStateMessage rank_state;
+    BurdockMapCommandMessage map_command;
   };
 } BurdockMessage;
 
