--- a/daemon/datagram.c
+++ b/daemon/datagram.c
@@ -56,9 +56,9 @@
   for (uint32_t i = 0; i < RECEIVES_PER_ROUND; i++) {
     struct sockaddr_in from;
     socklen_t from_bytes = sizeof from;
-    ssize_t got = recvfrom (datagrams->descriptor, datagrams->buffer,
-                            sizeof datagrams->buffer, MSG_DONTWAIT,
-                            (struct sockaddr *)&from, &from_bytes);
+    ssize_t got =
+        recvfrom (datagrams->descriptor, datagrams->buffer, sizeof datagrams->buffer,
+                  MSG_DONTWAIT, (struct sockaddr *)&from, &from_bytes);
 
     if (got < 0)
       return;
--- a/daemon/log.c
+++ b/daemon/log.c
@@ -176,9 +176,12 @@
 {
   char *detail = g_strdup_vprintf (format, args);
   GLogField fields[] = {
-    { "LEVEL", level_names[level], -1 }, { "INSTANCE", instance_name, -1 },
-    { "STEP", step, -1 },                { "PEER", peer, -1 },
-    { "DETAIL", detail, -1 },            { "SUBJECT", subject, -1 },
+    { "LEVEL", level_names[level], -1 },
+    { "INSTANCE", instance_name, -1 },
+    { "STEP", step, -1 },
+    { "PEER", peer, -1 },
+    { "DETAIL", detail, -1 },
+    { "SUBJECT", subject, -1 },
   };
 
   g_log_structured_array (glib_level (level), fields,
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -64,8 +64,8 @@
     FIELD (library.name), 0, 0 },
   { "failure-domain", "NAME", "failure domain of the instance", ALL, ALL, TYPE_NAME,
     FIELD (library.failure_domain), 0, 0 },
-  { "control", "IP:PORT", "address for messages between members", ALL, ALL,
-    TYPE_ADDRESS, FIELD (library.control_address), 0, 0 },
+  { "control", "IP:PORT", "address for messages between members", ALL, ALL, TYPE_ADDRESS,
+    FIELD (library.control_address), 0, 0 },
   { "traffic", "IP:PORT", "address for attempts of entries", AGENT, AGENT, TYPE_ADDRESS,
     FIELD (library.traffic_address), 0, 0 },
   { "http", "IP:PORT", "address for HTTP: callers and operators of an entry, metrics",
@@ -82,8 +82,8 @@
     FIELD (library.rank), 0, 4095 },
   { "capacity", "N", "requests that the local upstream runs at a time, 16 by default",
     AGENT, 0, TYPE_U32, FIELD (library.capacity), 1, 65535 },
-  { "seeds", "IP:PORT,...", "control addresses contacted first, up to 16", BOTH | GATEWAY, 0,
-    TYPE_SEEDS, FIELD (library.seeds), 0, 0 },
+  { "seeds", "IP:PORT,...", "control addresses contacted first, up to 16", BOTH | GATEWAY,
+    0, TYPE_SEEDS, FIELD (library.seeds), 0, 0 },
   { "answer-lifetime-ms", "MS",
     "time for which callers keep a list of entries, 5000 by default", ENTRY, 0, TYPE_U32,
     FIELD (library.answer_lifetime_ms), 100, 3600000 },
@@ -402,9 +402,7 @@
 run_argp (Parser *parser, uint32_t role, int argc, char **argv)
 {
   struct argp_option rows[OPTION_COUNT + 1] = { 0 };
-  struct argp argp = { .options = rows,
-                       .parser = take_flag,
-                       .doc = help_of (role) };
+  struct argp argp = { .options = rows, .parser = take_flag, .doc = help_of (role) };
   uint32_t count = 0;
 
   for (uint32_t i = 0; i < OPTION_COUNT; i++)
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -49,7 +49,8 @@
   forward->http_status = http_status;
   forward->form =
       burdock_exchange_judge (transfer, http_status, forward->call.attempt_id);
-  if (kept_s > KEPT_MARGIN_S && (*kept_max_s == 0 || kept_s - KEPT_MARGIN_S < *kept_max_s))
+  if (kept_s > KEPT_MARGIN_S &&
+      (*kept_max_s == 0 || kept_s - KEPT_MARGIN_S < *kept_max_s))
     *kept_max_s = kept_s - KEPT_MARGIN_S;
   return forward->form == BURDOCK_ANSWER_UNUSABLE ? -EPROTO : 0;
 }
@@ -228,8 +229,8 @@
   call.headers = (const char *const *)forward->lines.lines;
   call.header_count = forward->lines.count;
   if (status == 0)
-    status = burdock_http_client_open (traffic->runtime.client, &call,
-                                       &forward->transfer);
+    status =
+        burdock_http_client_open (traffic->runtime.client, &call, &forward->transfer);
   burdock_header_lines_clear (&forward->lines);
   if (status < 0) {
     burdock_log_about (BURDOCK_LOG_ERROR, "send request", forward->call.attempt_id,
--- a/gateway/control.c
+++ b/gateway/control.c
@@ -13,7 +13,8 @@
  * of its return. */
 #define LAPSE_US UINT64_C (2200000)
 
-/** struct Entry - upstream as the store describes it; removed entries wait for @gone_us */
+/** struct Entry - upstream as the store describes it; removed entries wait for @gone_us
+ */
 typedef struct {
   BurdockUpstream upstream;
   uint64_t gone_us;
@@ -29,7 +30,8 @@
 static void
 wake_traffic (BurdockGateway *gateway)
 {
-  burdock_loop_post (gateway->traffic.runtime.loop, burdock_gateway_traffic_wake, gateway);
+  burdock_loop_post (gateway->traffic.runtime.loop, burdock_gateway_traffic_wake,
+                     gateway);
 }
 
 static void
@@ -86,8 +88,7 @@
 {
   BurdockGatewayControl *control = &gateway->control;
   uint32_t count = apr_hash_count (control->upstreams);
-  BurdockUpstreamList *list =
-      malloc (sizeof *list + count * sizeof (BurdockUpstream));
+  BurdockUpstreamList *list = malloc (sizeof *list + count * sizeof (BurdockUpstream));
 
   if (list == NULL)
     abort ();
@@ -270,8 +271,9 @@
   control->store.url = gateway->settings.store_url;
   control->config_watch =
       burdock_table_watch_new (&control->store, BURDOCK_PLATFORM_CONFIG_TABLE, &config);
-  control->upstream_watch = burdock_table_watch_new (
-      &control->store, BURDOCK_PLATFORM_UPSTREAM_TABLE, &upstreams);
+  control->upstream_watch =
+      burdock_table_watch_new (&control->store, BURDOCK_PLATFORM_UPSTREAM_TABLE,
+                               &upstreams);
   burdock_loop_add_hook (control->runtime.loop, control_hook, gateway);
   return 0;
 }
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -200,9 +200,8 @@
   state.ran = forward->ran;
   step = burdock_attempt_next (&state);
   /* Only what reaches an upstream counts against the budget. */
-  if ((step == BURDOCK_STEP_REPEAT || step == BURDOCK_STEP_RESUME) &&
-      forward->sent_any && !burdock_balancer_may_repeat (traffic->balancer,
-                                                         forward->pool->name))
+  if ((step == BURDOCK_STEP_REPEAT || step == BURDOCK_STEP_RESUME) && forward->sent_any &&
+      !burdock_balancer_may_repeat (traffic->balancer, forward->pool->name))
     step = burdock_attempt_give_up (&state);
   /* The headers of the answer are there as long as the transfer. */
   if (step == BURDOCK_STEP_PASS)
@@ -272,8 +271,8 @@
 {
   const BurdockRoute *route = forward->route;
   uint64_t limit_ms = time_limit_ms (route, &forward->call);
-  uint64_t wait_ms = limit_ms / WAIT_PART < WAIT_MAX_MS ? limit_ms / WAIT_PART
-                                                        : WAIT_MAX_MS;
+  uint64_t wait_ms =
+      limit_ms / WAIT_PART < WAIT_MAX_MS ? limit_ms / WAIT_PART : WAIT_MAX_MS;
   uint64_t now_us = burdock_loop_now_us ();
 
   forward->arrived_us = now_us;
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -158,8 +158,9 @@
   roster->slots = pool->shape.slots;
   roster->loads_max = pool->shape.loads_max;
   roster->copy_us = pool->shape.copy_us;
-  roster->rank_count = burdock_balancer_group_ranks (
-      traffic->balancer, agent->upstream, roster->ranks, BURDOCK_ROSTER_RANKS_MAX);
+  roster->rank_count =
+      burdock_balancer_group_ranks (traffic->balancer, agent->upstream, roster->ranks,
+                                    BURDOCK_ROSTER_RANKS_MAX);
   burdock_datagrams_send (traffic->datagrams, &traffic->outgoing, &agent->address, 1);
 }
 
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -120,8 +120,9 @@
                                .connections = CONNECTIONS_MAX,
                                .idle_s = IDLE_S,
                                .gone_check_ms = GONE_CHECK_MS };
-  BurdockHttpServer *server = burdock_http_server_new_limited (
-      gateway->traffic.runtime.loop, &address, NULL, handler, &limits);
+  BurdockHttpServer *server =
+      burdock_http_server_new_limited (gateway->traffic.runtime.loop, &address, NULL,
+                                       handler, &limits);
   char text[24];
 
   burdock_address_format (address, text, sizeof text);
--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -674,8 +674,7 @@
   Waiting *waiting;
 
   balancer->now_us = now_us;
-  if (placement->excluded_count == 0 &&
-      pool->repeats_left < retry_allowance (balancer))
+  if (placement->excluded_count == 0 && pool->repeats_left < retry_allowance (balancer))
     pool->repeats_left += balancer->settings.retry_ratio * RETRY_PART;
   if (!has_upstream (balancer, pool)) {
     refuse (balancer, placement->handle, BURDOCK_REASON_NO_UPSTREAM, RETRY_AFTER_NONE_MS);
--- /dev/null
+++ b/libburdock/map-agent.c
@@ -0,0 +1,555 @@
+#include "map-agent-private.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define US_PER_MS UINT64_C (1000)
+
+/* A rank that was silent for three reports is not counted on. */
+#define PEER_SILENT_US UINT64_C (800000)
+
+/* Gateways send a roster twice a second. */
+#define GATEWAY_SILENT_US UINT64_C (3000000)
+
+#define STATE_INTERVAL_US UINT64_C (250000)
+
+/* Demand moves within seconds, and a new map takes about one to come into force. */
+#define COUNTS_INTERVAL_US UINT64_C (250000)
+
+/* Weight of a step in the mean step time. */
+#define STEP_TIME_GAIN 4
+
+BurdockMapAgent *
+burdock_map_agent_new (const BurdockMapAgentSettings *settings,
+                       const BurdockMapAgentHandler *handler)
+{
+  BurdockMapAgent *agent = calloc (1, sizeof *agent);
+
+  if (agent == NULL)
+    return NULL;
+  agent->settings = *settings;
+  agent->handler = *handler;
+  return agent;
+}
+
+void
+burdock_map_agent_free (BurdockMapAgent *agent)
+{
+  if (agent == NULL)
+    return;
+  if (agent->has_order_map)
+    burdock_copy_map_clear (&agent->order_map);
+  if (agent->coordinator.has_map)
+    burdock_copy_map_clear (&agent->coordinator.map);
+  free (agent->coordinator.rates);
+  free (agent->counts);
+  free (agent->fresh);
+  free (agent->fresh_bytes);
+  free (agent);
+}
+
+void
+burdock_map_agent_log (BurdockMapAgent *agent, const char *step, const char *format, ...)
+{
+  char detail[200];
+  va_list args;
+
+  va_start (args, format);
+  vsnprintf (detail, sizeof detail, format, args);
+  va_end (args);
+  agent->handler.log (agent->handler.ctx, step, detail);
+}
+
+int
+burdock_ballot_compare (BurdockBallot a, BurdockBallot b)
+{
+  if (a.round != b.round)
+    return a.round < b.round ? -1 : 1;
+  if (a.proposer != b.proposer)
+    return a.proposer < b.proposer ? -1 : 1;
+  return 0;
+}
+
+bool
+burdock_map_agent_is_heard (const BurdockMapPeer *peer, uint64_t now_us)
+{
+  return peer->known && peer->heard_us != 0 && now_us - peer->heard_us < PEER_SILENT_US;
+}
+
+BurdockMapPeer *
+burdock_map_agent_own (BurdockMapAgent *agent)
+{
+  return agent->has_report && agent->report.rank < BURDOCK_COPY_RANKS_MAX
+             ? &agent->peers[agent->report.rank]
+             : NULL;
+}
+
+static void
+forget_group (BurdockMapAgent *agent)
+{
+  memset (agent->peers, 0, sizeof agent->peers);
+  agent->armed_step = 0;
+  agent->refused_version = 0;
+  agent->coordinator.phase = BURDOCK_COORDINATOR_IDLE;
+  agent->coordinator.samples = 0;
+}
+
+/* Copies what is known of the local rank into its entry among the ranks. */
+static void
+update_own (BurdockMapAgent *agent, uint64_t now_us)
+{
+  BurdockMapPeer *own = burdock_map_agent_own (agent);
+  const BurdockRankReport *report = &agent->report;
+
+  if (own == NULL)
+    return;
+  own->known = true;
+  own->heard_us = now_us;
+  own->incarnation = agent->settings.incarnation;
+  own->control = agent->settings.control;
+  own->state = (BurdockRankStateMessage){
+    .upstream = agent->settings.upstream,
+    .epoch = report->epoch,
+    .rank = report->rank,
+    .size = report->size,
+    .open = report->open,
+    .step = report->step,
+    .step_time_us = (uint32_t)agent->step_time_us,
+    .map_version = report->map_version,
+    .loaded_version = report->loaded_version,
+    .armed_version = report->armed_version,
+    .armed_step = report->armed_version != 0 ? agent->armed_step : 0,
+    .held_step = report->held_step,
+    .refused_version = agent->refused_version,
+    .ballot = agent->promised,
+  };
+  memcpy (own->state.group, report->group, sizeof own->state.group);
+}
+
+static void
+measure_step (BurdockMapAgent *agent, const BurdockRankReport *report, uint64_t now_us)
+{
+  uint64_t steps = report->step - agent->report.step;
+  uint64_t took_us;
+
+  if (report->step <= agent->report.step)
+    return;
+  took_us = (now_us - agent->step_changed_us) / steps;
+  agent->step_changed_us = now_us;
+  if (agent->step_time_us == 0)
+    agent->step_time_us = took_us;
+  agent->step_time_us += took_us / STEP_TIME_GAIN;
+  agent->step_time_us -= agent->step_time_us / (STEP_TIME_GAIN + 1);
+}
+
+static void
+log_group (BurdockMapAgent *agent, const BurdockRankReport *report)
+{
+  burdock_map_agent_log (agent, "group",
+                         "group %s epoch %" PRIu64 " rank %u of %u %s map %" PRIu64
+                         " step %" PRIu64,
+                         report->group, report->epoch, report->rank, report->size,
+                         report->open ? "open" : "broken", report->map_version,
+                         report->step);
+}
+
+void
+burdock_map_agent_report (BurdockMapAgent *agent, const BurdockRankReport *report,
+                          uint64_t now_us)
+{
+  bool moved = !agent->has_report || report->epoch != agent->report.epoch ||
+               report->rank != agent->report.rank ||
+               strcmp (report->group, agent->report.group) != 0;
+  bool changed = moved || report->open != agent->report.open ||
+                 report->map_version != agent->report.map_version ||
+                 report->loaded_version != agent->report.loaded_version;
+
+  if (moved || report->open != agent->report.open)
+    log_group (agent, report);
+  if (moved)
+    forget_group (agent);
+  else
+    measure_step (agent, report, now_us);
+  agent->report = *report;
+  agent->has_report = true;
+  agent->report_us = now_us;
+  if (report->armed_step != 0)
+    agent->armed_step = report->armed_step;
+  update_own (agent, now_us);
+  if (changed)
+    agent->next_state_us = 0;
+}
+
+static bool
+size_counts (BurdockMapAgent *agent, uint32_t count)
+{
+  if (agent->count_count == count)
+    return true;
+  free (agent->counts);
+  free (agent->fresh);
+  free (agent->fresh_bytes);
+  agent->counts = calloc (count, sizeof *agent->counts);
+  agent->fresh = calloc (count, sizeof *agent->fresh);
+  agent->fresh_bytes = calloc (count, sizeof *agent->fresh);
+  agent->has_counts = false;
+  agent->count_count =
+      agent->counts != NULL && agent->fresh != NULL && agent->fresh_bytes != NULL ? count
+                                                                                  : 0;
+  return agent->count_count == count;
+}
+
+void
+burdock_map_agent_counts (BurdockMapAgent *agent, uint64_t epoch, const uint64_t *counts,
+                          uint32_t count, uint64_t now_us)
+{
+  if (count == 0 || !size_counts (agent, count))
+    return;
+  for (uint32_t i = 0; i < count; i++) {
+    /* Counts of an engine that was restarted begin anew. */
+    uint64_t before = agent->has_counts && counts[i] >= agent->counts[i]
+                          ? agent->counts[i]
+                          : (agent->has_counts ? 0 : counts[i]);
+    uint64_t fresh = agent->fresh[i] + (counts[i] - before);
+
+    agent->fresh[i] = fresh < UINT16_MAX ? (uint16_t)fresh : UINT16_MAX;
+    agent->counts[i] = counts[i];
+  }
+  agent->counts_epoch = epoch;
+  agent->has_counts = true;
+}
+
+bool
+burdock_map_agent_needs_hosted (const BurdockMapAgent *agent)
+{
+  const BurdockMapPeer *own = &agent->peers[agent->report.rank % BURDOCK_COPY_RANKS_MAX];
+
+  if (!agent->has_report || !agent->report.open)
+    return false;
+  return own->hosted_bytes == 0 || own->hosted_version != agent->report.map_version ||
+         own->hosted_epoch != agent->report.epoch;
+}
+
+void
+burdock_map_agent_hosted (BurdockMapAgent *agent, uint64_t epoch, uint64_t version,
+                          const uint8_t *hosted, uint32_t length_bytes)
+{
+  BurdockMapPeer *own = burdock_map_agent_own (agent);
+
+  if (own == NULL || length_bytes > BURDOCK_HOSTED_BYTES_MAX)
+    return;
+  memcpy (own->hosted, hosted, length_bytes);
+  own->hosted_bytes = length_bytes;
+  own->hosted_version = version;
+  own->hosted_epoch = epoch;
+}
+
+static void
+attach_tokens (BurdockMapAgent *agent, BurdockRankStateMessage *state)
+{
+  const BurdockMapPeer *own = burdock_map_agent_own (agent);
+
+  /* Experts of another version than the map in use would be combined wrongly. */
+  if (own->hosted_version == state->map_version && own->hosted_epoch == state->epoch)
+    state->hosted = (BurdockBytes){ own->hosted, own->hosted_bytes };
+  for (uint32_t i = 0; i < agent->count_count; i++) {
+    agent->fresh_bytes[2 * i] = (uint8_t)(agent->fresh[i] >> 8);
+    agent->fresh_bytes[2 * i + 1] = (uint8_t)agent->fresh[i];
+    agent->fresh[i] = 0;
+  }
+  state->tokens = (BurdockBytes){ agent->fresh_bytes, 2 * agent->count_count };
+}
+
+void
+burdock_map_agent_send_state (BurdockMapAgent *agent, const BurdockAddress *to,
+                              uint32_t count, bool whole)
+{
+  const BurdockMapPeer *own = burdock_map_agent_own (agent);
+  BurdockMessage *message = &agent->outgoing;
+
+  if (own == NULL || count == 0)
+    return;
+  message->header = (BurdockMessageHeader){
+    .type = BURDOCK_MSG_RANK_STATE,
+    .sender_id = agent->settings.id,
+    .sender_incarnation = agent->settings.incarnation,
+  };
+  message->rank_state = own->state;
+  if (whole)
+    attach_tokens (agent, &message->rank_state);
+  agent->handler.send (agent->handler.ctx, message, to, count);
+}
+
+static void
+send_to_all (BurdockMapAgent *agent, uint64_t now_us)
+{
+  BurdockAddress to[BURDOCK_MAP_GATEWAYS_MAX + BURDOCK_COPY_RANKS_MAX];
+  uint32_t count = 0;
+  uint32_t kept = 0;
+
+  for (uint32_t i = 0; i < agent->gateway_count; i++) {
+    if (now_us - agent->gateways[i].heard_us >= GATEWAY_SILENT_US)
+      continue;
+    agent->gateways[kept++] = agent->gateways[i];
+    to[count++] = agent->gateways[kept - 1].address;
+  }
+  agent->gateway_count = kept;
+  for (uint32_t r = 0; r < BURDOCK_COPY_RANKS_MAX; r++) {
+    if (agent->peers[r].known && r != agent->report.rank)
+      to[count++] = agent->peers[r].control;
+  }
+  burdock_map_agent_send_state (agent, to, count, false);
+}
+
+static void
+send_tokens (BurdockMapAgent *agent, uint64_t now_us)
+{
+  const BurdockMapPeer *own = burdock_map_agent_own (agent);
+  uint32_t first = 0;
+
+  if (own == NULL)
+    return;
+  if (burdock_coordinator_is_self (agent, now_us)) {
+    BurdockRankStateMessage state = own->state;
+
+    attach_tokens (agent, &state);
+    burdock_coordinator_tokens (agent, agent->report.rank, state.tokens);
+    return;
+  }
+  while (first < BURDOCK_COPY_RANKS_MAX &&
+         !burdock_map_agent_is_heard (&agent->peers[first], now_us))
+    first++;
+  if (first < BURDOCK_COPY_RANKS_MAX)
+    burdock_map_agent_send_state (agent, &agent->peers[first].control, 1, true);
+}
+
+static void
+note_gateway (BurdockMapAgent *agent, BurdockAddress from, uint64_t now_us)
+{
+  for (uint32_t i = 0; i < agent->gateway_count; i++) {
+    if (agent->gateways[i].address.ipv4 != from.ipv4 ||
+        agent->gateways[i].address.port != from.port)
+      continue;
+    agent->gateways[i].heard_us = now_us;
+    return;
+  }
+  if (agent->gateway_count < BURDOCK_MAP_GATEWAYS_MAX)
+    agent->gateways[agent->gateway_count++] =
+        (BurdockMapGateway){ .address = from, .heard_us = now_us };
+}
+
+/* The state of a rank is taken from its agent only; the roster tells where that is. */
+static void
+take_roster (BurdockMapAgent *agent, BurdockAddress from,
+             const BurdockRosterMessage *roster, uint64_t now_us)
+{
+  note_gateway (agent, from, now_us);
+  agent->shape = *roster;
+  agent->has_shape = true;
+  for (uint32_t i = 0; i < roster->rank_count; i++) {
+    const BurdockRosterRank *item = &roster->ranks[i];
+    BurdockMapPeer *peer;
+
+    if (item->rank >= BURDOCK_COPY_RANKS_MAX || !agent->has_report ||
+        item->rank == agent->report.rank)
+      continue;
+    peer = &agent->peers[item->rank];
+    if (peer->known && burdock_map_agent_is_heard (peer, now_us))
+      continue;
+    peer->known = true;
+    peer->control = (BurdockAddress){ item->address.ipv4, agent->settings.control.port };
+  }
+}
+
+static void
+keep_hosted (BurdockMapPeer *peer, const BurdockRankStateMessage *state)
+{
+  if (state->hosted.length_bytes == 0 ||
+      state->hosted.length_bytes > BURDOCK_HOSTED_BYTES_MAX)
+    return;
+  memcpy (peer->hosted, state->hosted.data, state->hosted.length_bytes);
+  peer->hosted_bytes = state->hosted.length_bytes;
+  peer->hosted_version = state->map_version;
+  peer->hosted_epoch = state->epoch;
+}
+
+static void
+take_state (BurdockMapAgent *agent, BurdockAddress from, const BurdockMessage *message,
+            uint64_t now_us)
+{
+  const BurdockRankStateMessage *state = &message->rank_state;
+  BurdockMapPeer *peer;
+
+  if (!agent->has_report || strcmp (state->group, agent->report.group) != 0 ||
+      state->rank >= BURDOCK_COPY_RANKS_MAX || state->rank == agent->report.rank)
+    return;
+  peer = &agent->peers[state->rank];
+  if (message->header.sender_incarnation < peer->incarnation &&
+      burdock_map_agent_is_heard (peer, now_us))
+    return;
+  peer->known = true;
+  peer->heard_us = now_us;
+  peer->incarnation = message->header.sender_incarnation;
+  peer->control = from;
+  peer->state = *state;
+  peer->state.hosted = peer->state.tokens = (BurdockBytes){ 0 };
+  keep_hosted (peer, state);
+  if (state->tokens.length_bytes > 0 && state->epoch == agent->report.epoch)
+    burdock_coordinator_tokens (agent, state->rank, state->tokens);
+}
+
+void
+burdock_map_agent_receive (BurdockMapAgent *agent, BurdockAddress from,
+                           const BurdockMessage *message, uint64_t now_us)
+{
+  switch (message->header.type) {
+  case BURDOCK_MSG_RANK_ROSTER:
+    take_roster (agent, from, &message->roster, now_us);
+    return;
+  case BURDOCK_MSG_RANK_STATE:
+    take_state (agent, from, message, now_us);
+    return;
+  case BURDOCK_MSG_MAP_COMMAND:
+    if (message->header.target_incarnation == agent->settings.incarnation)
+      burdock_map_agent_command (agent, from, &message->map_command, now_us);
+    return;
+  default:
+    return;
+  }
+}
+
+static void
+order_local (BurdockMapAgent *agent, const BurdockMapOrder *order)
+{
+  agent->order = *order;
+  agent->order.map = agent->has_order_map ? &agent->order_map : NULL;
+  agent->order.id = agent->order_id = ++agent->next_order_id;
+  agent->figures.orders++;
+  agent->handler.order (agent->handler.ctx, &agent->order);
+}
+
+static void
+load_map (BurdockMapAgent *agent, const BurdockMapCommandMessage *command)
+{
+  BurdockMapOrder order = { .kind = BURDOCK_ORDER_LOAD,
+                            .epoch = command->epoch,
+                            .version = command->version };
+
+  if (agent->report.loaded_version == command->version ||
+      agent->refused_version == command->version)
+    return;
+  if (agent->has_order_map)
+    burdock_copy_map_clear (&agent->order_map);
+  agent->has_order_map = burdock_copy_map_decode (command->map, &agent->order_map) == 0;
+  if (!agent->has_order_map) {
+    burdock_map_agent_log (agent, "load map", "the map cannot be read");
+    return;
+  }
+  order_local (agent, &order);
+}
+
+static void
+arm_map (BurdockMapAgent *agent, const BurdockMapCommandMessage *command)
+{
+  BurdockMapOrder order = { .kind = BURDOCK_ORDER_ARM,
+                            .epoch = command->epoch,
+                            .version = command->version,
+                            .step = command->step };
+
+  if (agent->report.armed_version == command->version &&
+      agent->armed_step == command->step)
+    return;
+  order_local (agent, &order);
+}
+
+void
+burdock_map_agent_command (BurdockMapAgent *agent, BurdockAddress from,
+                           const BurdockMapCommandMessage *command, uint64_t now_us)
+{
+  BurdockMapOrder release = { .kind = BURDOCK_ORDER_RELEASE,
+                              .epoch = command->epoch,
+                              .step = command->step };
+
+  if (!agent->has_report || command->epoch != agent->report.epoch ||
+      burdock_ballot_compare (command->ballot, agent->promised) < 0)
+    return;
+  agent->promised = command->ballot;
+  update_own (agent, agent->report_us);
+  if (agent->order_id == 0) {
+    if (command->kind == BURDOCK_MAP_LOAD)
+      load_map (agent, command);
+    else if (command->kind == BURDOCK_MAP_ARM)
+      arm_map (agent, command);
+    else if (command->kind == BURDOCK_MAP_RELEASE)
+      order_local (agent, &release);
+  }
+  if (from.port != 0)
+    burdock_map_agent_send_state (agent, &from, 1, false);
+}
+
+/* What the engine has accepted is in force, whether or not a report has shown it yet. */
+static void
+note_accepted (BurdockMapAgent *agent, const BurdockMapOrder *order)
+{
+  if (order->kind == BURDOCK_ORDER_ARM) {
+    agent->report.armed_version = order->version;
+    agent->armed_step = order->step;
+  } else if (order->kind == BURDOCK_ORDER_RELEASE) {
+    agent->report.held_step = 0;
+  }
+}
+
+void
+burdock_map_agent_order_done (BurdockMapAgent *agent, uint64_t id, int32_t status,
+                              uint64_t now_us)
+{
+  if (status != 0)
+    agent->figures.orders_failed++;
+  if (id != agent->order_id) {
+    burdock_coordinator_order_done (agent, id, status, now_us);
+    return;
+  }
+  agent->order_id = 0;
+  if (status == 0)
+    note_accepted (agent, &agent->order);
+  else
+    burdock_map_agent_log (agent, "order failed",
+                           "kind %d version %" PRIu64 " step %" PRIu64 " status %d",
+                           agent->order.kind, agent->order.version, agent->order.step,
+                           status);
+  if (agent->order.kind == BURDOCK_ORDER_LOAD && status != 0 && status != -ETIMEDOUT)
+    agent->refused_version = agent->order.version;
+  update_own (agent, now_us);
+  agent->next_state_us = 0;
+  agent->handler.refresh (agent->handler.ctx, false);
+}
+
+uint64_t
+burdock_map_agent_tick (BurdockMapAgent *agent, uint64_t now_us)
+{
+  uint64_t next_us;
+
+  if (!agent->has_report)
+    return UINT64_MAX;
+  if (now_us >= agent->next_state_us) {
+    agent->next_state_us = now_us + STATE_INTERVAL_US;
+    send_to_all (agent, now_us);
+  }
+  if (now_us >= agent->next_counts_us) {
+    agent->next_counts_us = now_us + COUNTS_INTERVAL_US;
+    send_tokens (agent, now_us);
+    agent->handler.refresh (agent->handler.ctx, true);
+  }
+  next_us = burdock_coordinator_tick (agent, now_us);
+  next_us = agent->next_state_us < next_us ? agent->next_state_us : next_us;
+  return agent->next_counts_us < next_us ? agent->next_counts_us : next_us;
+}
+
+BurdockMapAgentFigures
+burdock_map_agent_figures (const BurdockMapAgent *agent)
+{
+  return agent->figures;
+}
--- /dev/null
+++ b/libburdock/map-coordinator.c
@@ -0,0 +1,648 @@
+/* The half of a map agent that coordinates the switches of its group. */
+#include "map-agent-private.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define US_PER_MS UINT64_C (1000)
+
+/* Commands are repeated at this interval until the states show their effect. */
+#define LOAD_RESEND_US (100 * US_PER_MS)
+#define ARM_RESEND_US (30 * US_PER_MS)
+#define PROMISE_RESEND_US (50 * US_PER_MS)
+
+/* A load that takes this much longer than its copies need has failed. */
+#define LOAD_SLACK_US (3000 * US_PER_MS)
+
+/* The hold lies this far ahead: arming all ranks takes a few milliseconds, and a lost
+ * datagram is sent again after 30 ms. */
+#define HOLD_AHEAD_US (90 * US_PER_MS)
+#define HOLD_AHEAD_STEPS 2
+
+/* A rank whose agent does not answer is armed by the coordinator itself. */
+#define ARM_DIRECT_US (250 * US_PER_MS)
+
+/* Agents that do not promise for this long are down or cut off; the step that is held is
+ * released without them once the group stands at it. */
+#define PROMISE_LIMIT_US (600 * US_PER_MS)
+
+/* Ranks report their maps within this time of a switch. */
+#define SETTLE_US (400 * US_PER_MS)
+
+/* Half life of the counts is about a second: faster follows chance, slower lags behind
+ * the demand. */
+#define DECAY_INTERVAL_US (250 * US_PER_MS)
+#define DECAY 0.84
+
+/* Reports of a rank before the first plan. */
+#define SAMPLES_MIN 8
+
+/* Pause after a plan that was not worth a switch. */
+#define PLAN_PAUSE_US (250 * US_PER_MS)
+
+/* Load time of one map. Steps take longer while experts are loaded, and demand moves on
+ * meanwhile; a larger change is made in several maps. */
+#define LOAD_TIME_US (700 * US_PER_MS)
+
+/* A map has to lower the load of the most loaded ranks by this part; below it chance
+ * decides. */
+#define PLAN_GAIN_MIN 0.03
+
+/* Versions are spread, so that two coordinators do not use the same one. */
+#define VERSION_SPREAD 1000
+
+static BurdockMapPeer *
+rank_of (BurdockMapAgent *agent, uint32_t rank)
+{
+  return &agent->peers[rank];
+}
+
+static void
+enter (BurdockMapAgent *agent, BurdockCoordinatorPhase phase, uint64_t now_us)
+{
+  agent->coordinator.phase = phase;
+  agent->coordinator.since_us = now_us;
+  agent->coordinator.next_send_us = 0;
+  agent->coordinator.order_id = 0;
+}
+
+bool
+burdock_coordinator_is_self (const BurdockMapAgent *agent, uint64_t now_us)
+{
+  if (!agent->has_report)
+    return false;
+  for (uint32_t r = 0; r < agent->report.rank; r++) {
+    if (burdock_map_agent_is_heard (&agent->peers[r], now_us))
+      return false;
+  }
+  return true;
+}
+
+void
+burdock_coordinator_tokens (BurdockMapAgent *agent, uint32_t rank, BurdockBytes tokens)
+{
+  BurdockCoordinator *self = &agent->coordinator;
+  uint32_t count = agent->shape.layers * agent->shape.experts;
+
+  if (!agent->has_shape || count == 0 || tokens.length_bytes != 2 * count)
+    return;
+  if (self->rate_count != count) {
+    free (self->rates);
+    self->rates = calloc (count, sizeof *self->rates);
+    self->rate_count = self->rates != NULL ? count : 0;
+    self->samples = 0;
+  }
+  for (uint32_t i = 0; i < self->rate_count; i++)
+    self->rates[i] += tokens.data[2 * i] << 8 | tokens.data[2 * i + 1];
+  self->samples++;
+}
+
+static void
+decay_rates (BurdockCoordinator *self, uint64_t now_us)
+{
+  if (now_us < self->next_decay_us)
+    return;
+  self->next_decay_us = now_us + DECAY_INTERVAL_US;
+  for (uint32_t i = 0; i < self->rate_count; i++)
+    self->rates[i] *= DECAY;
+}
+
+static uint32_t
+group_size (const BurdockMapAgent *agent)
+{
+  return agent->report.size < BURDOCK_COPY_RANKS_MAX ? agent->report.size
+                                                     : BURDOCK_COPY_RANKS_MAX;
+}
+
+/* Whether the ranks are all heard, in one epoch and open. */
+static bool
+group_is_whole (BurdockMapAgent *agent, uint64_t now_us)
+{
+  for (uint32_t r = 0; r < group_size (agent); r++) {
+    const BurdockMapPeer *peer = rank_of (agent, r);
+
+    if (!burdock_map_agent_is_heard (peer, now_us) || !peer->state.open ||
+        peer->state.epoch != agent->report.epoch)
+      return false;
+  }
+  return group_size (agent) > 0;
+}
+
+static bool
+any_rank_is_armed_or_held (BurdockMapAgent *agent)
+{
+  for (uint32_t r = 0; r < group_size (agent); r++) {
+    const BurdockRankStateMessage *state = &rank_of (agent, r)->state;
+
+    if (state->epoch == agent->report.epoch &&
+        (state->armed_version != 0 || state->held_step != 0))
+      return true;
+  }
+  return false;
+}
+
+static bool
+ranks_use_one_map (BurdockMapAgent *agent)
+{
+  for (uint32_t r = 0; r < group_size (agent); r++) {
+    const BurdockMapPeer *peer = rank_of (agent, r);
+
+    if (peer->state.map_version != agent->report.map_version || peer->hosted_bytes == 0 ||
+        peer->hosted_version != agent->report.map_version ||
+        peer->hosted_epoch != agent->report.epoch)
+      return false;
+  }
+  return true;
+}
+
+/* Adds the experts that a rank holds; false if they do not fit the shape. */
+static bool
+add_hosted (BurdockCopyMap *map, const BurdockMapPeer *peer, uint32_t rank)
+{
+  uint32_t at = 0;
+
+  for (uint32_t layer = 0; layer < map->layers; layer++) {
+    uint32_t count = at < peer->hosted_bytes ? peer->hosted[at++] : 0;
+
+    for (uint32_t i = 0; i < count; i++) {
+      if (at >= peer->hosted_bytes || peer->hosted[at] >= map->experts)
+        return false;
+      map->hosts[layer * map->experts + peer->hosted[at++]] |= UINT64_C (1) << rank;
+    }
+  }
+  return at == peer->hosted_bytes;
+}
+
+/* The map in use, put together from what the ranks say. */
+static bool
+read_current_map (BurdockMapAgent *agent, BurdockCopyMap *map)
+{
+  bool whole = burdock_copy_map_init (map, agent->shape.layers, group_size (agent),
+                                      agent->shape.experts) == 0;
+
+  if (!whole)
+    return false;
+  for (uint32_t r = 0; r < map->ranks; r++)
+    whole = whole && add_hosted (map, rank_of (agent, r), r);
+  for (uint32_t i = 0; i < map->layers * map->experts; i++)
+    whole = whole && map->hosts[i] != 0;
+  if (!whole)
+    burdock_copy_map_clear (map);
+  return whole;
+}
+
+static uint64_t
+new_version (BurdockMapAgent *agent)
+{
+  uint64_t highest = 0;
+
+  for (uint32_t r = 0; r < group_size (agent); r++) {
+    const BurdockRankStateMessage *state = &rank_of (agent, r)->state;
+
+    highest = state->map_version > highest ? state->map_version : highest;
+    highest = state->loaded_version > highest ? state->loaded_version : highest;
+    highest = state->refused_version > highest ? state->refused_version : highest;
+  }
+  if (agent->coordinator.version > highest)
+    highest = agent->coordinator.version;
+  return highest + 1 + agent->handler.random (agent->handler.ctx) % VERSION_SPREAD;
+}
+
+static void
+raise_ballot (BurdockMapAgent *agent)
+{
+  BurdockCoordinator *self = &agent->coordinator;
+  uint32_t round = self->ballot.round;
+
+  for (uint32_t r = 0; r < group_size (agent); r++) {
+    if (rank_of (agent, r)->state.ballot.round > round)
+      round = rank_of (agent, r)->state.ballot.round;
+  }
+  self->ballot = (BurdockBallot){ round + 1, agent->settings.incarnation };
+}
+
+/* Whether an agent obeys a newer coordinator than this one. */
+static bool
+is_outvoted (BurdockMapAgent *agent)
+{
+  for (uint32_t r = 0; r < group_size (agent); r++) {
+    if (burdock_ballot_compare (rank_of (agent, r)->state.ballot,
+                                agent->coordinator.ballot) > 0)
+      return true;
+  }
+  return false;
+}
+
+static void
+command (BurdockMapAgent *agent, uint32_t rank, BurdockMapCommandKind kind,
+         BurdockBytes map, uint64_t now_us)
+{
+  const BurdockCoordinator *self = &agent->coordinator;
+  const BurdockMapPeer *peer = rank_of (agent, rank);
+  BurdockMessage *message = &agent->outgoing;
+  BurdockMapCommandMessage order = { .kind = kind,
+                                     .ballot = self->ballot,
+                                     .epoch = self->epoch,
+                                     .version = self->version,
+                                     .step = self->step,
+                                     .map = map };
+
+  if (rank == agent->report.rank) {
+    burdock_map_agent_command (agent, (BurdockAddress){ 0 }, &order, now_us);
+    return;
+  }
+  message->header = (BurdockMessageHeader){
+    .type = BURDOCK_MSG_MAP_COMMAND,
+    .sender_id = agent->settings.id,
+    .sender_incarnation = agent->settings.incarnation,
+    .target_incarnation = peer->incarnation,
+  };
+  message->map_command = order;
+  agent->handler.send (agent->handler.ctx, message, &peer->control, 1);
+}
+
+static void
+plan (BurdockMapAgent *agent, uint64_t now_us)
+{
+  BurdockCoordinator *self = &agent->coordinator;
+  BurdockCopyLimits limits = { .slots = agent->shape.slots,
+                               .loads_layer = agent->shape.loads_max };
+  BurdockCopyResult result;
+  BurdockCopyMap map;
+
+  self->next_plan_us = now_us + PLAN_PAUSE_US;
+  if (!read_current_map (agent, &map))
+    return;
+  limits.loads_rank = agent->shape.copy_us > 0
+                          ? (uint32_t)(LOAD_TIME_US / agent->shape.copy_us)
+                          : UINT32_MAX;
+  if (limits.loads_rank == 0)
+    limits.loads_rank = 1;
+  result = burdock_copy_plan (&map, self->rates, &limits);
+  agent->figures.peak = result.before;
+  if (result.before - result.after < result.before * PLAN_GAIN_MIN) {
+    burdock_copy_map_clear (&map);
+    return;
+  }
+  if (self->has_map)
+    burdock_copy_map_clear (&self->map);
+  self->map = map;
+  self->has_map = true;
+  self->version = new_version (agent);
+  self->step = 0;
+  self->epoch = agent->report.epoch;
+  self->holder = agent->report.rank;
+  if (self->ballot.round == 0 || is_outvoted (agent))
+    raise_ballot (agent);
+  agent->figures.loads += result.loads;
+  burdock_map_agent_log (agent, "plan map",
+                         "version %" PRIu64 " peak %.2f to %.2f loads %u most %u "
+                         "step_ms %u",
+                         self->version, result.before, result.after, result.loads,
+                         result.loads_most, (uint32_t)(agent->step_time_us / US_PER_MS));
+  enter (agent, BURDOCK_COORDINATOR_LOADING, now_us);
+}
+
+static void
+tick_idle (BurdockMapAgent *agent, uint64_t now_us)
+{
+  BurdockCoordinator *self = &agent->coordinator;
+
+  if (now_us < self->next_plan_us || !agent->has_shape || !agent->report.open)
+    return;
+  if (any_rank_is_armed_or_held (agent)) {
+    self->epoch = agent->report.epoch;
+    raise_ballot (agent);
+    agent->figures.recoveries++;
+    burdock_map_agent_log (agent, "take over", "a rank is armed or holds a step");
+    enter (agent, BURDOCK_COORDINATOR_PROMISING, now_us);
+    return;
+  }
+  if (!group_is_whole (agent, now_us) || !ranks_use_one_map (agent))
+    return;
+  if (self->samples < SAMPLES_MIN * group_size (agent) || self->rate_count == 0)
+    return;
+  plan (agent, now_us);
+}
+
+static void
+tick_loading (BurdockMapAgent *agent, uint64_t now_us)
+{
+  BurdockCoordinator *self = &agent->coordinator;
+  bool resend = now_us >= self->next_send_us;
+  uint8_t *bytes = NULL;
+  uint32_t length_bytes = 0;
+  bool loaded = true;
+
+  if (resend && burdock_copy_map_encode (&self->map, &bytes, &length_bytes) < 0)
+    resend = false;
+  for (uint32_t r = 0; r < group_size (agent); r++) {
+    const BurdockRankStateMessage *state = &rank_of (agent, r)->state;
+
+    if (state->loaded_version == self->version)
+      continue;
+    loaded = false;
+    if (state->refused_version == self->version) {
+      burdock_map_agent_log (agent, "load failed", "rank %u refused version %" PRIu64, r,
+                             self->version);
+      enter (agent, BURDOCK_COORDINATOR_IDLE, now_us);
+      break;
+    }
+    if (resend)
+      command (agent, r, BURDOCK_MAP_LOAD, (BurdockBytes){ bytes, length_bytes }, now_us);
+  }
+  free (bytes);
+  if (resend)
+    self->next_send_us = now_us + LOAD_RESEND_US;
+  if (loaded)
+    enter (agent, BURDOCK_COORDINATOR_HOLDING, now_us);
+  else if (now_us - self->since_us > LOAD_TIME_US + LOAD_SLACK_US) {
+    burdock_map_agent_log (agent, "load failed", "version %" PRIu64 " took too long",
+                           self->version);
+    enter (agent, BURDOCK_COORDINATOR_IDLE, now_us);
+  }
+}
+
+/* Orders the engine of @rank directly; the coordinator has one such order at a time. */
+static void
+order_engine (BurdockMapAgent *agent, BurdockMapOrderKind kind, uint32_t rank)
+{
+  BurdockCoordinator *self = &agent->coordinator;
+  BurdockMapOrder order = { .id = ++agent->next_order_id,
+                            .kind = kind,
+                            .epoch = self->epoch,
+                            .version = self->version,
+                            .step = self->step };
+
+  if (rank != agent->report.rank)
+    order.upstream = rank_of (agent, rank)->state.upstream;
+  self->direct_id = order.id;
+  self->direct_rank = rank;
+  self->direct_kind = kind;
+  agent->figures.orders++;
+  agent->handler.order (agent->handler.ctx, &order);
+}
+
+/* The step to hold follows from the newest report; a hold whose order was not answered is
+ * asked for again at the same step, as it may be in force. */
+static void
+tick_holding (BurdockMapAgent *agent, uint64_t now_us)
+{
+  BurdockCoordinator *self = &agent->coordinator;
+  uint64_t ahead = HOLD_AHEAD_STEPS;
+
+  if (self->direct_id != 0)
+    return;
+  if (agent->step_time_us > 0)
+    ahead += HOLD_AHEAD_US / agent->step_time_us;
+  if (self->step == 0)
+    self->step = agent->report.step + ahead;
+  order_engine (agent, BURDOCK_ORDER_HOLD, agent->report.rank);
+}
+
+static bool
+is_armed (const BurdockCoordinator *self, const BurdockMapPeer *peer)
+{
+  if (peer->armed_directly)
+    return true;
+  return (peer->state.armed_version == self->version &&
+          peer->state.armed_step == self->step) ||
+         peer->state.map_version == self->version;
+}
+
+static void
+tick_arming (BurdockMapAgent *agent, uint64_t now_us)
+{
+  BurdockCoordinator *self = &agent->coordinator;
+  bool resend = now_us >= self->next_send_us;
+  bool armed = true;
+
+  for (uint32_t r = 0; r < group_size (agent); r++) {
+    const BurdockMapPeer *peer = rank_of (agent, r);
+
+    if (is_armed (self, peer))
+      continue;
+    armed = false;
+    if (now_us - self->since_us > ARM_DIRECT_US && self->direct_id == 0 &&
+        r != agent->report.rank)
+      order_engine (agent, BURDOCK_ORDER_ARM, r);
+    else if (resend)
+      command (agent, r, BURDOCK_MAP_ARM, (BurdockBytes){ 0 }, now_us);
+  }
+  if (resend)
+    self->next_send_us = now_us + ARM_RESEND_US;
+  if (armed)
+    enter (agent, BURDOCK_COORDINATOR_RELEASING, now_us);
+}
+
+static void
+tick_releasing (BurdockMapAgent *agent, uint64_t now_us)
+{
+  BurdockCoordinator *self = &agent->coordinator;
+
+  if (self->direct_id == 0)
+    order_engine (agent, BURDOCK_ORDER_RELEASE, self->holder);
+}
+
+static void
+tick_switching (BurdockMapAgent *agent, uint64_t now_us)
+{
+  BurdockCoordinator *self = &agent->coordinator;
+
+  for (uint32_t r = 0; r < group_size (agent); r++) {
+    const BurdockRankStateMessage *state = &rank_of (agent, r)->state;
+
+    if (state->map_version == self->version)
+      continue;
+    /* A hold that was carried out late stops the group once more. */
+    if (state->held_step == self->step && now_us - self->since_us > SETTLE_US) {
+      self->holder = r;
+      enter (agent, BURDOCK_COORDINATOR_RELEASING, now_us);
+    }
+    return;
+  }
+  agent->figures.switches++;
+  burdock_map_agent_log (agent, "map in use", "version %" PRIu64 " since_ms %u",
+                         self->version,
+                         (uint32_t)((now_us - self->since_us) / US_PER_MS));
+  enter (agent, BURDOCK_COORDINATOR_IDLE, now_us);
+}
+
+/* Finds what an earlier coordinator left; true if there is a hold or an armed rank. */
+static bool
+find_left_over (BurdockMapAgent *agent, bool *armed, bool *held)
+{
+  BurdockCoordinator *self = &agent->coordinator;
+
+  *armed = *held = false;
+  for (uint32_t r = 0; r < group_size (agent); r++) {
+    const BurdockRankStateMessage *state = &rank_of (agent, r)->state;
+
+    if (state->epoch != self->epoch)
+      continue;
+    if (state->held_step != 0) {
+      *held = true;
+      self->holder = r;
+      self->step = state->held_step;
+    }
+  }
+  for (uint32_t r = 0; r < group_size (agent); r++) {
+    const BurdockRankStateMessage *state = &rank_of (agent, r)->state;
+
+    if (state->epoch != self->epoch || state->armed_version == 0)
+      continue;
+    *armed = true;
+    self->version = state->armed_version;
+    if (!*held)
+      self->step = state->armed_step;
+  }
+  return *armed || *held;
+}
+
+static bool
+all_have_promised (BurdockMapAgent *agent, bool resend, uint64_t now_us)
+{
+  BurdockCoordinator *self = &agent->coordinator;
+  bool promised = true;
+
+  for (uint32_t r = 0; r < group_size (agent); r++) {
+    if (burdock_ballot_compare (rank_of (agent, r)->state.ballot, self->ballot) == 0)
+      continue;
+    promised = false;
+    if (resend)
+      command (agent, r, BURDOCK_MAP_PROMISE, (BurdockBytes){ 0 }, now_us);
+  }
+  return promised;
+}
+
+static void
+tick_promising (BurdockMapAgent *agent, uint64_t now_us)
+{
+  BurdockCoordinator *self = &agent->coordinator;
+  bool resend = now_us >= self->next_send_us;
+  bool promised = all_have_promised (agent, resend, now_us);
+  bool armed;
+  bool held;
+
+  if (resend)
+    self->next_send_us = now_us + PROMISE_RESEND_US;
+  if (!find_left_over (agent, &armed, &held)) {
+    enter (agent, BURDOCK_COORDINATOR_IDLE, now_us);
+    return;
+  }
+  if (!promised && now_us - self->since_us < PROMISE_LIMIT_US)
+    return;
+  burdock_map_agent_log (agent, "complete switch",
+                         "version %" PRIu64 " step %" PRIu64
+                         " armed %d held %d promised %d",
+                         self->version, self->step, armed, held, promised);
+  if (armed)
+    enter (agent, BURDOCK_COORDINATOR_ARMING, now_us);
+  else
+    enter (agent, BURDOCK_COORDINATOR_RELEASING, now_us);
+}
+
+static void
+direct_arm_done (BurdockMapAgent *agent, int32_t status)
+{
+  if (status == 0)
+    rank_of (agent, agent->coordinator.direct_rank)->armed_directly = true;
+}
+
+static void
+hold_done (BurdockMapAgent *agent, int32_t status, uint64_t now_us)
+{
+  BurdockCoordinator *self = &agent->coordinator;
+
+  if (status == 0) {
+    for (uint32_t r = 0; r < group_size (agent); r++)
+      rank_of (agent, r)->armed_directly = false;
+    enter (agent, BURDOCK_COORDINATOR_ARMING, now_us);
+  } else if (status != -ETIMEDOUT) {
+    self->step = 0; /* the step has begun */
+    agent->handler.refresh (agent->handler.ctx, false);
+  }
+}
+
+void
+burdock_coordinator_order_done (BurdockMapAgent *agent, uint64_t id, int32_t status,
+                                uint64_t now_us)
+{
+  BurdockCoordinator *self = &agent->coordinator;
+
+  if (id != self->direct_id)
+    return;
+  self->direct_id = 0;
+  if (status != 0)
+    burdock_map_agent_log (agent, "order failed",
+                           "kind %d rank %u version %" PRIu64 " step %" PRIu64
+                           " status %d",
+                           self->direct_kind, self->direct_rank, self->version,
+                           self->step, status);
+  if (self->phase == BURDOCK_COORDINATOR_HOLDING &&
+      self->direct_kind == BURDOCK_ORDER_HOLD)
+    hold_done (agent, status, now_us);
+  else if (self->phase == BURDOCK_COORDINATOR_ARMING &&
+           self->direct_kind == BURDOCK_ORDER_ARM)
+    direct_arm_done (agent, status);
+  else if (self->phase == BURDOCK_COORDINATOR_RELEASING &&
+           self->direct_kind == BURDOCK_ORDER_RELEASE && status != -ETIMEDOUT)
+    enter (agent, BURDOCK_COORDINATOR_SWITCHING, now_us);
+  agent->handler.refresh (agent->handler.ctx, false);
+}
+
+/* A switch ends without result when its group does: nothing is armed or held then. */
+static void
+check_group (BurdockMapAgent *agent, uint64_t now_us)
+{
+  BurdockCoordinator *self = &agent->coordinator;
+
+  if (self->phase == BURDOCK_COORDINATOR_IDLE)
+    return;
+  if (agent->report.epoch != self->epoch || !agent->report.open) {
+    burdock_map_agent_log (agent, "switch ended", "the group was formed anew");
+    enter (agent, BURDOCK_COORDINATOR_IDLE, now_us);
+  } else if (is_outvoted (agent)) {
+    burdock_map_agent_log (agent, "switch ended", "another agent coordinates the group");
+    enter (agent, BURDOCK_COORDINATOR_IDLE, now_us);
+    self->next_plan_us = now_us + SETTLE_US;
+  }
+}
+
+uint64_t
+burdock_coordinator_tick (BurdockMapAgent *agent, uint64_t now_us)
+{
+  BurdockCoordinator *self = &agent->coordinator;
+
+  decay_rates (self, now_us);
+  check_group (agent, now_us);
+  if (self->phase == BURDOCK_COORDINATOR_IDLE &&
+      !burdock_coordinator_is_self (agent, now_us))
+    return UINT64_MAX;
+  switch (self->phase) {
+  case BURDOCK_COORDINATOR_IDLE:
+    tick_idle (agent, now_us);
+    break;
+  case BURDOCK_COORDINATOR_LOADING:
+    tick_loading (agent, now_us);
+    break;
+  case BURDOCK_COORDINATOR_HOLDING:
+    tick_holding (agent, now_us);
+    break;
+  case BURDOCK_COORDINATOR_ARMING:
+    tick_arming (agent, now_us);
+    break;
+  case BURDOCK_COORDINATOR_RELEASING:
+    tick_releasing (agent, now_us);
+    break;
+  case BURDOCK_COORDINATOR_SWITCHING:
+    tick_switching (agent, now_us);
+    break;
+  case BURDOCK_COORDINATOR_PROMISING:
+    tick_promising (agent, now_us);
+    break;
+  }
+  return now_us + (self->phase == BURDOCK_COORDINATOR_IDLE ? 50 : 10) * US_PER_MS;
+}
--- a/libburdock/message-fields.c
+++ b/libburdock/message-fields.c
@@ -249,6 +249,7 @@
   FIELD (BURDOCK_FIELD_U64, BurdockRankStateMessage, armed_version),
   FIELD (BURDOCK_FIELD_U64, BurdockRankStateMessage, armed_step),
   FIELD (BURDOCK_FIELD_U64, BurdockRankStateMessage, held_step),
+  FIELD (BURDOCK_FIELD_U64, BurdockRankStateMessage, refused_version),
   FIELD (BURDOCK_FIELD_BALLOT, BurdockRankStateMessage, ballot),
   FIELD (BURDOCK_FIELD_BYTES, BurdockRankStateMessage, hosted),
   FIELD (BURDOCK_FIELD_BYTES, BurdockRankStateMessage, tokens),
@@ -315,8 +316,8 @@
                                 RECORD (BurdockRosterMessage, roster_fields) },
   [BURDOCK_MSG_RANK_STATE] = { "RANK_STATE",
                                RECORD (BurdockRankStateMessage, rank_state_fields) },
-  [BURDOCK_MSG_MAP_COMMAND] = { "MAP_COMMAND", RECORD (BurdockMapCommandMessage,
-                                                       map_command_fields) },
+  [BURDOCK_MSG_MAP_COMMAND] = { "MAP_COMMAND",
+                                RECORD (BurdockMapCommandMessage, map_command_fields) },
 };
 
 const BurdockMessageKind *
--- a/libburdock/message.h
+++ b/libburdock/message.h
@@ -366,10 +366,12 @@
  * @loaded_version: version whose experts have been loaded, 0 for none
  * @armed_version: version that the rank switches to at @armed_step, 0 for none
  * @held_step: step that the group does not begin, 0 for none
+ * @refused_version: last version that the rank could not load, 0 for none
  * @ballot: highest ballot that the agent has promised to obey
  * @hosted: experts of the rank in the map in use, one byte each, layer by layer; each
  *   layer starts with their number
- * @tokens: tokens per layer and expert since the runner started, big-endian u32
+ * @tokens: tokens per layer and expert since the report before, big-endian u16, at most
+ * 65535; a lost report costs a sample, not the estimate
  */
 typedef struct {
   char group[BURDOCK_NAME_BYTES];
@@ -385,6 +387,7 @@
   uint64_t armed_version;
   uint64_t armed_step;
   uint64_t held_step;
+  uint64_t refused_version;
   BurdockBallot ballot;
   BurdockBytes hosted;
   BurdockBytes tokens;
--- a/libburdock/route-table.h
+++ b/libburdock/route-table.h
@@ -1,5 +1,6 @@
 /**
- * DOC: route-table.h - routes, workspaces and pools of one generation of the configuration
+ * DOC: route-table.h - routes, workspaces and pools of one generation of the
+ * configuration
  *
  * A table is filled by its decoder, sealed once and immutable from then on. All memory
  * belongs to the pool of the table. It is used by one thread at a time.
@@ -110,8 +111,8 @@
                                               const char *host, const char *path);
 
 /** burdock_route_table_workspace() - workspace that holds @key, or NULL */
-const BurdockWorkspaceEntry *burdock_route_table_workspace (const BurdockRouteTable *table,
-                                                            const char *key);
+const BurdockWorkspaceEntry *
+burdock_route_table_workspace (const BurdockRouteTable *table, const char *key);
 
 /** burdock_route_pick() - pool for one request; @random is uniform over all values */
 const BurdockPool *burdock_route_pick (const BurdockRoute *route, uint64_t random);
--- /dev/null
+++ b/rank/main.c
@@ -0,0 +1,227 @@
+/**
+ * DOC: main.c - burdock-rank, the process beside a model runner
+ *
+ * One thread asks the runner for its state, exchanges datagrams with the agents of the
+ * other ranks and runs the map agent; the main thread waits for signals.
+ */
+#include "datagram.h"
+#include "log.h"
+#include "map-agent.h"
+#include "runner.h"
+#include "runtime.h"
+#include "settings.h"
+#include "stop.h"
+
+#include <apr_general.h>
+#include <curl/curl.h>
+#include <errno.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PROGRAM "burdock-rank"
+#define US_PER_MS UINT64_C (1000)
+
+/* A group that breaks is to be known within a fraction of a second. */
+#define REPORT_INTERVAL_US (100 * US_PER_MS)
+
+typedef struct {
+  BurdockDaemonSettings settings;
+  BurdockRuntime runtime;
+  BurdockDatagrams *datagrams;
+  BurdockRunner *runner;
+  BurdockMapAgent *agent;
+  uint64_t next_report_us;
+  bool reachable;
+  bool known_reachable;
+} Rank;
+
+static void
+note_reachable (Rank *rank, bool reachable)
+{
+  if (rank->known_reachable && rank->reachable == reachable)
+    return;
+  rank->known_reachable = true;
+  rank->reachable = reachable;
+  burdock_log (reachable ? BURDOCK_LOG_INFO : BURDOCK_LOG_WARNING,
+               reachable ? "runner regained" : "runner lost", rank->settings.upstream_url,
+               "%s", reachable ? "it answers" : "no report from it");
+}
+
+static void
+take_report (void *ctx, const BurdockRankReport *report)
+{
+  Rank *rank = ctx;
+
+  note_reachable (rank, report != NULL);
+  if (report == NULL)
+    return;
+  burdock_map_agent_report (rank->agent, report, burdock_loop_now_us ());
+  if (burdock_map_agent_needs_hosted (rank->agent))
+    burdock_runner_ask_hosted (rank->runner);
+}
+
+static void
+take_counts (void *ctx, uint64_t epoch, const uint64_t *counts, uint32_t count)
+{
+  Rank *rank = ctx;
+
+  burdock_map_agent_counts (rank->agent, epoch, counts, count, burdock_loop_now_us ());
+}
+
+static void
+take_hosted (void *ctx, uint64_t epoch, uint64_t version, const uint8_t *hosted,
+             uint32_t length_bytes)
+{
+  Rank *rank = ctx;
+
+  burdock_map_agent_hosted (rank->agent, epoch, version, hosted, length_bytes);
+}
+
+static void
+take_ordered (void *ctx, uint64_t id, int32_t status)
+{
+  Rank *rank = ctx;
+
+  burdock_map_agent_order_done (rank->agent, id, status, burdock_loop_now_us ());
+}
+
+static void
+send_message (void *ctx, const BurdockMessage *message, const BurdockAddress *to,
+              uint32_t count)
+{
+  Rank *rank = ctx;
+  int status = burdock_datagrams_send (rank->datagrams, message, to, count);
+
+  if (status < 0 && status != -EAGAIN)
+    burdock_log (BURDOCK_LOG_DEBUG, "send datagram", "-", "%s", strerror (-status));
+}
+
+static void
+give_order (void *ctx, const BurdockMapOrder *order)
+{
+  Rank *rank = ctx;
+
+  burdock_runner_order (rank->runner, order);
+}
+
+static void
+refresh (void *ctx, bool counts)
+{
+  Rank *rank = ctx;
+
+  burdock_runner_ask_report (rank->runner);
+  if (counts)
+    burdock_runner_ask_counts (rank->runner);
+}
+
+static uint64_t
+random_value (void *ctx)
+{
+  Rank *rank = ctx;
+
+  return burdock_runtime_random (&rank->runtime);
+}
+
+static void
+log_decision (void *ctx, const char *step, const char *detail)
+{
+  burdock_log (BURDOCK_LOG_INFO, step, "-", "%s", detail);
+}
+
+static void
+receive (void *ctx, BurdockAddress from, const BurdockMessage *message)
+{
+  Rank *rank = ctx;
+
+  burdock_map_agent_receive (rank->agent, from, message, burdock_loop_now_us ());
+}
+
+static uint64_t
+rank_hook (void *ctx, uint64_t now_us)
+{
+  Rank *rank = ctx;
+  uint64_t next_us;
+
+  if (now_us >= rank->next_report_us) {
+    rank->next_report_us = now_us + REPORT_INTERVAL_US;
+    burdock_runner_ask_report (rank->runner);
+  }
+  next_us = burdock_map_agent_tick (rank->agent, now_us);
+  return next_us < rank->next_report_us ? next_us : rank->next_report_us;
+}
+
+static void
+leave (void *ctx)
+{
+  burdock_stop_drained ();
+}
+
+static int
+init (Rank *rank)
+{
+  const BurdockSettings *library = &rank->settings.library;
+  BurdockMapAgentSettings settings = { .id = burdock_member_id (library->name),
+                                       .incarnation = library->incarnation,
+                                       .control = library->control_address };
+  BurdockMapAgentHandler handler = { .ctx = rank,
+                                     .send = send_message,
+                                     .order = give_order,
+                                     .refresh = refresh,
+                                     .random = random_value,
+                                     .log = log_decision };
+  BurdockRunnerHandler answers = { .ctx = rank,
+                                   .report = take_report,
+                                   .counts = take_counts,
+                                   .hosted = take_hosted,
+                                   .ordered = take_ordered };
+  const char *address = strstr (rank->settings.upstream_url, "://");
+
+  if (address == NULL || burdock_address_parse (address + 3, &settings.upstream) < 0) {
+    burdock_log (BURDOCK_LOG_ERROR, "read settings", rank->settings.upstream_url,
+                 "the runner is to be named by an IPv4 address");
+    return -EINVAL;
+  }
+  if (burdock_runtime_init (&rank->runtime) < 0)
+    return -ENOMEM;
+  rank->agent = burdock_map_agent_new (&settings, &handler);
+  rank->runner =
+      burdock_runner_new (rank->runtime.client, rank->settings.upstream_url, &answers);
+  rank->datagrams =
+      burdock_datagrams_new (rank->runtime.loop, library->control_address, receive, rank);
+  if (rank->agent == NULL || rank->runner == NULL || rank->datagrams == NULL)
+    return -ENOMEM;
+  burdock_loop_add_hook (rank->runtime.loop, rank_hook, rank);
+  return burdock_runtime_start (&rank->runtime);
+}
+
+int
+main (int argc, char **argv)
+{
+  static Rank rank;
+
+  burdock_stop_prepare ();
+  if (sodium_init () < 0 || apr_initialize () != APR_SUCCESS ||
+      curl_global_init (CURL_GLOBAL_DEFAULT) != CURLE_OK)
+    return EXIT_FAILURE;
+  if (burdock_settings_parse (&rank.settings, BURDOCK_ROLE_RANK_AGENT, PROGRAM, argc,
+                              argv) < 0)
+    return 2;
+  burdock_log_init (rank.settings.library.name, rank.settings.log_level);
+  burdock_log_to_stdout ();
+  if (init (&rank) < 0)
+    return EXIT_FAILURE;
+  burdock_log (BURDOCK_LOG_INFO, "started", rank.settings.upstream_url,
+               "failure domain %s", rank.settings.library.failure_domain);
+  burdock_stop_wait (rank.settings.library.stop_limit_ms, leave, &rank);
+  burdock_runtime_stop (&rank.runtime);
+  burdock_log (BURDOCK_LOG_INFO, "stopped", "-", "orders %u",
+               (uint32_t)burdock_map_agent_figures (rank.agent).orders);
+  burdock_datagrams_free (rank.datagrams);
+  burdock_runtime_clear (&rank.runtime);
+  burdock_runner_free (rank.runner);
+  burdock_map_agent_free (rank.agent);
+  curl_global_cleanup ();
+  apr_terminate ();
+  return EXIT_SUCCESS;
+}
