Start processes with an empty retry budget; drop earlier lives of upstreams

Cause: after a fault of all machines nine gateways started with a whole allowance each, and stale entries of restarted runners answered 421. The budget starts empty and refills over the window, and an entry is dropped when a newer one has its address.

--- a/gateway/control.c
+++ b/gateway/control.c
@@ -17,6 +17,7 @@
  */
 typedef struct {
   BurdockUpstream upstream;
+  uint64_t written; /* version of the row as last read */
   uint64_t gone_us;
   bool seen;
 } Entry;
@@ -126,6 +127,24 @@
   drop_entry (control, entry, "its entry was removed");
 }
 
+/* An upstream that was restarted has a new id at its old address; the entry of its
+ * earlier life stays until it lapses. */
+static void
+drop_earlier_lives (BurdockGatewayControl *control, const Entry *entry)
+{
+  const BurdockAddress *address = &entry->upstream.address;
+
+  for (apr_hash_index_t *at = apr_hash_first (NULL, control->upstreams); at != NULL;
+       at = apr_hash_next (at)) {
+    Entry *other = apr_hash_this_val (at);
+
+    if (other != entry && other->written < entry->written &&
+        other->upstream.address.ipv4 == address->ipv4 &&
+        other->upstream.address.port == address->port)
+      drop_entry (control, other, "another upstream has its address");
+  }
+}
+
 static void
 upstream_row (void *ctx, const BurdockTableRow *row)
 {
@@ -160,8 +179,10 @@
                  upstream.pool);
   }
   entry->upstream = upstream;
+  entry->written = row->version;
   entry->gone_us = 0;
   entry->seen = true;
+  drop_earlier_lives (control, entry);
 }
 
 static void
--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -61,6 +61,12 @@
  * repeats in time to use all of it. */
 #define RETRY_PART 0.6
 
+#define RETRY_GATEWAYS_MIN 6
+
+/* The allowance is given back over this time. It is empty at the start of a process, as
+ * one that ended a moment ago may have used it. */
+#define RETRY_WINDOW_US UINT64_C (10000000)
+
 /* Time at which a refused caller may come back: a stream ends about that often. */
 #define RETRY_AFTER_FULL_MS 400
 #define RETRY_AFTER_NONE_MS 1000
@@ -135,6 +141,7 @@
   bool again;
   uint32_t spread;
   uint64_t now_us;
+  uint64_t ticked_us;
   uint64_t next_adjust_us;
   uint64_t next_rate_us;
   BurdockBalancerFigures figures;
@@ -191,11 +198,15 @@
   free (balancer);
 }
 
+/* Share of this gateway. One that hears no others has just started, or is cut off; in
+ * both cases there may be many of them. */
 static double
 retry_allowance (const BurdockBalancer *balancer)
 {
   uint32_t gateways = apr_hash_count (balancer->peers) + 1;
 
+  if (gateways < RETRY_GATEWAYS_MIN)
+    gateways = RETRY_GATEWAYS_MIN;
   return balancer->settings.retry_allowance * RETRY_PART / gateways;
 }
 
@@ -213,12 +224,20 @@
     abort ();
   snprintf (pool->name, sizeof pool->name, "%s", name);
   pool->tail = &pool->waiting;
-  pool->repeats_left = retry_allowance (balancer);
   pool->next = balancer->pools;
   balancer->pools = pool;
   return pool;
 }
 
+static void
+add_repeats (const BurdockBalancer *balancer, Pool *pool, double count)
+{
+  double most = retry_allowance (balancer);
+
+  pool->repeats_left = pool->repeats_left + count < most ? pool->repeats_left + count
+                                                         : most;
+}
+
 static Node *
 find_node (const BurdockBalancer *balancer, uint64_t key)
 {
@@ -826,6 +845,13 @@
 uint64_t
 burdock_balancer_tick (BurdockBalancer *balancer, uint64_t now_us)
 {
+  if (balancer->ticked_us != 0) {
+    double part = (double)(now_us - balancer->ticked_us) / RETRY_WINDOW_US;
+
+    for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next)
+      add_repeats (balancer, pool, part * retry_allowance (balancer));
+  }
+  balancer->ticked_us = now_us;
   balancer->now_us = now_us;
   expire_peers (balancer);
   for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next)
