--- a/libburdock/map-agent.c
+++ b/libburdock/map-agent.c
@@ -117,6 +117,7 @@
     .rank = report->rank,
     .size = report->size,
     .open = report->open,
+    .running = report->active,
     .step = report->step,
     .step_time_us = (uint32_t)agent->step_time_us,
     .map_version = report->map_version,
--- a/libburdock/map-coordinator.c
+++ b/libburdock/map-coordinator.c
@@ -263,6 +263,16 @@
   agent->handler.send (agent->handler.ctx, message, &peer->control, 1);
 }
 
+static uint32_t
+running_requests (BurdockMapAgent *agent)
+{
+  uint32_t running = 0;
+
+  for (uint32_t r = 0; r < group_size (agent); r++)
+    running += rank_of (agent, r)->state.running;
+  return running;
+}
+
 static void
 plan (BurdockMapAgent *agent, uint64_t now_us)
 {
@@ -299,9 +309,10 @@
   agent->figures.loads += result.loads;
   burdock_map_agent_log (agent, "plan map",
                          "version %" PRIu64 " peak %.2f to %.2f loads %u most %u "
-                         "step_ms %u",
+                         "step_ms %u running %u",
                          self->version, result.before, result.after, result.loads,
-                         result.loads_most, (uint32_t)(agent->step_time_us / US_PER_MS));
+                         result.loads_most, (uint32_t)(agent->step_time_us / US_PER_MS),
+                         running_requests (agent));
   enter (agent, BURDOCK_COORDINATOR_LOADING, now_us);
 }
 
--- a/libburdock/message-fields.c
+++ b/libburdock/message-fields.c
@@ -242,6 +242,7 @@
   FIELD (BURDOCK_FIELD_U32, BurdockRankStateMessage, rank),
   FIELD (BURDOCK_FIELD_U32, BurdockRankStateMessage, size),
   FIELD (BURDOCK_FIELD_BOOL, BurdockRankStateMessage, open),
+  FIELD (BURDOCK_FIELD_U32, BurdockRankStateMessage, running),
   FIELD (BURDOCK_FIELD_U64, BurdockRankStateMessage, step),
   FIELD (BURDOCK_FIELD_U32, BurdockRankStateMessage, step_time_us),
   FIELD (BURDOCK_FIELD_U64, BurdockRankStateMessage, map_version),
--- a/libburdock/message.h
+++ b/libburdock/message.h
@@ -361,6 +361,7 @@
  * @upstream: address of the runner
  * @epoch: grows whenever the group is formed anew
  * @open: the group is complete and runs steps
+ * @running: requests that the rank runs
  * @step: last step that was begun
  * @map_version: version of the map in use
  * @loaded_version: version whose experts have been loaded, 0 for none
@@ -380,6 +381,7 @@
   uint32_t rank;
   uint32_t size;
   bool open;
+  uint32_t running;
   uint64_t step;
   uint32_t step_time_us;
   uint64_t map_version;
