--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -234,8 +234,8 @@
 {
   double most = retry_allowance (balancer);
 
-  pool->repeats_left = pool->repeats_left + count < most ? pool->repeats_left + count
-                                                         : most;
+  pool->repeats_left =
+      pool->repeats_left + count < most ? pool->repeats_left + count : most;
 }
 
 static Node *
--- a/libburdock/copy-plan.c
+++ b/libburdock/copy-plan.c
@@ -1,11 +1,16 @@
 #include "copy-plan.h"
 
 #include <errno.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* A change has to lower the sum of the powers by this part: less is rounding noise. */
-#define GAIN_MIN 1e-4
+/* A change has to lower the load of the most loaded ranks by this for each expert that is
+ * loaded for it: steps take longer while experts are loaded. */
+#define GAIN_PER_LOAD_MIN 0.012
+
+/* Less is rounding noise. */
+#define GAIN_MIN 0.002
 
 /* Changes of one plan; bounds its time. */
 #define CHANGES_MAX 256
@@ -204,14 +209,15 @@
   return fourth * fourth;
 }
 
+/* Smooth form of the largest load. */
 static double
-sum_of_powers (const double *load, uint32_t ranks)
+norm_of (const double *load, uint32_t ranks)
 {
   double sum = 0;
 
   for (uint32_t r = 0; r < ranks; r++)
     sum += power (load[r]);
-  return sum;
+  return sqrt (sqrt (sqrt (sum)));
 }
 
 static void
@@ -255,7 +261,19 @@
   set_hosts (layer, load, change->expert, expert);
   if (change->victim != NO_EXPERT)
     set_hosts (layer, load, change->victim, victim);
-  return before - sum_of_powers (load, layer->ranks);
+  return before - norm_of (load, layer->ranks);
+}
+
+/* Experts that a change makes ranks load. */
+static uint32_t
+loads_of (const Layer *layer, const Change *change)
+{
+  uint32_t loads = (layer->initial[change->expert] >> change->to & 1) == 0 ? 1 : 0;
+
+  if (change->kind == CHANGE_MOVE && change->victim != NO_EXPERT &&
+      (layer->initial[change->victim] >> change->from & 1) == 0)
+    loads++;
+  return loads;
 }
 
 /* Whether the rank may get the expert: one that it has at present costs no load. */
@@ -273,7 +291,8 @@
 {
   Change tried = *change;
 
-  tried.gain = gain_of (layer, change, before);
+  tried.gain =
+      gain_of (layer, change, before) - loads_of (layer, change) * GAIN_PER_LOAD_MIN;
   if (tried.gain > layer->best.gain)
     layer->best = tried;
 }
@@ -298,12 +317,12 @@
 static void
 find_best (Layer *layer, const Budget *budget)
 {
-  double before = sum_of_powers (layer->load, layer->ranks);
+  double before = norm_of (layer->load, layer->ranks);
   uint32_t hot = 0;
 
   for (uint32_t r = 1; r < layer->ranks; r++)
     hot = layer->load[r] > layer->load[hot] ? r : hot;
-  layer->best = (Change){ .gain = before * GAIN_MIN };
+  layer->best = (Change){ .gain = GAIN_MIN };
   for (uint32_t e = 0; e < layer->experts; e++) {
     if (!holds (layer, hot, e))
       continue;
--- a/libburdock/map-agent.c
+++ b/libburdock/map-agent.c
@@ -20,6 +20,9 @@
 /* Demand moves within seconds, and a new map takes about one to come into force. */
 #define COUNTS_INTERVAL_US UINT64_C (250000)
 
+/* A load ends within this time of being noticed. */
+#define LOAD_POLL_US UINT64_C (25000)
+
 /* Weight of a step in the mean step time. */
 #define STEP_TIME_GAIN 4
 
@@ -495,7 +498,9 @@
 static void
 note_accepted (BurdockMapAgent *agent, const BurdockMapOrder *order)
 {
-  if (order->kind == BURDOCK_ORDER_ARM) {
+  if (order->kind == BURDOCK_ORDER_LOAD) {
+    agent->loading_version = order->version;
+  } else if (order->kind == BURDOCK_ORDER_ARM) {
     agent->report.armed_version = order->version;
     agent->armed_step = order->step;
   } else if (order->kind == BURDOCK_ORDER_RELEASE) {
@@ -528,9 +533,29 @@
   agent->handler.refresh (agent->handler.ctx, false);
 }
 
+/* The coordinator waits for the end of a load. */
+static bool
+is_loading (const BurdockMapAgent *agent)
+{
+  return agent->loading_version != 0 &&
+         agent->report.loaded_version != agent->loading_version &&
+         agent->report.epoch == agent->order.epoch;
+}
+
+static uint64_t
+watch_load (BurdockMapAgent *agent, uint64_t now_us)
+{
+  if (!is_loading (agent))
+    return UINT64_MAX;
+  if (now_us - agent->report_us >= LOAD_POLL_US)
+    agent->handler.refresh (agent->handler.ctx, false);
+  return now_us + LOAD_POLL_US;
+}
+
 uint64_t
 burdock_map_agent_tick (BurdockMapAgent *agent, uint64_t now_us)
 {
+  uint64_t load_us;
   uint64_t next_us;
 
   if (!agent->has_report)
@@ -544,7 +569,9 @@
     send_tokens (agent, now_us);
     agent->handler.refresh (agent->handler.ctx, true);
   }
+  load_us = watch_load (agent, now_us);
   next_us = burdock_coordinator_tick (agent, now_us);
+  next_us = load_us < next_us ? load_us : next_us;
   next_us = agent->next_state_us < next_us ? agent->next_state_us : next_us;
   return agent->next_counts_us < next_us ? agent->next_counts_us : next_us;
 }
--- a/libburdock/map-coordinator.c
+++ b/libburdock/map-coordinator.c
@@ -16,10 +16,9 @@
 /* A load that takes this much longer than its copies need has failed. */
 #define LOAD_SLACK_US (3000 * US_PER_MS)
 
-/* The hold lies this far ahead: arming all ranks takes a few milliseconds, and a lost
- * datagram is sent again after 30 ms. */
-#define HOLD_AHEAD_US (90 * US_PER_MS)
-#define HOLD_AHEAD_STEPS 2
+/* The next step is held: arming all ranks takes a few milliseconds of a step that takes
+ * at least 30. */
+#define HOLD_AHEAD_STEPS 1
 
 /* A rank whose agent does not answer is armed by the coordinator itself. */
 #define ARM_DIRECT_US (250 * US_PER_MS)
@@ -402,14 +401,11 @@
 tick_holding (BurdockMapAgent *agent, uint64_t now_us)
 {
   BurdockCoordinator *self = &agent->coordinator;
-  uint64_t ahead = HOLD_AHEAD_STEPS;
 
   if (self->direct_id != 0)
     return;
-  if (agent->step_time_us > 0)
-    ahead += HOLD_AHEAD_US / agent->step_time_us;
   if (self->step == 0)
-    self->step = agent->report.step + ahead;
+    self->step = agent->report.step + HOLD_AHEAD_STEPS;
   order_engine (agent, BURDOCK_ORDER_HOLD, agent->report.rank);
 }
 
