Forget counts twice as fast

Cause: demand moves to other experts every 3.5 s, and a half life of one second plans for the demand of before. Half life 0.53 s instead of 1 s.

--- a/libburdock/map-coordinator.c
+++ b/libburdock/map-coordinator.c
@@ -33,7 +33,7 @@
 /* Half life of the counts is about a second: faster follows chance, slower lags behind
  * the demand. */
 #define DECAY_INTERVAL_US (250 * US_PER_MS)
-#define DECAY 0.84
+#define DECAY 0.72
 
 /* Reports of a rank before the first plan. */
 #define SAMPLES_MIN 8
