Read counts eight times a second

Cause: a shift of demand was seen after up to 250 ms and planned for up to 250 ms later. Counts every 125 ms with a half life of 0.39 s, plans 100 ms apart.

--- a/libburdock/map-agent.c
+++ b/libburdock/map-agent.c
@@ -18,7 +18,7 @@
 #define STATE_INTERVAL_US UINT64_C (250000)
 
 /* Demand moves within seconds, and a new map takes about one to come into force. */
-#define COUNTS_INTERVAL_US UINT64_C (250000)
+#define COUNTS_INTERVAL_US UINT64_C (125000)
 
 /* A load ends within this time of being noticed. */
 #define LOAD_POLL_US UINT64_C (25000)
--- a/libburdock/map-coordinator.c
+++ b/libburdock/map-coordinator.c
@@ -32,14 +32,14 @@
 
 /* Half life of the counts is about a second: faster follows chance, slower lags behind
  * the demand. */
-#define DECAY_INTERVAL_US (250 * US_PER_MS)
-#define DECAY 0.72
+#define DECAY_INTERVAL_US (125 * US_PER_MS)
+#define DECAY 0.80
 
 /* Reports of a rank before the first plan. */
 #define SAMPLES_MIN 8
 
 /* Pause after a plan that was not worth a switch. */
-#define PLAN_PAUSE_US (250 * US_PER_MS)
+#define PLAN_PAUSE_US (100 * US_PER_MS)
 
 /* Load time of one map. Steps take longer while experts are loaded, and demand moves on
  * meanwhile; a larger change is made in several maps. */
