--- a/libburdock/map-coordinator.c
+++ b/libburdock/map-coordinator.c
@@ -43,7 +43,7 @@
 
 /* Load time of one map. Steps take longer while experts are loaded, and demand moves on
  * meanwhile; a larger change is made in several maps. */
-#define LOAD_TIME_US (300 * US_PER_MS)
+#define LOAD_TIME_US (150 * US_PER_MS)
 
 /* A map has to lower the load of the most loaded ranks by this part; below it chance
  * decides. */
