--- a/libburdock/copy-plan.c
+++ b/libburdock/copy-plan.c
@@ -5,9 +5,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* A change has to lower the load of the most loaded ranks by this for each expert that is
- * loaded for it: steps take longer while experts are loaded. */
-#define GAIN_PER_LOAD_MIN 0.012
+/* A change has to lower the load of the most loaded ranks by this, divided by the number
+ * of ranks, for each expert that is loaded for it. Steps take longer while any rank
+ * loads, and all ranks load at the same time. */
+#define GAIN_PER_LOAD_MIN 0.1
 
 /* Less is rounding noise. */
 #define GAIN_MIN 0.002
@@ -291,8 +292,8 @@
 {
   Change tried = *change;
 
-  tried.gain =
-      gain_of (layer, change, before) - loads_of (layer, change) * GAIN_PER_LOAD_MIN;
+  tried.gain = gain_of (layer, change, before) -
+               loads_of (layer, change) * GAIN_PER_LOAD_MIN / layer->ranks;
   if (tried.gain > layer->best.gain)
     layer->best = tried;
 }
--- /dev/null
+++ b/tests/test-route-table.c
@@ -0,0 +1,104 @@
+#include "route-table.h"
+#include "test.h"
+
+#include <apr_general.h>
+#include <string.h>
+
+static BurdockRouteTable *
+table_with_routes (void)
+{
+  BurdockRouteTable *table = burdock_route_table_new (3);
+  static const char *const prefixes[] = { "/a/", "/a/b/", "/ab/" };
+
+  for (uint32_t i = 0; i < 3; i++) {
+    BurdockRoute route = { .name = prefixes[i], .host = "one", .prefix = prefixes[i] };
+
+    burdock_route_table_add_route (table, &route);
+  }
+  return table;
+}
+
+typedef struct {
+  const char *host;
+  const char *path;
+  const char *prefix;
+} FindCase;
+
+static const FindCase find_cases[] = {
+  { "one", "/a/x", "/a/" },
+  { "one", "/a/b/x", "/a/b/" },
+  { "one", "/a/b", "/a/" },
+  { "one", "/ab/", "/ab/" },
+  { "one", "/a", NULL },
+  { "one", "/c/", NULL },
+  { "two", "/a/x", NULL },
+  { "one:80", "/a/x", "/a/" },
+  { "one", "/a/x?y=/a/b/", "/a/" },
+  { "one", "", NULL },
+  { "one", "/a/bc/d", "/a/" },
+};
+
+static void
+longest_prefix_of_the_host_wins (void)
+{
+  BurdockRouteTable *table = table_with_routes ();
+
+  for (uint32_t i = 0; i < sizeof find_cases / sizeof find_cases[0]; i++) {
+    const BurdockRoute *route =
+        burdock_route_table_find (table, find_cases[i].host, find_cases[i].path);
+
+    const char *found = route != NULL ? route->prefix : "none";
+    const char *wanted = find_cases[i].prefix != NULL ? find_cases[i].prefix : "none";
+
+    if (strcmp (found, wanted) != 0)
+      CU_FAIL (find_cases[i].path);
+  }
+  burdock_route_table_unref (table);
+}
+
+static void
+weights_split_the_requests (void)
+{
+  BurdockPool pools[2] = { { .name = "a" }, { .name = "b" } };
+  BurdockRouteTarget targets[] = { { &pools[0], 90 }, { &pools[1], 10 } };
+  BurdockRoute route = { .target_count = 2, .targets = targets };
+  uint32_t second = 0;
+
+  for (uint64_t i = 0; i < 1000; i++)
+    second += burdock_route_pick (&route, i) == &pools[1] ? 1 : 0;
+  CU_ASSERT_EQUAL (second, 100);
+  targets[1].weight = 0;
+  for (uint64_t i = 0; i < 1000; i++)
+    CU_ASSERT_PTR_EQUAL (burdock_route_pick (&route, i), &pools[0]);
+}
+
+static void
+keys_belong_to_one_workspace (void)
+{
+  BurdockRouteTable *table = burdock_route_table_new (1);
+  BurdockWorkspaceEntry workspace = { .name = "depot" };
+
+  burdock_route_table_add_key (table, "k1", &workspace);
+  CU_ASSERT_PTR_EQUAL (burdock_route_table_workspace (table, "k1"), &workspace);
+  CU_ASSERT_PTR_NULL (burdock_route_table_workspace (table, "k"));
+  CU_ASSERT_PTR_NULL (burdock_route_table_workspace (table, ""));
+  burdock_route_table_unref (table);
+}
+
+static const Test tests[] = {
+  { "a request takes the route of another host or prefix",
+    longest_prefix_of_the_host_wins },
+  { "a split sends too much to one pool", weights_split_the_requests },
+  { "a key opens another workspace", keys_belong_to_one_workspace },
+};
+
+int
+main (void)
+{
+  int status;
+
+  apr_initialize ();
+  status = test_main ("route-table", tests, TEST_COUNT (tests));
+  apr_terminate ();
+  return status;
+}
