Test switches of maps on a fake group, take over silent holds

The next coordinator now releases the next step of a group that stands while an agent is silent.

An engine that forgets to arm is caught.

--- a/libburdock/map-agent-private.h
+++ b/libburdock/map-agent-private.h
@@ -49,6 +49,7 @@
  * @ballot: of this coordinator; round 0 before the first one
  * @version, @step, @map: switch in progress
  * @holder: rank that holds @step
+ * @suspects: the group stands, and a rank whose agent is silent may hold its next step
  * @rates: decayed tokens, layer by layer
  */
 typedef struct {
@@ -58,6 +59,7 @@
   uint64_t version;
   uint64_t step;
   uint32_t holder;
+  bool suspects;
   BurdockCopyMap map;
   bool has_map;
   uint64_t since_us;
@@ -84,6 +86,7 @@
   uint64_t report_us;
   uint64_t step_time_us;
   uint64_t step_changed_us;
+  uint64_t progress_us; /* last time that a step began or nothing was to be done */
   BurdockBallot promised;
   uint64_t refused_version;
   uint64_t loading_version; /* of the last load that the engine accepted */
--- a/libburdock/map-agent.c
+++ b/libburdock/map-agent.c
@@ -172,6 +172,8 @@
                  report->map_version != agent->report.map_version ||
                  report->loaded_version != agent->report.loaded_version;
 
+  if (moved || report->active == 0 || !report->open || report->step != agent->report.step)
+    agent->progress_us = now_us;
   if (moved || report->open != agent->report.open)
     log_group (agent, report);
   if (moved)
--- a/libburdock/map-coordinator.c
+++ b/libburdock/map-coordinator.c
@@ -27,6 +27,9 @@
  * released without them once the group stands at it. */
 #define PROMISE_LIMIT_US (600 * US_PER_MS)
 
+/* A group with requests that begins no step for this long is held or has lost a rank. */
+#define STANDS_US (600 * US_PER_MS)
+
 /* Ranks report their maps within this time of a switch. */
 #define SETTLE_US (400 * US_PER_MS)
 
@@ -315,6 +318,41 @@
   enter (agent, BURDOCK_COORDINATOR_LOADING, now_us);
 }
 
+/* A coordinator that was frozen or cut off may have left a hold that no report shows:
+ * then the group stands, and the agent of the rank is silent. */
+static bool
+suspect_hold (BurdockMapAgent *agent, uint64_t now_us)
+{
+  BurdockCoordinator *self = &agent->coordinator;
+
+  if (now_us - agent->progress_us < STANDS_US)
+    return false;
+  for (uint32_t r = 0; r < group_size (agent); r++) {
+    const BurdockMapPeer *peer = rank_of (agent, r);
+
+    if (!peer->known || peer->state.upstream.port == 0 ||
+        burdock_map_agent_is_heard (peer, now_us))
+      continue;
+    self->holder = r;
+    self->step = agent->report.step + 1;
+    return true;
+  }
+  return false;
+}
+
+static void
+take_over (BurdockMapAgent *agent, bool suspects, const char *reason, uint64_t now_us)
+{
+  BurdockCoordinator *self = &agent->coordinator;
+
+  self->epoch = agent->report.epoch;
+  self->suspects = suspects;
+  raise_ballot (agent);
+  agent->figures.recoveries++;
+  burdock_map_agent_log (agent, "take over", "%s", reason);
+  enter (agent, BURDOCK_COORDINATOR_PROMISING, now_us);
+}
+
 static void
 tick_idle (BurdockMapAgent *agent, uint64_t now_us)
 {
@@ -323,11 +361,12 @@
   if (now_us < self->next_plan_us || !agent->has_shape || !agent->report.open)
     return;
   if (any_rank_is_armed_or_held (agent)) {
-    self->epoch = agent->report.epoch;
-    raise_ballot (agent);
-    agent->figures.recoveries++;
-    burdock_map_agent_log (agent, "take over", "a rank is armed or holds a step");
-    enter (agent, BURDOCK_COORDINATOR_PROMISING, now_us);
+    take_over (agent, false, "a rank is armed or holds a step", now_us);
+    return;
+  }
+  if (suspect_hold (agent, now_us)) {
+    self->next_plan_us = now_us + STANDS_US;
+    take_over (agent, true, "the group stands and an agent is silent", now_us);
     return;
   }
   if (!group_is_whole (agent, now_us) || !ranks_use_one_map (agent))
@@ -458,6 +497,11 @@
 {
   BurdockCoordinator *self = &agent->coordinator;
 
+  /* Nothing was armed, or the ranks have moved on. */
+  if (now_us - self->since_us > SETTLE_US && !any_rank_is_armed_or_held (agent)) {
+    enter (agent, BURDOCK_COORDINATOR_IDLE, now_us);
+    return;
+  }
   for (uint32_t r = 0; r < group_size (agent); r++) {
     const BurdockRankStateMessage *state = &rank_of (agent, r)->state;
 
@@ -535,7 +579,9 @@
 
   if (resend)
     self->next_send_us = now_us + PROMISE_RESEND_US;
-  if (!find_left_over (agent, &armed, &held)) {
+  if (find_left_over (agent, &armed, &held))
+    self->suspects = false;
+  else if (!self->suspects) {
     enter (agent, BURDOCK_COORDINATOR_IDLE, now_us);
     return;
   }
--- /dev/null
+++ b/tests/support/fake-group.c
@@ -0,0 +1,638 @@
+#include "fake-group.h"
+
+#include "map-agent.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define RANKS 4
+#define LAYERS 2
+#define EXPERTS 16
+#define SLOTS 6
+#define LOADS_MAX 4
+#define COPY_US 100000
+#define MS UINT64_C (1000)
+#define STEP_US (50 * MS)
+#define DATAGRAM_US (1 * MS)
+#define ORDER_US (1 * MS)
+#define ORDER_TIMEOUT_US (250 * MS)
+#define REPORT_US (100 * MS)
+#define ROSTER_US (500 * MS)
+#define RESTART_US (500 * MS)
+#define FORM_US (1000 * MS)
+#define DEMAND_US (3500 * MS)
+#define PORT 7000
+#define EVENTS_MAX 4096
+
+/** struct Engine - one rank as the protocol describes it */
+typedef struct {
+  uint64_t map_version;
+  uint64_t hosts[LAYERS * EXPERTS];
+  uint64_t loaded_version;
+  uint64_t loaded_hosts[LAYERS * EXPERTS];
+  uint64_t loading_version;
+  uint64_t loaded_at_us;
+  uint64_t highest_version;
+  uint64_t armed_version;
+  uint64_t armed_step;
+  uint64_t held_step;
+  uint64_t counts[LAYERS * EXPERTS];
+} Engine;
+
+typedef struct {
+  FakeGroup *group;
+  uint32_t rank;
+  BurdockMapAgent *agent;
+  uint64_t incarnation;
+  uint64_t frozen_until_us;
+  uint64_t next_tick_us;
+  bool wants_report;
+  bool wants_counts;
+} Process;
+
+typedef enum { EVENT_DATAGRAM, EVENT_ORDER, EVENT_ANSWER } EventKind;
+
+/** struct Event - something on its way; frames and maps are owned */
+typedef struct {
+  bool used;
+  EventKind kind;
+  uint64_t at_us;
+  uint32_t from;
+  uint32_t to;
+  uint64_t incarnation;
+  uint8_t *frame;
+  uint32_t frame_bytes;
+  BurdockMapOrder order;
+  BurdockCopyMap map;
+  bool answered;
+  int32_t status;
+} Event;
+
+struct FakeGroup {
+  FakeFaults faults;
+  uint64_t random;
+  uint64_t now_us;
+  uint64_t epoch;
+  uint64_t step;
+  uint64_t next_step_us;
+  uint64_t last_step_us;
+  uint64_t open_at_us;
+  uint64_t next_report_us;
+  uint64_t next_roster_us;
+  uint64_t next_demand_us;
+  uint64_t next_freeze_us;
+  uint64_t next_kill_us;
+  uint64_t next_crash_us;
+  uint64_t longest_stand_us;
+  uint32_t mixed;
+  uint32_t steps;
+  uint32_t switches;
+  double demand[LAYERS * EXPERTS];
+  Engine engines[RANKS];
+  Process processes[RANKS];
+  uint32_t event_limit; /* events from here on are not used */
+  Event events[EVENTS_MAX];
+};
+
+static uint64_t
+next_random (FakeGroup *group)
+{
+  group->random ^= group->random << 13;
+  group->random ^= group->random >> 7;
+  group->random ^= group->random << 17;
+  return group->random;
+}
+
+static bool
+happens (FakeGroup *group, double share)
+{
+  return (double)(next_random (group) >> 11) / (double)(UINT64_C (1) << 53) < share;
+}
+
+static uint64_t
+some_time (FakeGroup *group, uint64_t mean_us)
+{
+  return mean_us == 0 ? UINT64_MAX
+                      : group->now_us + mean_us / 2 + next_random (group) % mean_us;
+}
+
+static BurdockAddress
+address_of (uint32_t rank)
+{
+  return (BurdockAddress){ .ipv4 = rank + 1, .port = PORT };
+}
+
+static Event *
+add_event (FakeGroup *group, EventKind kind, uint64_t at_us)
+{
+  for (uint32_t i = 0; i < EVENTS_MAX; i++) {
+    if (group->events[i].used)
+      continue;
+    group->events[i] = (Event){ .used = true, .kind = kind, .at_us = at_us };
+    if (i >= group->event_limit)
+      group->event_limit = i + 1;
+    return &group->events[i];
+  }
+  abort ();
+}
+
+static void
+send_message (void *ctx, const BurdockMessage *message, const BurdockAddress *to,
+              uint32_t count)
+{
+  Process *process = ctx;
+  FakeGroup *group = process->group;
+
+  for (uint32_t i = 0; i < count; i++) {
+    Event *event;
+
+    if (to[i].ipv4 == 0 || to[i].ipv4 > RANKS ||
+        happens (group, group->faults.lost_datagrams))
+      continue;
+    event = add_event (group, EVENT_DATAGRAM, group->now_us + DATAGRAM_US);
+    event->from = process->rank;
+    event->to = to[i].ipv4 - 1;
+    if (burdock_message_encode (message, NULL, &event->frame, &event->frame_bytes) < 0)
+      abort ();
+  }
+}
+
+/* An order without an answer ends in a timeout, and is carried out later all the same. */
+static void
+give_order (void *ctx, const BurdockMapOrder *order)
+{
+  Process *process = ctx;
+  FakeGroup *group = process->group;
+  bool late = happens (group, group->faults.late_orders);
+  uint64_t delay_us = late ? 2000 * MS + next_random (group) % (10000 * MS) : ORDER_US;
+  Event *event = add_event (group, EVENT_ORDER, group->now_us + delay_us);
+
+  event->from = process->rank;
+  event->to = order->upstream.port != 0 ? order->upstream.ipv4 - 1 : process->rank;
+  event->incarnation = process->incarnation;
+  event->order = *order;
+  event->answered = !late;
+  if (order->map != NULL) {
+    burdock_copy_map_init (&event->map, order->map->layers, order->map->ranks,
+                           order->map->experts);
+    burdock_copy_map_assign (&event->map, order->map);
+  }
+  if (!late)
+    return;
+  event = add_event (group, EVENT_ANSWER, group->now_us + ORDER_TIMEOUT_US);
+  event->to = process->rank;
+  event->incarnation = process->incarnation;
+  event->order = *order;
+  event->status = -ETIMEDOUT;
+}
+
+static void
+refresh (void *ctx, bool counts)
+{
+  Process *process = ctx;
+
+  process->wants_report = true;
+  process->wants_counts = process->wants_counts || counts;
+}
+
+static uint64_t
+random_value (void *ctx)
+{
+  Process *process = ctx;
+
+  return next_random (process->group);
+}
+
+static void
+log_decision (void *ctx, const char *step, const char *detail)
+{
+  Process *process = ctx;
+
+  if (getenv ("FAKE_GROUP_LOG") != NULL)
+    printf ("%9.3f rank %u %s: %s\n", (double)process->group->now_us / 1e6, process->rank,
+            step, detail);
+}
+
+static void
+start_process (FakeGroup *group, uint32_t rank)
+{
+  Process *process = &group->processes[rank];
+  BurdockMapAgentHandler handler = { .ctx = process,
+                                     .send = send_message,
+                                     .order = give_order,
+                                     .refresh = refresh,
+                                     .random = random_value,
+                                     .log = log_decision };
+  BurdockMapAgentSettings settings = { .id = rank + 1,
+                                       .incarnation = group->now_us + rank + 1,
+                                       .control = address_of (rank),
+                                       .upstream = address_of (rank) };
+
+  *process = (Process){ .group = group,
+                        .rank = rank,
+                        .incarnation = settings.incarnation,
+                        .agent = burdock_map_agent_new (&settings, &handler) };
+}
+
+/* Forms the group anew: map 0, and nothing loaded, armed or held. */
+static void
+form_group (FakeGroup *group)
+{
+  BurdockCopyMap map;
+
+  burdock_copy_map_init (&map, LAYERS, RANKS, EXPERTS);
+  burdock_copy_map_spread (&map);
+  group->epoch++;
+  for (uint32_t r = 0; r < RANKS; r++) {
+    Engine *engine = &group->engines[r];
+
+    *engine = (Engine){ .highest_version = engine->highest_version };
+    memcpy (engine->hosts, map.hosts, sizeof engine->hosts);
+  }
+  burdock_copy_map_clear (&map);
+}
+
+FakeGroup *
+fake_group_new (uint64_t seed, const FakeFaults *faults)
+{
+  FakeGroup *group = calloc (1, sizeof *group);
+
+  group->faults = *faults;
+  group->random = seed * UINT64_C (0x9e3779b97f4a7c15) + 1;
+  group->now_us = 1000 * MS;
+  group->last_step_us = group->next_step_us = group->now_us;
+  form_group (group);
+  for (uint32_t r = 0; r < RANKS; r++)
+    start_process (group, r);
+  group->next_freeze_us = some_time (group, faults->freeze_every_us);
+  group->next_kill_us = some_time (group, faults->kill_every_us);
+  group->next_crash_us = some_time (group, faults->crash_every_us);
+  return group;
+}
+
+void
+fake_group_free (FakeGroup *group)
+{
+  for (uint32_t i = 0; i < EVENTS_MAX; i++) {
+    free (group->events[i].frame);
+    burdock_copy_map_clear (&group->events[i].map);
+  }
+  for (uint32_t r = 0; r < RANKS; r++)
+    burdock_map_agent_free (group->processes[r].agent);
+  free (group);
+}
+
+static bool
+is_open (const FakeGroup *group)
+{
+  return group->now_us >= group->open_at_us;
+}
+
+static int32_t
+load_map (FakeGroup *group, Engine *engine, const Event *event)
+{
+  uint64_t version = event->order.version;
+
+  if (engine->loading_version == version)
+    return 0;
+  if (version <= engine->highest_version || engine->armed_version != 0)
+    return -EEXIST;
+  engine->highest_version = engine->loading_version = version;
+  engine->loaded_at_us = group->now_us + COPY_US;
+  memcpy (engine->loaded_hosts, event->map.hosts, sizeof engine->loaded_hosts);
+  return 0;
+}
+
+static int32_t
+obey (FakeGroup *group, uint32_t rank, const Event *event)
+{
+  Engine *engine = &group->engines[rank];
+  const BurdockMapOrder *order = &event->order;
+
+  if (!is_open (group) || order->epoch != group->epoch)
+    return -EEXIST;
+  switch (order->kind) {
+  case BURDOCK_ORDER_LOAD:
+    return load_map (group, engine, event);
+  case BURDOCK_ORDER_ARM:
+    if (engine->armed_version == order->version && engine->armed_step == order->step)
+      return 0;
+    if (engine->loaded_version != order->version || order->step <= group->step)
+      return -EEXIST;
+    if (group->faults.forget_one_arm && rank == RANKS - 1)
+      return 0;
+    engine->armed_version = order->version;
+    engine->armed_step = order->step;
+    return 0;
+  case BURDOCK_ORDER_HOLD:
+    if (engine->held_step == order->step)
+      return 0;
+    if (engine->held_step != 0 || order->step <= group->step)
+      return -EEXIST;
+    engine->held_step = order->step;
+    return 0;
+  case BURDOCK_ORDER_RELEASE:
+    if (engine->held_step != order->step)
+      return -EEXIST;
+    engine->held_step = 0;
+    return 0;
+  }
+  return -EINVAL;
+}
+
+static void
+take_order (FakeGroup *group, Event *event)
+{
+  int32_t status = obey (group, event->to, event);
+  Event *answer;
+
+  burdock_copy_map_clear (&event->map);
+  if (!event->answered)
+    return;
+  answer = add_event (group, EVENT_ANSWER, group->now_us + ORDER_US);
+  answer->to = event->from;
+  answer->incarnation = event->incarnation;
+  answer->order = event->order;
+  answer->status = status;
+}
+
+static void
+report_to (FakeGroup *group, Process *process)
+{
+  const Engine *engine = &group->engines[process->rank];
+  BurdockRankReport report = { .group = "g",
+                               .epoch = group->epoch,
+                               .rank = process->rank,
+                               .size = RANKS,
+                               .open = is_open (group),
+                               .active = 4,
+                               .step = group->step,
+                               .map_version = engine->map_version,
+                               .loaded_version = engine->loaded_version,
+                               .armed_version = engine->armed_version,
+                               .held_step = engine->held_step };
+  uint8_t hosted[LAYERS * (SLOTS + EXPERTS + 1)];
+  uint32_t bytes = 0;
+
+  burdock_map_agent_report (process->agent, &report, group->now_us);
+  if (!burdock_map_agent_needs_hosted (process->agent))
+    return;
+  for (uint32_t layer = 0; layer < LAYERS; layer++) {
+    uint32_t at = bytes++;
+
+    hosted[at] = 0;
+    for (uint32_t e = 0; e < EXPERTS; e++) {
+      if ((engine->hosts[layer * EXPERTS + e] >> process->rank & 1) == 0)
+        continue;
+      hosted[bytes++] = (uint8_t)e;
+      hosted[at]++;
+    }
+  }
+  burdock_map_agent_hosted (process->agent, group->epoch, engine->map_version, hosted,
+                            bytes);
+}
+
+static void
+run_event (FakeGroup *group, Event *event)
+{
+  Process *process = &group->processes[event->to];
+  BurdockMessage *message;
+  BurdockError error;
+
+  if (event->kind == EVENT_ORDER) {
+    take_order (group, event);
+    event->used = false;
+    return;
+  }
+  if (event->kind == EVENT_ANSWER) {
+    if (event->incarnation == process->incarnation && process->agent != NULL)
+      burdock_map_agent_order_done (process->agent, event->order.id, event->status,
+                                    group->now_us);
+    event->used = false;
+    return;
+  }
+  message = malloc (sizeof *message);
+  if (process->agent != NULL && burdock_message_decode (event->frame, event->frame_bytes,
+                                                        NULL, message, &error) == 0)
+    burdock_map_agent_receive (process->agent, address_of (event->from), message,
+                               group->now_us);
+  free (message);
+  free (event->frame);
+  event->frame = NULL;
+  event->used = false;
+}
+
+/* What arrives at a frozen agent waits in its sockets. */
+static void
+run_events (FakeGroup *group)
+{
+  while (group->event_limit > 0 && !group->events[group->event_limit - 1].used)
+    group->event_limit--;
+  for (uint32_t i = 0; i < group->event_limit; i++) {
+    Event *event = &group->events[i];
+
+    if (!event->used || event->at_us > group->now_us)
+      continue;
+    if (event->kind != EVENT_ORDER &&
+        group->processes[event->to].frozen_until_us > group->now_us)
+      continue;
+    run_event (group, event);
+  }
+}
+
+static void
+finish_loads (FakeGroup *group)
+{
+  for (uint32_t r = 0; r < RANKS; r++) {
+    Engine *engine = &group->engines[r];
+
+    if (engine->loading_version != 0 && engine->loaded_at_us <= group->now_us)
+      engine->loaded_version = engine->loading_version;
+  }
+}
+
+static void
+check_maps (FakeGroup *group)
+{
+  for (uint32_t r = 1; r < RANKS; r++) {
+    if (group->engines[r].map_version == group->engines[0].map_version &&
+        memcmp (group->engines[r].hosts, group->engines[0].hosts,
+                sizeof group->engines[0].hosts) == 0)
+      continue;
+    group->mixed++;
+    return;
+  }
+}
+
+static void
+begin_step (FakeGroup *group)
+{
+  uint64_t stood_us = group->now_us - group->last_step_us;
+  bool switched = false;
+
+  group->step++;
+  group->steps++;
+  for (uint32_t r = 0; r < RANKS; r++) {
+    Engine *engine = &group->engines[r];
+
+    if (engine->armed_step == group->step && engine->armed_version != 0) {
+      engine->map_version = engine->armed_version;
+      memcpy (engine->hosts, engine->loaded_hosts, sizeof engine->hosts);
+      engine->armed_version = engine->armed_step = 0;
+      switched = true;
+    }
+    for (uint32_t i = 0; i < LAYERS * EXPERTS; i++)
+      engine->counts[i] += (uint64_t)(group->demand[i] * 100);
+  }
+  group->switches += switched ? 1 : 0;
+  check_maps (group);
+  if (stood_us > group->longest_stand_us)
+    group->longest_stand_us = stood_us;
+  group->last_step_us = group->now_us;
+  group->next_step_us = group->now_us + STEP_US;
+}
+
+static bool
+is_held (const FakeGroup *group)
+{
+  for (uint32_t r = 0; r < RANKS; r++) {
+    if (group->engines[r].held_step == group->step + 1)
+      return true;
+  }
+  return false;
+}
+
+static void
+run_engines (FakeGroup *group)
+{
+  if (group->now_us >= group->next_demand_us) {
+    group->next_demand_us = group->now_us + DEMAND_US;
+    for (uint32_t i = 0; i < LAYERS * EXPERTS; i++)
+      group->demand[i] = happens (group, 0.1) ? 8 : 0.5;
+  }
+  if (group->now_us >= group->next_crash_us) {
+    group->next_crash_us = some_time (group, group->faults.crash_every_us);
+    group->open_at_us = group->now_us + FORM_US;
+    form_group (group);
+  }
+  finish_loads (group);
+  if (is_open (group) && group->now_us >= group->next_step_us && !is_held (group))
+    begin_step (group);
+}
+
+static void
+send_roster (FakeGroup *group)
+{
+  BurdockMessage *message = calloc (1, sizeof *message);
+
+  message->header.type = BURDOCK_MSG_RANK_ROSTER;
+  message->roster = (BurdockRosterMessage){ .layers = LAYERS,
+                                            .experts = EXPERTS,
+                                            .slots = SLOTS,
+                                            .loads_max = LOADS_MAX,
+                                            .copy_us = COPY_US,
+                                            .rank_count = RANKS };
+  for (uint32_t r = 0; r < RANKS; r++)
+    message->roster.ranks[r] = (BurdockRosterRank){ address_of (r), r };
+  for (uint32_t r = 0; r < RANKS; r++) {
+    if (group->processes[r].agent != NULL)
+      burdock_map_agent_receive (group->processes[r].agent, (BurdockAddress){ 100, PORT },
+                                 message, group->now_us);
+  }
+  free (message);
+}
+
+static void
+run_processes (FakeGroup *group)
+{
+  bool report = group->now_us >= group->next_report_us;
+
+  if (report)
+    group->next_report_us = group->now_us + REPORT_US;
+  if (group->now_us >= group->next_roster_us) {
+    group->next_roster_us = group->now_us + ROSTER_US;
+    send_roster (group);
+  }
+  for (uint32_t r = 0; r < RANKS; r++) {
+    Process *process = &group->processes[r];
+
+    if (process->frozen_until_us > group->now_us)
+      continue;
+    if (process->agent == NULL)
+      start_process (group, r);
+    if (report || process->wants_report)
+      report_to (group, process);
+    if (process->wants_counts)
+      burdock_map_agent_counts (process->agent, group->epoch, group->engines[r].counts,
+                                LAYERS * EXPERTS, group->now_us);
+    process->wants_report = process->wants_counts = false;
+    if (group->now_us >= process->next_tick_us)
+      process->next_tick_us = burdock_map_agent_tick (process->agent, group->now_us);
+  }
+}
+
+/* Strikes the agent of the lowest rank, the usual coordinator, every second time. */
+static Process *
+pick_victim (FakeGroup *group)
+{
+  return &group->processes[happens (group, 0.5) ? 0 : next_random (group) % RANKS];
+}
+
+static void
+run_faults (FakeGroup *group)
+{
+  if (group->now_us >= group->next_freeze_us) {
+    group->next_freeze_us = some_time (group, group->faults.freeze_every_us);
+    pick_victim (group)->frozen_until_us =
+        group->now_us + 1000 * MS + next_random (group) % (3000 * MS);
+  }
+  if (group->now_us >= group->next_kill_us) {
+    Process *victim = pick_victim (group);
+
+    group->next_kill_us = some_time (group, group->faults.kill_every_us);
+    burdock_map_agent_free (victim->agent);
+    victim->agent = NULL;
+    victim->incarnation = 0;
+    victim->frozen_until_us = group->now_us + RESTART_US;
+  }
+}
+
+void
+fake_group_run (FakeGroup *group, uint64_t until_us)
+{
+  while (group->now_us < until_us) {
+    run_engines (group);
+    run_events (group);
+    run_faults (group);
+    run_processes (group);
+    group->now_us += MS;
+  }
+  if (group->now_us - group->last_step_us > group->longest_stand_us)
+    group->longest_stand_us = group->now_us - group->last_step_us;
+}
+
+uint32_t
+fake_group_mixed_steps (const FakeGroup *group)
+{
+  return group->mixed;
+}
+
+uint32_t
+fake_group_steps (const FakeGroup *group)
+{
+  return group->steps;
+}
+
+uint32_t
+fake_group_switches (const FakeGroup *group)
+{
+  return group->switches;
+}
+
+uint64_t
+fake_group_longest_stand_us (const FakeGroup *group)
+{
+  return group->longest_stand_us;
+}
