Keep the time limit of orders in one place

Cause: the stand-in of the map agent's test had a copy of it, so the test did not guard the value that the adapter uses. map-agent: 4 passed.

--- a/tests/support/fake-group.c
+++ b/tests/support/fake-group.c
@@ -17,7 +17,7 @@
 #define STEP_US (50 * MS)
 #define DATAGRAM_US (1 * MS)
 #define ORDER_US (1 * MS)
-#define ORDER_TIMEOUT_US (40 * MS)
+#define ORDER_TIMEOUT_US (BURDOCK_ORDER_TIMEOUT_MS * MS)
 #define REPORT_US (100 * MS)
 #define ROSTER_US (500 * MS)
 #define RESTART_US (500 * MS)
