Hold again only after a newer report, plan after three samples

Cause: after a refused hold the coordinator asked again for the same step three times a millisecond apart, and a group formed anew ran a second on its initial map before the first plan. Agents of new ranks heard of their gateways after up to 500 ms.

--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -66,6 +66,7 @@
   if (list == NULL)
     return;
   traffic->has_upstreams = true;
+  traffic->next_roster_us = 0; /* agents of new ranks answer with their state */
   list_agents (gateway, list);
   burdock_balancer_set_upstreams (traffic->balancer, list->items, list->count,
                                   burdock_loop_now_us ());
--- a/libburdock/map-agent-private.h
+++ b/libburdock/map-agent-private.h
@@ -65,6 +65,7 @@
   uint64_t since_us;
   uint64_t next_send_us;
   uint64_t next_plan_us;
+  uint64_t hold_failed_us;
   uint64_t order_id;
   BurdockMapOrderKind order_kind;
   uint64_t next_decay_us;
--- a/libburdock/map-coordinator.c
+++ b/libburdock/map-coordinator.c
@@ -43,8 +43,9 @@
 #define DECAY_INTERVAL_US (125 * US_PER_MS)
 #define DECAY 0.80
 
-/* Reports of a rank before the first plan. */
-#define SAMPLES_MIN 8
+/* Reports of a rank before the first plan: a few steps tell more than the initial map,
+ * and the next plan corrects the first one. */
+#define SAMPLES_MIN 3
 
 /* Pause after a plan that was not worth a switch. */
 #define PLAN_PAUSE_US (100 * US_PER_MS)
@@ -455,7 +456,7 @@
 {
   BurdockCoordinator *self = &agent->coordinator;
 
-  if (self->direct_id != 0)
+  if (self->direct_id != 0 || agent->report_us <= self->hold_failed_us)
     return;
   if (self->step == 0)
     self->step = agent->report.step + hold_ahead (agent, now_us);
@@ -628,7 +629,8 @@
       rank_of (agent, r)->armed_directly = false;
     enter (agent, BURDOCK_COORDINATOR_ARMING, now_us);
   } else if (status != -ETIMEDOUT) {
-    self->step = 0; /* the step has begun */
+    self->step = 0; /* the step has begun; the next report tells which one follows */
+    self->hold_failed_us = now_us;
     agent->handler.refresh (agent->handler.ctx, false);
   }
 }
--- a/tests/test-balancer.c
+++ b/tests/test-balancer.c
@@ -200,8 +200,8 @@
   burdock_balancer_free (fixture.balancer);
 }
 
-/* The load: 20 requests a second for one upstream that serves 4 a second. Once the rate is
- * known, a request that cannot be placed in time is refused at once. */
+/* The load: 20 requests a second for one upstream that serves 4 a second. Once the rate
+ * is known, a request that cannot be placed in time is refused at once. */
 static void
 hopeless_requests_are_refused_at_once (void)
 {
--- a/tests/test-map-agent.c
+++ b/tests/test-map-agent.c
@@ -18,8 +18,8 @@
   fake_group_free (group);
 }
 
-/* Guards against orders without an answer that hold up maps or the steps of the group: one
- * order in ten is carried out late, and maps still change about once a second. */
+/* Guards against orders without an answer that hold up maps or the steps of the group:
+ * one order in ten is carried out late, and maps still change about once a second. */
 static void
 late_orders_do_not_stop_the_maps (void)
 {
