--- /dev/null
+++ b/tests/test-platform-decode.c
@@ -0,0 +1,154 @@
+#include "manifest.h"
+#include "test.h"
+
+#include <apr_general.h>
+#include <errno.h>
+#include <string.h>
+
+static BurdockBytes
+bytes_of (const char *text)
+{
+  return (BurdockBytes){ (const uint8_t *)text, (uint32_t)strlen (text) };
+}
+
+typedef struct {
+  const char *text;
+  int status;
+  bool leaving;
+} UpstreamCase;
+
+static const UpstreamCase upstream_cases[] = {
+  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":12,"
+    "\"state\":\"available\",\"sequence\":1}",
+    0, false },
+  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":12,"
+    "\"state\":\"draining\",\"born\":5,\"more\":{}}",
+    0, true },
+  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":12,"
+    "\"state\":\"other\"}",
+    -EINVAL, false },
+  { "{\"service\":7,\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":12,"
+    "\"state\":\"available\"}",
+    -EINVAL, false },
+  { "{\"service\":\"s\",\"address\":\"nowhere\",\"zone\":\"z\",\"slots\":12,"
+    "\"state\":\"available\"}",
+    -EINVAL, false },
+  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":\"12\","
+    "\"state\":\"available\"}",
+    -EINVAL, false },
+  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":0,"
+    "\"state\":\"available\"}",
+    -EINVAL, false },
+  { "[1,2]", -EINVAL, false },
+  { "\xff\xfe{", -EINVAL, false },
+  { "", -EINVAL, false },
+};
+
+/* Guards against entries of other writers that are taken for upstreams. */
+static void
+only_whole_entries_name_upstreams (void)
+{
+  for (uint32_t i = 0; i < sizeof upstream_cases / sizeof upstream_cases[0]; i++) {
+    BurdockUpstream upstream;
+    int status = burdock_platform_upstream ("i-1", bytes_of (upstream_cases[i].text),
+                                            &upstream);
+
+    CU_ASSERT_EQUAL (status, upstream_cases[i].status);
+    if (status == 0) {
+      CU_ASSERT_EQUAL (upstream.leaving, upstream_cases[i].leaving);
+      CU_ASSERT_EQUAL (upstream.address.port, 80);
+      CU_ASSERT_STRING_EQUAL (upstream.pool, "s");
+    }
+  }
+}
+
+static const char configuration[] =
+    "{\"version\":7,\"routes\":["
+    "{\"name\":\"a\",\"host\":\"h\",\"prefix\":\"/a/\",\"routeType\":\"streaming\","
+    "\"timeoutMs\":8000,\"sloMs\":400.0,\"priority\":1,\"backends\":["
+    "{\"service\":\"m\",\"weight\":90},{\"service\":\"n\",\"weight\":10}],"
+    "\"maxAttempts\":2,\"public\":false,\"resumable\":true,\"itlTargetMs\":120},"
+    "{\"name\":\"b\",\"host\":\"h\",\"prefix\":\"/b/\",\"routeType\":\"non_idempotent\","
+    "\"service\":\"n\",\"public\":true},"
+    "{\"name\":\"c\",\"host\":\"h\",\"prefix\":\"/c/\",\"routeType\":\"unknown\","
+    "\"service\":\"n\"},"
+    "{\"name\":\"d\",\"host\":\"h\",\"prefix\":\"/d/\",\"routeType\":\"idempotent\"}],"
+    "\"services\":[{\"name\":\"m\",\"backendEngine\":{\"layerSets\":6,\"experts\":64,"
+    "\"placements\":11,\"spares\":4,\"expertMb\":1700.0,\"linkMbps\":92000.0}},"
+    "{\"name\":\"n\"}],"
+    "\"limits\":{\"maxBodyBytes\":1000,\"idleTimeoutMs\":15000},"
+    "\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"k1\",\"k2\"],\"priority\":3}]}";
+
+static void
+configurations_are_decoded (void)
+{
+  BurdockRouteTable *table;
+  BurdockError error;
+  const BurdockRoute *route;
+  const BurdockWorkspaceEntry *workspace;
+
+  CU_ASSERT_EQUAL_FATAL (
+      burdock_platform_routes (bytes_of (configuration), &table, &error), 0);
+  CU_ASSERT_EQUAL (table->version, 7);
+  CU_ASSERT_EQUAL (table->body_bytes_max, 1000);
+  route = burdock_route_table_find (table, "h", "/a/x");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (route);
+  CU_ASSERT_EQUAL (route->kind, BURDOCK_ROUTE_STREAM);
+  CU_ASSERT_EQUAL (route->objective_ms, 400);
+  CU_ASSERT_EQUAL (route->pause_ms, 120);
+  CU_ASSERT_TRUE (route->resumable);
+  CU_ASSERT_EQUAL (route->target_count, 2);
+  CU_ASSERT_EQUAL (route->targets[0].pool->shape.slots, 11);
+  CU_ASSERT_EQUAL (route->targets[0].pool->shape.copy_us, 147826);
+  CU_ASSERT_EQUAL (route->targets[1].pool->shape.layers, 0);
+  route = burdock_route_table_find (table, "h", "/b/x");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (route);
+  CU_ASSERT_EQUAL (route->kind, BURDOCK_ROUTE_ONCE);
+  CU_ASSERT_TRUE (route->open_access);
+  CU_ASSERT_EQUAL (route->attempts_max, 1);
+  CU_ASSERT_PTR_NULL (burdock_route_table_find (table, "h", "/c/x"));
+  CU_ASSERT_PTR_NULL (burdock_route_table_find (table, "h", "/d/x"));
+  workspace = burdock_route_table_workspace (table, "k2");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (workspace);
+  CU_ASSERT_EQUAL (workspace->priority, 3);
+  CU_ASSERT_TRUE (table->has_workspaces);
+  burdock_route_table_unref (table);
+}
+
+static const char *const broken_configurations[] = {
+  "", "{", "[]", "{\"version\":\"7\",\"routes\":[]}", "{\"version\":7}",
+  "{\"routes\":[]}",
+};
+
+static void
+broken_configurations_are_refused (void)
+{
+  for (uint32_t i = 0;
+       i < sizeof broken_configurations / sizeof broken_configurations[0]; i++) {
+    BurdockRouteTable *table = NULL;
+    BurdockError error;
+
+    CU_ASSERT_EQUAL (burdock_platform_routes (bytes_of (broken_configurations[i]), &table,
+                                              &error),
+                     -EINVAL);
+    CU_ASSERT_PTR_NULL (table);
+    CU_ASSERT_STRING_EQUAL (error.step, "read configuration");
+  }
+}
+
+static const Test tests[] = {
+  { "a foreign entry is used as an upstream", only_whole_entries_name_upstreams },
+  { "a field of a configuration is lost or altered", configurations_are_decoded },
+  { "a broken configuration is taken", broken_configurations_are_refused },
+};
+
+int
+main (void)
+{
+  int status;
+
+  apr_initialize ();
+  status = test_main ("platform-decode", tests, TEST_COUNT (tests));
+  apr_terminate ();
+  return status;
+}
