--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED ?= 1
 SECONDS ?= 10
 
-.PHONY: all setup build check run soak replay explore faults load fuzz bench capacity format lint clean
+.PHONY: all setup build check run run-platform soak replay explore faults load fuzz bench capacity format lint clean
 
 all: build
 
@@ -31,6 +31,10 @@
 soak: build
 	$(BUILD)/bench/soak --seed $(SEED) --seconds $(SECONDS)
 
+# Gateways and rank agents as processes, stand-ins of the users' platform, and faults.
+run-platform: build
+	python3 tests/soak/soak.py --build $(BUILD) --seed $(SEED) --seconds $(SECONDS)
+
 load: build
 	python3 tests/system/load.py --build $(BUILD)
 
--- a/rank/main.c
+++ b/rank/main.c
@@ -5,16 +5,19 @@
  * other ranks and runs the map agent; the main thread waits for signals.
  */
 #include "datagram.h"
+#include "http-server.h"
 #include "log.h"
 #include "map-agent.h"
 #include "runner.h"
 #include "runtime.h"
 #include "settings.h"
 #include "stop.h"
+#include "text.h"
 
 #include <apr_general.h>
 #include <curl/curl.h>
 #include <errno.h>
+#include <inttypes.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
@@ -31,6 +34,7 @@
   BurdockDatagrams *datagrams;
   BurdockRunner *runner;
   BurdockMapAgent *agent;
+  BurdockHttpServer *metrics;
   uint64_t next_report_us;
   bool reachable;
   bool known_reachable;
@@ -137,6 +141,48 @@
   burdock_map_agent_receive (rank->agent, from, message, burdock_loop_now_us ());
 }
 
+static void
+answer_metrics (void *ctx, BurdockHttpRequest *request)
+{
+  Rank *rank = ctx;
+  BurdockMapAgentFigures figures = burdock_map_agent_figures (rank->agent);
+  BurdockText text = { 0 };
+  char *process = burdock_runtime_metrics ();
+
+  burdock_text_format (&text,
+                       "burdock_map_switches_total %" PRIu64 "\n"
+                       "burdock_map_orders_total %" PRIu64 "\n"
+                       "burdock_map_orders_failed_total %" PRIu64 "\n"
+                       "burdock_map_loads_total %" PRIu64 "\n"
+                       "burdock_map_takeovers_total %" PRIu64 "\n"
+                       "burdock_map_peak %.3f\n",
+                       figures.switches, figures.orders, figures.orders_failed,
+                       figures.loads, figures.recoveries, figures.peak);
+  if (process != NULL)
+    burdock_text_add_string (&text, process);
+  free (process);
+  burdock_http_answer (request, 200, "text/plain", burdock_text_take (&text), NULL);
+}
+
+static void
+ignore_end (void *ctx, BurdockHttpRequest *request, bool whole)
+{
+}
+
+/* The agent does its work without metrics as well. */
+static void
+serve_metrics (Rank *rank)
+{
+  BurdockHttpHandler handler = { rank, answer_metrics, ignore_end };
+  BurdockAddress address = rank->settings.metrics_address;
+
+  if (address.port == 0)
+    return;
+  rank->metrics = burdock_http_server_new (rank->runtime.loop, &address, NULL, &handler);
+  if (rank->metrics == NULL)
+    burdock_log (BURDOCK_LOG_WARNING, "listen", "-", "metrics address not available");
+}
+
 static uint64_t
 rank_hook (void *ctx, uint64_t now_us)
 {
@@ -191,6 +237,7 @@
       burdock_datagrams_new (rank->runtime.loop, library->control_address, receive, rank);
   if (rank->agent == NULL || rank->runner == NULL || rank->datagrams == NULL)
     return -ENOMEM;
+  serve_metrics (rank);
   burdock_loop_add_hook (rank->runtime.loop, rank_hook, rank);
   return burdock_runtime_start (&rank->runtime);
 }
@@ -217,6 +264,7 @@
   burdock_runtime_stop (&rank.runtime);
   burdock_log (BURDOCK_LOG_INFO, "stopped", "-", "orders %u",
                (uint32_t)burdock_map_agent_figures (rank.agent).orders);
+  burdock_http_server_free (rank.metrics);
   burdock_datagrams_free (rank.datagrams);
   burdock_runtime_clear (&rank.runtime);
   burdock_runner_free (rank.runner);
--- /dev/null
+++ b/tests/soak/standin.py
@@ -0,0 +1,398 @@
+"""Stand-ins of the users' platform for the fault soak: HTTP, store, runners, proxy.
+
+They follow the published protocol only as far as the gateway and the rank agents use it.
+"""
+import asyncio
+import base64
+import hashlib
+import json
+import random
+import time
+from urllib.parse import parse_qs, urlsplit
+
+STEP_S = 0.04
+COPY_S = 0.1
+LAYERS, EXPERTS, PLACES, SPARES = 2, 16, 6, 4
+
+
+async def read_head(reader):
+    """Returns (first line, headers) of a message, or None at the end of the connection."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    lines = head.decode().split("\r\n")
+    headers = {}
+    for line in lines[1:]:
+        name, _, value = line.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    return lines[0], headers
+
+
+async def read_body(reader, headers):
+    """Reads a body with a length or in chunks; raises if it ends early."""
+    if headers.get("transfer-encoding", "").lower() != "chunked":
+        return await reader.readexactly(int(headers.get("content-length", 0)))
+    body = b""
+    while True:
+        size = int(await reader.readline(), 16)
+        body += await reader.readexactly(size)
+        await reader.readexactly(2)
+        if size == 0:
+            return body
+
+
+def answer(status, body=b"", headers=()):
+    lines = [f"HTTP/1.1 {status} x", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class HttpServer:
+    """Serves handle(request line parts, headers, body, writer) -> keep the connection."""
+
+    def __init__(self, ip, port, handle):
+        self.ip, self.port, self.handle = ip, port, handle
+        self.writers = set()
+        self.server = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, self.ip, self.port)
+
+    async def serve(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            while True:
+                head = await read_head(reader)
+                if head is None:
+                    break
+                method, target, _ = head[0].split(" ", 2)
+                body = await read_body(reader, head[1])
+                if not await self.handle(method, target, head[1], body, writer):
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def reset_all(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+
+class Store:
+    """Tables with versions; mode is up, busy (503) or silent."""
+
+    def __init__(self, ip, port):
+        self.rows = {}
+        self.log = []
+        self.version = 1
+        self.oldest = 0
+        self.mode = "up"
+        self.delay_s = 0.0
+        self.changed = asyncio.Condition()
+        self.http = HttpServer(ip, port, self.handle)
+
+    async def put(self, table, key, value):
+        await self.write(table, key, base64.b64encode(json.dumps(value).encode()).decode())
+
+    async def remove(self, table, key):
+        if (table, key) in self.rows:
+            await self.write(table, key, None)
+
+    async def write(self, table, key, data):
+        async with self.changed:
+            self.version += 1
+            if data is None:
+                self.rows.pop((table, key))
+            else:
+                self.rows[(table, key)] = (data, self.version)
+            self.log.append((self.version, table, key, data))
+            self.changed.notify_all()
+
+    def forget_history(self):
+        self.oldest = self.version
+        self.log.clear()
+
+    def row(self, table, key, data, version):
+        item = {"tableName": table, "part": "", "key": key, "schemaVersion": version}
+        return {**item, "deleted": True} if data is None else {**item, "data": data}
+
+    def changes(self, table, after):
+        return [self.row(t, k, d, v) for v, t, k, d in self.log if t == table and v > after]
+
+    async def feed(self, query):
+        table, after = query["tableName"][0], int(query["after"][0])
+        until = time.monotonic() + int(query["waitMs"][0]) / 1000
+        async with self.changed:
+            while after >= self.oldest and not self.changes(table, after):
+                left = until - time.monotonic()
+                if left <= 0:
+                    break
+                try:
+                    await asyncio.wait_for(self.changed.wait(), left)
+                except asyncio.TimeoutError:
+                    break
+        if after < self.oldest:
+            return answer(410, b"{}")
+        body = {"rows": self.changes(table, after), "schemaVersion": self.version,
+                "serverTimeMs": 1}
+        return answer(200, json.dumps(body).encode())
+
+    def get(self, query):
+        table = query["tableName"][0]
+        rows = [self.row(t, k, d, v) for (t, k), (d, v) in sorted(self.rows.items())
+                if t == table]
+        body = {"rows": rows, "hasMore": False, "schemaVersion": self.version}
+        return answer(200, json.dumps(body).encode())
+
+    async def handle(self, method, target, headers, body, writer):
+        parts = urlsplit(target)
+        query = parse_qs(parts.query)
+        if self.mode == "silent":
+            await asyncio.sleep(30)
+            return False
+        await asyncio.sleep(self.delay_s)
+        if self.mode == "busy":
+            writer.write(answer(503, b"{}"))
+        elif parts.path == "/rows-feed":
+            writer.write(await self.feed(query))
+        else:
+            writer.write(self.get(query))
+        await writer.drain()
+        return True
+
+
+class Proxy:
+    """Loopback proxy; mode is pass, slow, reset, silent or oneway (answers are lost)."""
+
+    def __init__(self, ip, port, to):
+        self.ip, self.port, self.to = ip, port, to
+        self.mode = "pass"
+        self.pairs = set()
+
+    async def start(self):
+        await asyncio.start_server(self.serve, self.ip, self.port)
+
+    async def serve(self, reader, writer):
+        if self.mode == "reset":
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self.to)
+        except ConnectionError:
+            writer.close()
+            return
+        self.pairs.add((writer, far_writer))
+        await asyncio.gather(self.pump(reader, far_writer, False),
+                             self.pump(far_reader, writer, True))
+        self.pairs.discard((writer, far_writer))
+
+    async def pump(self, reader, writer, back):
+        try:
+            while data := await reader.read(65536):
+                while self.mode == "silent" or (self.mode == "oneway" and back):
+                    await asyncio.sleep(0.05)
+                if self.mode == "slow":
+                    await asyncio.sleep(0.2)
+                writer.write(data)
+                await writer.drain()
+        except ConnectionError:
+            pass
+        writer.close()
+
+    def set_mode(self, mode):
+        self.mode = mode
+        if mode == "reset":
+            for pair in list(self.pairs):
+                for writer in pair:
+                    writer.transport.abort()
+
+
+def body_of(attempt):
+    """The answer that belongs to a request, for both ends to compare."""
+    return hashlib.sha256(attempt.encode()).hexdigest().encode() * 10
+
+
+def event_count(attempt):
+    return 6 + int(hashlib.sha256(attempt.encode()).hexdigest()[:2], 16) % 20
+
+
+class Runner:
+    """One upstream; check records what it ran and finds what it must not run."""
+
+    def __init__(self, check, service, ip, group=None, rank=0, slots=8):
+        self.check, self.service, self.ip, self.group, self.rank = (check, service, ip,
+                                                                    group, rank)
+        self.slots, self.running, self.sequence = slots, 0, 0
+        self.state, self.grey = "available", 0.0
+        self.left_at = None
+        self.http = HttpServer(ip, 9000, self.handle)
+        self.renew()
+
+    def renew(self):
+        self.id = f"i-{random.getrandbits(40):010x}"
+
+    def entry(self):
+        return {"service": self.service, "address": f"{self.ip}:9000", "zone": "z",
+                "version": "v1", "slots": self.slots, "state": self.state,
+                "coldLeftMs": 0, "sequence": 1}
+
+    async def handle(self, method, target, headers, body, writer):
+        path = urlsplit(target).path
+        if path in ("/report", "/picked", "/order"):
+            status, reply = self.group.ask(self.rank, target, body)
+            if self.group.drops_answer(path):
+                await asyncio.sleep(5)
+                return False
+            writer.write(answer(status, json.dumps(reply).encode()))
+            await writer.drain()
+            return True
+        attempt = headers.get("burdockwind-attempt-id", "")
+        if headers.get("burdockwind-expect-instance") != self.id:
+            writer.write(answer(421, headers=[("Burdockwind-Instance-Id", self.id)]))
+            return True
+        if self.running >= self.slots or (self.group and not self.group.open):
+            writer.write(answer(503, headers=[("Burdockwind-Not-Executed", "1")]))
+            return True
+        return await self.run(path, attempt, headers, writer)
+
+    async def run(self, path, attempt, headers, writer):
+        self.check.ran(self, path, attempt, headers)
+        self.running += 1
+        try:
+            if random.random() < self.grey:
+                writer.transport.abort()
+                return False
+            if path.startswith("/stream/"):
+                return await self.stream(attempt, headers, writer)
+            await asyncio.sleep(0.03)
+            writer.write(answer(200, body_of(attempt), self.marks(attempt)))
+            await writer.drain()
+            return True
+        finally:
+            self.running -= 1
+
+    def marks(self, attempt):
+        return [("Burdockwind-Attempt-Id", attempt),
+                ("Burdockwind-Instance-Signature", self.id)]
+
+    async def stream(self, attempt, headers, writer):
+        marks = "".join(f"{n}: {v}\r\n" for n, v in self.marks(attempt))
+        writer.write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                      f"Content-Type: text/event-stream\r\n{marks}\r\n").encode())
+        epoch = self.group.epoch
+        for number in range(int(headers.get("last-event-id", 0)) + 1,
+                            event_count(attempt) + 1):
+            step = self.group.step
+            while self.group.step == step and self.group.epoch == epoch:
+                await asyncio.sleep(STEP_S / 4)
+            if self.group.epoch != epoch or writer.is_closing():
+                writer.transport.abort()
+                return False
+            event = f"id: {number}\ndata: {attempt}-{number}\n\n"
+            writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+
+class Group:
+    """Ranks in lock-step; finds steps in which two ranks use different maps."""
+
+    def __init__(self, check, name, size):
+        self.check, self.name, self.size = check, name, size
+        self.epoch, self.step, self.open = 0, 0, True
+        self.lost_orders = 0.0
+        self.highest = 0
+        self.form()
+
+    def form(self):
+        self.epoch += 1
+        spread = [[e for e in range(EXPERTS) if e % self.size == r] for r in range(self.size)]
+        self.maps = [(0, [list(spread[r]) for _ in range(LAYERS)]) for r in range(self.size)]
+        self.prepared = [None] * self.size
+        self.armed = [None] * self.size
+        self.held = [None] * self.size
+        self.counts = [[0] * (LAYERS * EXPERTS) for _ in range(self.size)]
+
+    async def crash(self, down_s):
+        self.open = False
+        await asyncio.sleep(down_s)
+        self.form()
+        self.open = True
+
+    async def run(self):
+        while True:
+            await asyncio.sleep(STEP_S)
+            if self.open and self.step + 1 not in self.held:
+                self.begin()
+
+    def begin(self):
+        self.step += 1
+        for r in range(self.size):
+            if self.armed[r] and self.armed[r][1] == self.step:
+                self.maps[r] = (self.armed[r][0], self.prepared[r][1][r])
+                self.full = self.prepared[r][1]
+                self.armed[r] = None
+            for i in range(LAYERS * EXPERTS):
+                self.counts[r][i] += random.choice((1, 1, 40 if i == self.step // 90 % 16
+                                                    else 2))
+        versions = {version for version, _ in self.maps}
+        if len(versions) > 1:
+            self.check.broken("MAP", f"group {self.name} step {self.step}: {versions}")
+
+    def drops_answer(self, path):
+        return path == "/order" and random.random() < self.lost_orders
+
+    def ask(self, rank, target, body):
+        if target.startswith("/order"):
+            return (self.obey(rank, json.loads(body)), {})
+        prepared = self.prepared[rank]
+        done = prepared and prepared[2] <= time.monotonic()
+        if "lists" in target:
+            return 200, {"epoch": self.epoch, "mapping": {
+                "version": self.maps[rank][0], "experts": self.maps[rank][1]}}
+        if target.startswith("/picked"):
+            return 200, {"step": self.step, "epoch": self.epoch, "counts": self.counts[rank]}
+        return 200, {"group": {"name": self.name, "epoch": self.epoch, "rank": rank,
+                               "state": "open" if self.open else "broken"},
+                     "size": self.size, "step": self.step, "active": 1,
+                     "mapping": self.maps[rank][0], "preloaded": prepared[0] if done else None,
+                     "enabled": self.armed[rank][0] if self.armed[rank] else None,
+                     "held": self.held[rank]}
+
+    def obey(self, rank, order):
+        if not self.open or order.get("epoch") != self.epoch:
+            return 409
+        kind, step = order["operation"], order.get("step", 0)
+        prepared = self.prepared[rank]
+        if kind == "prepare":
+            if prepared and prepared[0] == order["version"]:
+                return 200
+            if (prepared and order["version"] <= prepared[0]) or self.armed[rank]:
+                return 409
+            mapping = [[order["mapping"][layer][r] for layer in range(LAYERS)]
+                       for r in range(self.size)]
+            self.prepared[rank] = (order["version"], mapping, time.monotonic() + COPY_S)
+            return 202
+        if kind == "arm":
+            if self.armed[rank] == (order["version"], step):
+                return 200
+            if not prepared or prepared[0] != order["version"] or step <= self.step:
+                return 409
+            self.armed[rank] = (order["version"], step)
+            return 202
+        if kind == "retain":
+            if self.held[rank] == step:
+                return 200
+            if self.held[rank] or step <= self.step:
+                return 409
+            self.held[rank] = step
+            return 202
+        if self.held[rank] != step:
+            return 409
+        self.held[rank] = None
+        return 202
