Split balancer and coordinator by job

Queueing and refusing stand apart from what is known of upstreams, taking over apart from coordinating.

--- /dev/null
+++ b/libburdock/balancer-queue.c
@@ -0,0 +1,357 @@
+/* Places, holds and refuses requests. */
+#include "balancer-private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* An agent reports once a second; without a report the state is unknown. */
+#define RANK_SILENT_US UINT64_C (2500000)
+
+/* Requests that a failure rate of 1 counts for in the comparison of upstreams. */
+#define FAILURE_LOAD 24.0
+
+/* Above this rate the failures are the upstream's and not a single lost answer. */
+#define FAILURE_RATE_MIN 0.15
+
+/* An upstream elsewhere is taken if it is emptier by this part of its slots. */
+#define ELSEWHERE_LOAD 0.04
+
+/* Load of the group compared with load of the rank: steps are as long as the whole group
+ * makes them, the own part of a rank is the smaller one. */
+#define GROUP_LOAD_WEIGHT 2.0
+
+/* Part of the retry budget of all gateways that is used; they do not hear of each other's
+ * repeats in time to use all of it. */
+#define RETRY_PART 0.6
+
+#define RETRY_GATEWAYS_MIN 6
+
+/* The allowance is given back over this time. It is empty at the start of a process, as
+ * one that ended a moment ago may have used it. */
+#define RETRY_WINDOW_US UINT64_C (10000000)
+
+/* Time at which a refused caller may come back: a stream ends about that often. */
+#define RETRY_AFTER_FULL_MS 400
+#define RETRY_AFTER_NONE_MS 1000
+#define RETRY_AFTER_SPREAD_MS 400
+
+/* Below this number the waiting time cannot be estimated from the rate. */
+#define WAITING_ESTIMATE_MIN 4
+#define RATE_INTERVAL_US UINT64_C (500000)
+#define RATE_GAIN 0.4
+
+/* Share of this gateway. One that hears no others has just started, or is cut off; in
+ * both cases there may be many of them. */
+static double
+retry_allowance (const BurdockBalancer *balancer)
+{
+  uint32_t gateways = apr_hash_count (balancer->peers) + 1;
+
+  if (gateways < RETRY_GATEWAYS_MIN)
+    gateways = RETRY_GATEWAYS_MIN;
+  return balancer->settings.retry_allowance * RETRY_PART / gateways;
+}
+
+static void
+add_repeats (const BurdockBalancer *balancer, Pool *pool, double count)
+{
+  double most = retry_allowance (balancer);
+
+  pool->repeats_left =
+      pool->repeats_left + count < most ? pool->repeats_left + count : most;
+}
+
+static bool
+group_has_room (const BurdockBalancer *balancer, const Node *node)
+{
+  const Group *group = node->group;
+
+  if (group == NULL || balancer->now_us - node->rank_heard_us > RANK_SILENT_US)
+    return true;
+  return group->open && group->outstanding < group->slots * group->share;
+}
+
+static bool
+is_excluded (const BurdockPlacement *placement, uint64_t key)
+{
+  for (uint32_t i = 0; i < placement->excluded_count; i++) {
+    if (placement->excluded[i] == key)
+      return true;
+  }
+  return false;
+}
+
+static double
+load_of (const BurdockBalancer *balancer, const Node *node)
+{
+  double load = outstanding (node);
+
+  if (node->failure_rate > FAILURE_RATE_MIN)
+    load += node->failure_rate * FAILURE_LOAD;
+  load /= node->info.slots > 0 ? node->info.slots : 1;
+  if (strcmp (node->info.failure_domain, balancer->settings.failure_domain) != 0)
+    load += ELSEWHERE_LOAD;
+  if (node->group != NULL && node->group->slots > 0)
+    load += GROUP_LOAD_WEIGHT * node->group->outstanding / node->group->slots;
+  return load;
+}
+
+static bool
+is_usable (const Node *node, const Pool *pool)
+{
+  return node->listed && node->pool == pool && !node->info.leaving;
+}
+
+/* Starts at a different upstream each time, so that equals share the requests. */
+static Node *
+choose (BurdockBalancer *balancer, const Pool *pool, const BurdockPlacement *placement)
+{
+  Node *best = NULL;
+  double best_load = 0;
+  uint32_t start = balancer->spread++;
+
+  for (uint32_t i = 0; i < balancer->node_count; i++) {
+    Node *node = balancer->nodes[(start + i) % balancer->node_count];
+    double load;
+
+    if (!is_usable (node, pool) || node->paused_until_us > balancer->now_us ||
+        outstanding (node) >= node->info.slots ||
+        is_excluded (placement, node->info.key) || !group_has_room (balancer, node))
+      continue;
+    load = load_of (balancer, node);
+    if (best != NULL && load >= best_load)
+      continue;
+    best = node;
+    best_load = load;
+  }
+  return best;
+}
+
+/* Urgent ones first; among equals those that can still be on time; then the oldest. */
+static bool
+goes_before (const BurdockPlacement *a, const BurdockPlacement *b, uint64_t now_us)
+{
+  bool a_late = a->on_time_until_us < now_us;
+  bool b_late = b->on_time_until_us < now_us;
+
+  if (a->priority != b->priority)
+    return a->priority < b->priority;
+  return !a_late && b_late;
+}
+
+static Waiting **
+next_in_line (BurdockBalancer *balancer, Pool *pool)
+{
+  Waiting **best = &pool->waiting;
+
+  for (Waiting **at = &pool->waiting; *at != NULL; at = &(*at)->next) {
+    if (goes_before (&(*at)->placement, &(*best)->placement, balancer->now_us))
+      best = at;
+  }
+  return best;
+}
+
+static BurdockPlacement
+unlink_waiting (BurdockBalancer *balancer, Pool *pool, Waiting **at)
+{
+  Waiting *waiting = *at;
+  BurdockPlacement placement = waiting->placement;
+
+  *at = waiting->next;
+  if (pool->tail == &waiting->next)
+    pool->tail = at;
+  free (waiting);
+  pool->waiting_count--;
+  balancer->figures.waiting--;
+  return placement;
+}
+
+static void
+place (BurdockBalancer *balancer, Pool *pool, Node *node, uint64_t handle)
+{
+  const BurdockBalancerHandler *handler = &balancer->handler;
+
+  burdock_balancer_detach (node);
+  node->own++;
+  burdock_balancer_attach (node);
+  pool->placed++;
+  balancer->figures.placed++;
+  balancer->figures.outstanding_own++;
+  handler->place (handler->ctx, handle, &node->info);
+}
+
+static void
+dispatch_pool (BurdockBalancer *balancer, Pool *pool)
+{
+  while (pool->waiting != NULL) {
+    Waiting **at = next_in_line (balancer, pool);
+    Node *node = choose (balancer, pool, &(*at)->placement);
+    BurdockPlacement placement;
+
+    if (node == NULL)
+      return;
+    placement = unlink_waiting (balancer, pool, at);
+    place (balancer, pool, node, placement.handle);
+  }
+}
+
+/* A callback may end a request and so ask for another round. */
+void
+burdock_balancer_dispatch (BurdockBalancer *balancer)
+{
+  balancer->again = true;
+  if (balancer->dispatching)
+    return;
+  balancer->dispatching = true;
+  while (balancer->again) {
+    balancer->again = false;
+    for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next)
+      dispatch_pool (balancer, pool);
+  }
+  balancer->dispatching = false;
+}
+
+static bool
+has_upstream (const BurdockBalancer *balancer, const Pool *pool)
+{
+  for (uint32_t i = 0; i < balancer->node_count; i++) {
+    if (is_usable (balancer->nodes[i], pool))
+      return true;
+  }
+  return false;
+}
+
+static void
+refuse (BurdockBalancer *balancer, uint64_t handle, BurdockReason reason,
+        uint32_t retry_after_ms)
+{
+  const BurdockBalancerHandler *handler = &balancer->handler;
+
+  balancer->figures.refused++;
+  retry_after_ms += balancer->spread++ * 97 % RETRY_AFTER_SPREAD_MS;
+  handler->refuse (handler->ctx, handle, reason, retry_after_ms);
+}
+
+/* Whether the requests already waiting take all places until @placement gives up. */
+static bool
+is_hopeless (const BurdockBalancer *balancer, const Pool *pool,
+             const BurdockPlacement *placement)
+{
+  uint64_t left_us = placement->give_up_us > balancer->now_us
+                         ? placement->give_up_us - balancer->now_us
+                         : 0;
+
+  if (pool->waiting_count < WAITING_ESTIMATE_MIN || pool->placed_per_s <= 0)
+    return false;
+  return pool->waiting_count / pool->placed_per_s * 1e6 > (double)left_us;
+}
+
+void
+burdock_balancer_submit (BurdockBalancer *balancer, const BurdockPlacement *placement,
+                         uint64_t now_us)
+{
+  Pool *pool = burdock_balancer_pool (balancer, placement->pool);
+  Waiting *waiting;
+
+  balancer->now_us = now_us;
+  if (placement->excluded_count == 0 && pool->repeats_left < retry_allowance (balancer))
+    pool->repeats_left += balancer->settings.retry_ratio * RETRY_PART;
+  if (!has_upstream (balancer, pool)) {
+    refuse (balancer, placement->handle, BURDOCK_REASON_NO_UPSTREAM, RETRY_AFTER_NONE_MS);
+    return;
+  }
+  if (is_hopeless (balancer, pool, placement)) {
+    refuse (balancer, placement->handle, BURDOCK_REASON_OVERLOAD, RETRY_AFTER_FULL_MS);
+    return;
+  }
+  waiting = malloc (sizeof *waiting);
+  if (waiting == NULL)
+    abort ();
+  *waiting = (Waiting){ .placement = *placement };
+  *pool->tail = waiting;
+  pool->tail = &waiting->next;
+  pool->waiting_count++;
+  balancer->figures.waiting++;
+  burdock_balancer_dispatch (balancer);
+}
+
+void
+burdock_balancer_withdraw (BurdockBalancer *balancer, uint64_t handle)
+{
+  for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next) {
+    for (Waiting **at = &pool->waiting; *at != NULL; at = &(*at)->next) {
+      if ((*at)->placement.handle != handle)
+        continue;
+      unlink_waiting (balancer, pool, at);
+      return;
+    }
+  }
+}
+
+bool
+burdock_balancer_may_repeat (BurdockBalancer *balancer, const char *name)
+{
+  Pool *pool = burdock_balancer_pool (balancer, name);
+
+  if (pool->repeats_left < 1) {
+    balancer->figures.repeats_denied++;
+    return false;
+  }
+  pool->repeats_left -= 1;
+  balancer->figures.repeats++;
+  return true;
+}
+
+static void
+expire_waiting (BurdockBalancer *balancer, Pool *pool)
+{
+  Waiting **at = &pool->waiting;
+
+  while (*at != NULL) {
+    BurdockPlacement placement;
+
+    if ((*at)->placement.give_up_us > balancer->now_us) {
+      at = &(*at)->next;
+      continue;
+    }
+    placement = unlink_waiting (balancer, pool, at);
+    refuse (balancer, placement.handle, BURDOCK_REASON_OVERLOAD, RETRY_AFTER_FULL_MS);
+  }
+}
+
+static void
+measure_rates (BurdockBalancer *balancer)
+{
+  for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next) {
+    double per_s = pool->placed * 1e6 / RATE_INTERVAL_US;
+
+    pool->placed_per_s += (per_s - pool->placed_per_s) * RATE_GAIN;
+    pool->placed = 0;
+  }
+}
+
+static void
+refill_repeats (BurdockBalancer *balancer)
+{
+  uint64_t passed_us = balancer->now_us - balancer->ticked_us;
+
+  if (balancer->ticked_us != 0) {
+    for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next)
+      add_repeats (balancer, pool,
+                   (double)passed_us / RETRY_WINDOW_US * retry_allowance (balancer));
+  }
+  balancer->ticked_us = balancer->now_us;
+}
+
+void
+burdock_balancer_tick_queue (BurdockBalancer *balancer)
+{
+  refill_repeats (balancer);
+  for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next)
+    expire_waiting (balancer, pool);
+  if (balancer->now_us >= balancer->next_rate_us) {
+    balancer->next_rate_us = balancer->now_us + RATE_INTERVAL_US;
+    measure_rates (balancer);
+  }
+  burdock_balancer_dispatch (balancer);
+}
--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -1,7 +1,5 @@
-#include "balancer.h"
+#include "balancer-private.h"
 
-#include <apr_hash.h>
-#include <apr_pools.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,9 +9,6 @@
 /* A gateway that was silent for ten heartbeats is gone, and its requests with it. */
 #define PEER_SILENT_US UINT64_C (1000000)
 
-/* An agent reports once a second; without a report the state is unknown. */
-#define RANK_SILENT_US UINT64_C (2500000)
-
 /* An upstream that refused a connection is tried again after this time. */
 #define UNREACHABLE_PAUSE_US UINT64_C (1000000)
 
@@ -26,19 +21,6 @@
 /* Weight of one answer in the failure rate of an upstream, about twenty answers. */
 #define FAILURE_GAIN 0.08
 
-/* Requests that a failure rate of 1 counts for in the comparison of upstreams. */
-#define FAILURE_LOAD 24.0
-
-/* Above this rate the failures are the upstream's and not a single lost answer. */
-#define FAILURE_RATE_MIN 0.15
-
-/* An upstream elsewhere is taken if it is emptier by this part of its slots. */
-#define ELSEWHERE_LOAD 0.04
-
-/* Load of the group compared with load of the rank: steps are as long as the whole group
- * makes them, the own part of a rank is the smaller one. */
-#define GROUP_LOAD_WEIGHT 2.0
-
 /* Share of the slots of a group in use: at the start, at least and at most. The start is
  * what initial maps carry at steps within their target. */
 #define GROUP_SHARE_START 0.8
@@ -57,96 +39,8 @@
 #define LATE_SHARE_HIGH 0.10
 #define LATE_SHARE_LOW 0.03
 
-/* Part of the retry budget of all gateways that is used; they do not hear of each other's
- * repeats in time to use all of it. */
-#define RETRY_PART 0.6
-
-#define RETRY_GATEWAYS_MIN 6
-
-/* The allowance is given back over this time. It is empty at the start of a process, as
- * one that ended a moment ago may have used it. */
-#define RETRY_WINDOW_US UINT64_C (10000000)
-
-/* Time at which a refused caller may come back: a stream ends about that often. */
-#define RETRY_AFTER_FULL_MS 400
-#define RETRY_AFTER_NONE_MS 1000
-#define RETRY_AFTER_SPREAD_MS 400
-
-/* Below this number the waiting time cannot be estimated from the rate. */
-#define WAITING_ESTIMATE_MIN 4
-#define RATE_INTERVAL_US UINT64_C (500000)
-#define RATE_GAIN 0.4
-
 #define TICK_US UINT64_C (50000)
 
-typedef struct Group {
-  char name[BURDOCK_NAME_BYTES];
-  uint64_t epoch;
-  bool open;
-  double share;
-  uint32_t slots;
-  uint32_t outstanding;
-  uint32_t pauses;
-  uint32_t late_pauses;
-} Group;
-
-typedef struct Waiting {
-  struct Waiting *next;
-  BurdockPlacement placement;
-} Waiting;
-
-typedef struct Pool {
-  struct Pool *next;
-  char name[BURDOCK_NAME_BYTES];
-  Waiting *waiting;
-  Waiting **tail;
-  uint32_t waiting_count;
-  uint32_t placed;
-  double placed_per_s;
-  double repeats_left;
-} Pool;
-
-typedef struct {
-  BurdockUpstream info;
-  Pool *pool;
-  Group *group;
-  uint32_t rank;
-  uint64_t rank_heard_us;
-  bool listed;
-  uint32_t own;
-  uint32_t others;
-  double failure_rate;
-  uint64_t paused_until_us;
-} Node;
-
-typedef struct {
-  uint64_t id;
-  uint64_t heard_us;
-  uint32_t count;
-  BurdockLoadItem items[BURDOCK_LOAD_ITEMS_MAX];
-} Peer;
-
-struct BurdockBalancer {
-  apr_pool_t *memory;
-  BurdockBalancerSettings settings;
-  BurdockBalancerHandler handler;
-  Node **nodes;
-  uint32_t node_count;
-  uint32_t node_capacity;
-  apr_hash_t *by_key;
-  apr_hash_t *peers;
-  apr_hash_t *groups;
-  Pool *pools;
-  bool dispatching;
-  bool again;
-  uint32_t spread;
-  uint64_t now_us;
-  uint64_t ticked_us;
-  uint64_t next_adjust_us;
-  uint64_t next_rate_us;
-  BurdockBalancerFigures figures;
-};
-
 BurdockBalancer *
 burdock_balancer_new (const BurdockBalancerSettings *settings,
                       const BurdockBalancerHandler *handler)
@@ -198,20 +92,8 @@
   free (balancer);
 }
 
-/* Share of this gateway. One that hears no others has just started, or is cut off; in
- * both cases there may be many of them. */
-static double
-retry_allowance (const BurdockBalancer *balancer)
-{
-  uint32_t gateways = apr_hash_count (balancer->peers) + 1;
-
-  if (gateways < RETRY_GATEWAYS_MIN)
-    gateways = RETRY_GATEWAYS_MIN;
-  return balancer->settings.retry_allowance * RETRY_PART / gateways;
-}
-
-static Pool *
-find_pool (BurdockBalancer *balancer, const char *name)
+Pool *
+burdock_balancer_pool (BurdockBalancer *balancer, const char *name)
 {
   Pool *pool = balancer->pools;
 
@@ -229,17 +111,8 @@
   return pool;
 }
 
-static void
-add_repeats (const BurdockBalancer *balancer, Pool *pool, double count)
-{
-  double most = retry_allowance (balancer);
-
-  pool->repeats_left =
-      pool->repeats_left + count < most ? pool->repeats_left + count : most;
-}
-
-static Node *
-find_node (const BurdockBalancer *balancer, uint64_t key)
+Node *
+burdock_balancer_node (const BurdockBalancer *balancer, uint64_t key)
 {
   return apr_hash_get (balancer->by_key, &key, sizeof key);
 }
@@ -257,12 +130,6 @@
   return NULL;
 }
 
-static uint32_t
-outstanding (const Node *node)
-{
-  return node->own + node->others;
-}
-
 static Group *
 find_group (BurdockBalancer *balancer, const char *name)
 {
@@ -279,8 +146,8 @@
 }
 
 /* Sums of the groups are kept by adding and subtracting whole nodes around a change. */
-static void
-detach (Node *node)
+void
+burdock_balancer_detach (Node *node)
 {
   if (node->group == NULL)
     return;
@@ -289,8 +156,8 @@
     node->group->slots -= node->info.slots;
 }
 
-static void
-attach (Node *node)
+void
+burdock_balancer_attach (Node *node)
 {
   if (node->group == NULL)
     return;
@@ -303,18 +170,18 @@
 count_peer_items (BurdockBalancer *balancer, const Peer *peer, bool add)
 {
   for (uint32_t i = 0; i < peer->count; i++) {
-    Node *node = find_node (balancer, peer->items[i].upstream);
+    Node *node = burdock_balancer_node (balancer, peer->items[i].upstream);
 
     if (node == NULL)
       continue;
-    detach (node);
+    burdock_balancer_detach (node);
     if (add)
       node->others += peer->items[i].outstanding;
     else
       node->others -= node->others < peer->items[i].outstanding
                           ? node->others
                           : peer->items[i].outstanding;
-    attach (node);
+    burdock_balancer_attach (node);
   }
 }
 
@@ -322,9 +189,9 @@
 recount_peers (BurdockBalancer *balancer)
 {
   for (uint32_t i = 0; i < balancer->node_count; i++) {
-    detach (balancer->nodes[i]);
+    burdock_balancer_detach (balancer->nodes[i]);
     balancer->nodes[i]->others = 0;
-    attach (balancer->nodes[i]);
+    burdock_balancer_attach (balancer->nodes[i]);
   }
   for (apr_hash_index_t *at = apr_hash_first (NULL, balancer->peers); at != NULL;
        at = apr_hash_next (at))
@@ -361,15 +228,13 @@
       balancer->nodes[kept++] = node;
       continue;
     }
-    detach (node);
+    burdock_balancer_detach (node);
     apr_hash_set (balancer->by_key, &node->info.key, sizeof node->info.key, NULL);
     free (node);
   }
   balancer->node_count = kept;
 }
 
-static void dispatch (BurdockBalancer *balancer);
-
 void
 burdock_balancer_set_upstreams (BurdockBalancer *balancer,
                                 const BurdockUpstream *upstreams, uint32_t count,
@@ -377,25 +242,25 @@
 {
   balancer->now_us = now_us;
   for (uint32_t i = 0; i < balancer->node_count; i++) {
-    detach (balancer->nodes[i]);
+    burdock_balancer_detach (balancer->nodes[i]);
     balancer->nodes[i]->listed = false;
-    attach (balancer->nodes[i]);
+    burdock_balancer_attach (balancer->nodes[i]);
   }
   for (uint32_t i = 0; i < count; i++) {
-    Node *node = find_node (balancer, upstreams[i].key);
+    Node *node = burdock_balancer_node (balancer, upstreams[i].key);
 
     if (node == NULL)
       node = add_node (balancer, &upstreams[i]);
-    detach (node);
+    burdock_balancer_detach (node);
     node->info = upstreams[i];
-    node->pool = find_pool (balancer, upstreams[i].pool);
+    node->pool = burdock_balancer_pool (balancer, upstreams[i].pool);
     node->listed = true;
-    attach (node);
+    burdock_balancer_attach (node);
   }
   drop_unused_nodes (balancer);
   recount_peers (balancer);
   balancer->figures.upstreams = count;
-  dispatch (balancer);
+  burdock_balancer_dispatch (balancer);
 }
 
 void
@@ -419,7 +284,8 @@
   known->count = count;
   memcpy (known->items, items, count * sizeof *items);
   count_peer_items (balancer, known, true);
-  dispatch (balancer); // NOLINT(clang-analyzer-unix.Malloc): the table of peers owns it
+  burdock_balancer_dispatch (
+      balancer); // NOLINT(clang-analyzer-unix.Malloc): the table of peers owns it
 }
 
 static void
@@ -449,9 +315,9 @@
     return;
   group = find_group (balancer, state->group);
   if (node->group != group) {
-    detach (node);
+    burdock_balancer_detach (node);
     node->group = group;
-    attach (node);
+    burdock_balancer_attach (node);
   }
   node->rank = state->rank;
   node->rank_heard_us = now_us;
@@ -462,7 +328,7 @@
   group->epoch = state->epoch;
   group->open = state->open;
   if (group->open)
-    dispatch (balancer);
+    burdock_balancer_dispatch (balancer);
 }
 
 uint32_t
@@ -500,233 +366,6 @@
   return count;
 }
 
-static bool
-group_has_room (const BurdockBalancer *balancer, const Node *node)
-{
-  const Group *group = node->group;
-
-  if (group == NULL || balancer->now_us - node->rank_heard_us > RANK_SILENT_US)
-    return true;
-  return group->open && group->outstanding < group->slots * group->share;
-}
-
-static bool
-is_excluded (const BurdockPlacement *placement, uint64_t key)
-{
-  for (uint32_t i = 0; i < placement->excluded_count; i++) {
-    if (placement->excluded[i] == key)
-      return true;
-  }
-  return false;
-}
-
-static double
-load_of (const BurdockBalancer *balancer, const Node *node)
-{
-  double load = outstanding (node);
-
-  if (node->failure_rate > FAILURE_RATE_MIN)
-    load += node->failure_rate * FAILURE_LOAD;
-  load /= node->info.slots > 0 ? node->info.slots : 1;
-  if (strcmp (node->info.failure_domain, balancer->settings.failure_domain) != 0)
-    load += ELSEWHERE_LOAD;
-  if (node->group != NULL && node->group->slots > 0)
-    load += GROUP_LOAD_WEIGHT * node->group->outstanding / node->group->slots;
-  return load;
-}
-
-static bool
-is_usable (const Node *node, const Pool *pool)
-{
-  return node->listed && node->pool == pool && !node->info.leaving;
-}
-
-/* Starts at a different upstream each time, so that equals share the requests. */
-static Node *
-choose (BurdockBalancer *balancer, const Pool *pool, const BurdockPlacement *placement)
-{
-  Node *best = NULL;
-  double best_load = 0;
-  uint32_t start = balancer->spread++;
-
-  for (uint32_t i = 0; i < balancer->node_count; i++) {
-    Node *node = balancer->nodes[(start + i) % balancer->node_count];
-    double load;
-
-    if (!is_usable (node, pool) || node->paused_until_us > balancer->now_us ||
-        outstanding (node) >= node->info.slots ||
-        is_excluded (placement, node->info.key) || !group_has_room (balancer, node))
-      continue;
-    load = load_of (balancer, node);
-    if (best != NULL && load >= best_load)
-      continue;
-    best = node;
-    best_load = load;
-  }
-  return best;
-}
-
-/* Urgent ones first; among equals those that can still be on time; then the oldest. */
-static bool
-goes_before (const BurdockPlacement *a, const BurdockPlacement *b, uint64_t now_us)
-{
-  bool a_late = a->on_time_until_us < now_us;
-  bool b_late = b->on_time_until_us < now_us;
-
-  if (a->priority != b->priority)
-    return a->priority < b->priority;
-  return !a_late && b_late;
-}
-
-static Waiting **
-next_in_line (BurdockBalancer *balancer, Pool *pool)
-{
-  Waiting **best = &pool->waiting;
-
-  for (Waiting **at = &pool->waiting; *at != NULL; at = &(*at)->next) {
-    if (goes_before (&(*at)->placement, &(*best)->placement, balancer->now_us))
-      best = at;
-  }
-  return best;
-}
-
-static BurdockPlacement
-unlink_waiting (BurdockBalancer *balancer, Pool *pool, Waiting **at)
-{
-  Waiting *waiting = *at;
-  BurdockPlacement placement = waiting->placement;
-
-  *at = waiting->next;
-  if (pool->tail == &waiting->next)
-    pool->tail = at;
-  free (waiting);
-  pool->waiting_count--;
-  balancer->figures.waiting--;
-  return placement;
-}
-
-static void
-place (BurdockBalancer *balancer, Pool *pool, Node *node, uint64_t handle)
-{
-  const BurdockBalancerHandler *handler = &balancer->handler;
-
-  detach (node);
-  node->own++;
-  attach (node);
-  pool->placed++;
-  balancer->figures.placed++;
-  balancer->figures.outstanding_own++;
-  handler->place (handler->ctx, handle, &node->info);
-}
-
-static void
-dispatch_pool (BurdockBalancer *balancer, Pool *pool)
-{
-  while (pool->waiting != NULL) {
-    Waiting **at = next_in_line (balancer, pool);
-    Node *node = choose (balancer, pool, &(*at)->placement);
-    BurdockPlacement placement;
-
-    if (node == NULL)
-      return;
-    placement = unlink_waiting (balancer, pool, at);
-    place (balancer, pool, node, placement.handle);
-  }
-}
-
-/* A callback may end a request and so ask for another round. */
-static void
-dispatch (BurdockBalancer *balancer)
-{
-  balancer->again = true;
-  if (balancer->dispatching)
-    return;
-  balancer->dispatching = true;
-  while (balancer->again) {
-    balancer->again = false;
-    for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next)
-      dispatch_pool (balancer, pool);
-  }
-  balancer->dispatching = false;
-}
-
-static bool
-has_upstream (const BurdockBalancer *balancer, const Pool *pool)
-{
-  for (uint32_t i = 0; i < balancer->node_count; i++) {
-    if (is_usable (balancer->nodes[i], pool))
-      return true;
-  }
-  return false;
-}
-
-static void
-refuse (BurdockBalancer *balancer, uint64_t handle, BurdockReason reason,
-        uint32_t retry_after_ms)
-{
-  const BurdockBalancerHandler *handler = &balancer->handler;
-
-  balancer->figures.refused++;
-  retry_after_ms += balancer->spread++ * 97 % RETRY_AFTER_SPREAD_MS;
-  handler->refuse (handler->ctx, handle, reason, retry_after_ms);
-}
-
-/* Whether the requests already waiting take all places until @placement gives up. */
-static bool
-is_hopeless (const BurdockBalancer *balancer, const Pool *pool,
-             const BurdockPlacement *placement)
-{
-  uint64_t left_us = placement->give_up_us > balancer->now_us
-                         ? placement->give_up_us - balancer->now_us
-                         : 0;
-
-  if (pool->waiting_count < WAITING_ESTIMATE_MIN || pool->placed_per_s <= 0)
-    return false;
-  return pool->waiting_count / pool->placed_per_s * 1e6 > (double)left_us;
-}
-
-void
-burdock_balancer_submit (BurdockBalancer *balancer, const BurdockPlacement *placement,
-                         uint64_t now_us)
-{
-  Pool *pool = find_pool (balancer, placement->pool);
-  Waiting *waiting;
-
-  balancer->now_us = now_us;
-  if (placement->excluded_count == 0 && pool->repeats_left < retry_allowance (balancer))
-    pool->repeats_left += balancer->settings.retry_ratio * RETRY_PART;
-  if (!has_upstream (balancer, pool)) {
-    refuse (balancer, placement->handle, BURDOCK_REASON_NO_UPSTREAM, RETRY_AFTER_NONE_MS);
-    return;
-  }
-  if (is_hopeless (balancer, pool, placement)) {
-    refuse (balancer, placement->handle, BURDOCK_REASON_OVERLOAD, RETRY_AFTER_FULL_MS);
-    return;
-  }
-  waiting = malloc (sizeof *waiting);
-  if (waiting == NULL)
-    abort ();
-  *waiting = (Waiting){ .placement = *placement };
-  *pool->tail = waiting;
-  pool->tail = &waiting->next;
-  pool->waiting_count++;
-  balancer->figures.waiting++;
-  dispatch (balancer);
-}
-
-void
-burdock_balancer_withdraw (BurdockBalancer *balancer, uint64_t handle)
-{
-  for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next) {
-    for (Waiting **at = &pool->waiting; *at != NULL; at = &(*at)->next) {
-      if ((*at)->placement.handle != handle)
-        continue;
-      unlink_waiting (balancer, pool, at);
-      return;
-    }
-  }
-}
-
 static void
 judge (Node *node, BurdockUpstreamOutcome outcome, uint64_t now_us)
 {
@@ -755,24 +394,24 @@
 burdock_balancer_finish (BurdockBalancer *balancer, uint64_t upstream,
                          BurdockUpstreamOutcome outcome, uint64_t now_us)
 {
-  Node *node = find_node (balancer, upstream);
+  Node *node = burdock_balancer_node (balancer, upstream);
 
   balancer->now_us = now_us;
   if (node == NULL || node->own == 0)
     return;
-  detach (node);
+  burdock_balancer_detach (node);
   node->own--;
-  attach (node);
+  burdock_balancer_attach (node);
   balancer->figures.outstanding_own--;
   judge (node, outcome, now_us);
-  dispatch (balancer);
+  burdock_balancer_dispatch (balancer);
 }
 
 void
 burdock_balancer_pause (BurdockBalancer *balancer, uint64_t upstream, uint64_t pause_us,
                         uint32_t target_ms)
 {
-  Node *node = find_node (balancer, upstream);
+  Node *node = burdock_balancer_node (balancer, upstream);
 
   if (node == NULL || node->group == NULL || target_ms == 0)
     return;
@@ -800,73 +439,18 @@
     group->share = GROUP_SHARE_MAX;
 }
 
-bool
-burdock_balancer_may_repeat (BurdockBalancer *balancer, const char *name)
-{
-  Pool *pool = find_pool (balancer, name);
-
-  if (pool->repeats_left < 1) {
-    balancer->figures.repeats_denied++;
-    return false;
-  }
-  pool->repeats_left -= 1;
-  balancer->figures.repeats++;
-  return true;
-}
-
-static void
-expire_waiting (BurdockBalancer *balancer, Pool *pool)
-{
-  Waiting **at = &pool->waiting;
-
-  while (*at != NULL) {
-    BurdockPlacement placement;
-
-    if ((*at)->placement.give_up_us > balancer->now_us) {
-      at = &(*at)->next;
-      continue;
-    }
-    placement = unlink_waiting (balancer, pool, at);
-    refuse (balancer, placement.handle, BURDOCK_REASON_OVERLOAD, RETRY_AFTER_FULL_MS);
-  }
-}
-
-static void
-measure_rates (BurdockBalancer *balancer)
-{
-  for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next) {
-    double per_s = pool->placed * 1e6 / RATE_INTERVAL_US;
-
-    pool->placed_per_s += (per_s - pool->placed_per_s) * RATE_GAIN;
-    pool->placed = 0;
-  }
-}
-
 uint64_t
 burdock_balancer_tick (BurdockBalancer *balancer, uint64_t now_us)
 {
-  if (balancer->ticked_us != 0) {
-    double part = (double)(now_us - balancer->ticked_us) / RETRY_WINDOW_US;
-
-    for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next)
-      add_repeats (balancer, pool, part * retry_allowance (balancer));
-  }
-  balancer->ticked_us = now_us;
   balancer->now_us = now_us;
   expire_peers (balancer);
-  for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next)
-    expire_waiting (balancer, pool);
   if (now_us >= balancer->next_adjust_us) {
     balancer->next_adjust_us = now_us + GROUP_ADJUST_US;
     for (apr_hash_index_t *at = apr_hash_first (NULL, balancer->groups); at != NULL;
          at = apr_hash_next (at))
       adjust_group (apr_hash_this_val (at));
   }
-  if (now_us >= balancer->next_rate_us) {
-    balancer->next_rate_us = now_us + RATE_INTERVAL_US;
-    measure_rates (balancer);
-  }
-  dispatch (balancer);
+  burdock_balancer_tick_queue (balancer);
   return now_us + TICK_US;
 }
 
--- a/libburdock/map-coordinator.c
+++ b/libburdock/map-coordinator.c
@@ -1,5 +1,5 @@
 /* The half of a map agent that coordinates the switches of its group. */
-#include "map-agent-private.h"
+#include "map-coordinator.h"
 
 #include <errno.h>
 #include <inttypes.h>
@@ -11,7 +11,6 @@
 /* Commands are repeated at this interval until the states show their effect. */
 #define LOAD_RESEND_US (80 * US_PER_MS)
 #define ARM_RESEND_US (20 * US_PER_MS)
-#define PROMISE_RESEND_US (50 * US_PER_MS)
 
 /* A load that takes this much longer than its copies need has failed. */
 #define LOAD_SLACK_US (3000 * US_PER_MS)
@@ -28,18 +27,11 @@
 /* A rank whose agent does not answer is armed by the coordinator itself. */
 #define ARM_DIRECT_US (250 * US_PER_MS)
 
-/* Agents that do not promise for this long are down or cut off; the step that is held is
- * released without them once the group stands at it. */
-#define PROMISE_LIMIT_US (600 * US_PER_MS)
-
-/* A group with requests that begins no step for this long is held or has lost a rank. */
-#define STANDS_US (600 * US_PER_MS)
-
 /* Ranks report their maps within this time of a switch. */
 #define SETTLE_US (400 * US_PER_MS)
 
-/* Half life of the counts is about a second: faster follows chance, slower lags behind
- * the demand. */
+/* Half life of the counts is 0.39 s: faster follows chance, slower lags behind a demand
+ * that moves every few seconds. */
 #define DECAY_INTERVAL_US (125 * US_PER_MS)
 #define DECAY 0.80
 
@@ -64,14 +56,9 @@
 /* Versions are spread, so that two coordinators do not use the same one. */
 #define VERSION_SPREAD 1000
 
-static BurdockMapPeer *
-rank_of (BurdockMapAgent *agent, uint32_t rank)
-{
-  return &agent->peers[rank];
-}
-
-static void
-enter (BurdockMapAgent *agent, BurdockCoordinatorPhase phase, uint64_t now_us)
+void
+burdock_coordinator_enter (BurdockMapAgent *agent, BurdockCoordinatorPhase phase,
+                           uint64_t now_us)
 {
   agent->coordinator.phase = phase;
   agent->coordinator.since_us = now_us;
@@ -133,32 +120,25 @@
     self->rates[i] *= DECAY;
 }
 
-static uint32_t
-group_size (const BurdockMapAgent *agent)
-{
-  return agent->report.size < BURDOCK_COPY_RANKS_MAX ? agent->report.size
-                                                     : BURDOCK_COPY_RANKS_MAX;
-}
-
 /* Whether the ranks are all heard, in one epoch and open. */
 static bool
 group_is_whole (BurdockMapAgent *agent, uint64_t now_us)
 {
-  for (uint32_t r = 0; r < group_size (agent); r++) {
-    const BurdockMapPeer *peer = rank_of (agent, r);
+  for (uint32_t r = 0; r < burdock_coordinator_size (agent); r++) {
+    const BurdockMapPeer *peer = burdock_coordinator_rank (agent, r);
 
     if (!burdock_map_agent_is_heard (peer, now_us) || !peer->state.open ||
         peer->state.epoch != agent->report.epoch)
       return false;
   }
-  return group_size (agent) > 0;
+  return burdock_coordinator_size (agent) > 0;
 }
 
 static bool
 any_rank_is_armed_or_held (BurdockMapAgent *agent)
 {
-  for (uint32_t r = 0; r < group_size (agent); r++) {
-    const BurdockRankStateMessage *state = &rank_of (agent, r)->state;
+  for (uint32_t r = 0; r < burdock_coordinator_size (agent); r++) {
+    const BurdockRankStateMessage *state = &burdock_coordinator_rank (agent, r)->state;
 
     if (state->epoch == agent->report.epoch &&
         (state->armed_version != 0 || state->held_step != 0))
@@ -170,8 +150,8 @@
 static bool
 ranks_use_one_map (BurdockMapAgent *agent)
 {
-  for (uint32_t r = 0; r < group_size (agent); r++) {
-    const BurdockMapPeer *peer = rank_of (agent, r);
+  for (uint32_t r = 0; r < burdock_coordinator_size (agent); r++) {
+    const BurdockMapPeer *peer = burdock_coordinator_rank (agent, r);
 
     if (peer->state.map_version != agent->report.map_version || peer->hosted_bytes == 0 ||
         peer->hosted_version != agent->report.map_version ||
@@ -203,13 +183,14 @@
 static bool
 read_current_map (BurdockMapAgent *agent, BurdockCopyMap *map)
 {
-  bool whole = burdock_copy_map_init (map, agent->shape.layers, group_size (agent),
-                                      agent->shape.experts) == 0;
+  bool whole =
+      burdock_copy_map_init (map, agent->shape.layers, burdock_coordinator_size (agent),
+                             agent->shape.experts) == 0;
 
   if (!whole)
     return false;
   for (uint32_t r = 0; r < map->ranks; r++)
-    whole = whole && add_hosted (map, rank_of (agent, r), r);
+    whole = whole && add_hosted (map, burdock_coordinator_rank (agent, r), r);
   for (uint32_t i = 0; i < map->layers * map->experts; i++)
     whole = whole && map->hosts[i] != 0;
   if (!whole)
@@ -222,8 +203,8 @@
 {
   uint64_t highest = 0;
 
-  for (uint32_t r = 0; r < group_size (agent); r++) {
-    const BurdockRankStateMessage *state = &rank_of (agent, r)->state;
+  for (uint32_t r = 0; r < burdock_coordinator_size (agent); r++) {
+    const BurdockRankStateMessage *state = &burdock_coordinator_rank (agent, r)->state;
 
     highest = state->map_version > highest ? state->map_version : highest;
     highest = state->loaded_version > highest ? state->loaded_version : highest;
@@ -234,37 +215,13 @@
   return highest + 1 + agent->handler.random (agent->handler.ctx) % VERSION_SPREAD;
 }
 
-static void
-raise_ballot (BurdockMapAgent *agent)
-{
-  BurdockCoordinator *self = &agent->coordinator;
-  uint32_t round = self->ballot.round;
-
-  for (uint32_t r = 0; r < group_size (agent); r++) {
-    if (rank_of (agent, r)->state.ballot.round > round)
-      round = rank_of (agent, r)->state.ballot.round;
-  }
-  self->ballot = (BurdockBallot){ round + 1, agent->settings.incarnation };
-}
-
-/* Whether an agent obeys a newer coordinator than this one. */
-static bool
-is_outvoted (BurdockMapAgent *agent)
-{
-  for (uint32_t r = 0; r < group_size (agent); r++) {
-    if (burdock_ballot_compare (rank_of (agent, r)->state.ballot,
-                                agent->coordinator.ballot) > 0)
-      return true;
-  }
-  return false;
-}
-
-static void
-command (BurdockMapAgent *agent, uint32_t rank, BurdockMapCommandKind kind,
-         BurdockBytes map, uint64_t now_us)
+void
+burdock_coordinator_command (BurdockMapAgent *agent, uint32_t rank,
+                             BurdockMapCommandKind kind, BurdockBytes map,
+                             uint64_t now_us)
 {
   const BurdockCoordinator *self = &agent->coordinator;
-  const BurdockMapPeer *peer = rank_of (agent, rank);
+  const BurdockMapPeer *peer = burdock_coordinator_rank (agent, rank);
   BurdockMessage *message = &agent->outgoing;
   BurdockMapCommandMessage order = { .kind = kind,
                                      .ballot = self->ballot,
@@ -292,8 +249,8 @@
 {
   uint32_t running = 0;
 
-  for (uint32_t r = 0; r < group_size (agent); r++)
-    running += rank_of (agent, r)->state.running;
+  for (uint32_t r = 0; r < burdock_coordinator_size (agent); r++)
+    running += burdock_coordinator_rank (agent, r)->state.running;
   return running;
 }
 
@@ -328,8 +285,8 @@
   self->step = 0;
   self->epoch = agent->report.epoch;
   self->holder = agent->report.rank;
-  if (self->ballot.round == 0 || is_outvoted (agent))
-    raise_ballot (agent);
+  if (self->ballot.round == 0 || burdock_coordinator_is_outvoted (agent))
+    burdock_coordinator_raise_ballot (agent);
   agent->figures.loads += result.loads;
   burdock_map_agent_log (agent, "plan map",
                          "version %" PRIu64 " peak %.2f to %.2f loads %u most %u "
@@ -337,42 +294,7 @@
                          self->version, result.before, result.after, result.loads,
                          result.loads_most, (uint32_t)(agent->step_time_us / US_PER_MS),
                          running_requests (agent));
-  enter (agent, BURDOCK_COORDINATOR_LOADING, now_us);
-}
-
-/* A coordinator that was frozen or cut off may have left a hold that no report shows:
- * then the group stands, and the agent of the rank is silent. */
-static bool
-suspect_hold (BurdockMapAgent *agent, uint64_t now_us)
-{
-  BurdockCoordinator *self = &agent->coordinator;
-
-  if (now_us - agent->progress_us < STANDS_US)
-    return false;
-  for (uint32_t r = 0; r < group_size (agent); r++) {
-    const BurdockMapPeer *peer = rank_of (agent, r);
-
-    if (!peer->known || peer->state.upstream.port == 0 ||
-        burdock_map_agent_is_heard (peer, now_us))
-      continue;
-    self->holder = r;
-    self->step = agent->report.step + 1;
-    return true;
-  }
-  return false;
-}
-
-static void
-take_over (BurdockMapAgent *agent, bool suspects, const char *reason, uint64_t now_us)
-{
-  BurdockCoordinator *self = &agent->coordinator;
-
-  self->epoch = agent->report.epoch;
-  self->suspects = suspects;
-  raise_ballot (agent);
-  agent->figures.recoveries++;
-  burdock_map_agent_log (agent, "take over", "%s", reason);
-  enter (agent, BURDOCK_COORDINATOR_PROMISING, now_us);
+  burdock_coordinator_enter (agent, BURDOCK_COORDINATOR_LOADING, now_us);
 }
 
 static void
@@ -383,17 +305,20 @@
   if (now_us < self->next_plan_us || !agent->has_shape || !agent->report.open)
     return;
   if (any_rank_is_armed_or_held (agent)) {
-    take_over (agent, false, "a rank is armed or holds a step", now_us);
+    burdock_coordinator_take_over (agent, false, "a rank is armed or holds a step",
+                                   now_us);
     return;
   }
-  if (suspect_hold (agent, now_us)) {
-    self->next_plan_us = now_us + STANDS_US;
-    take_over (agent, true, "the group stands and an agent is silent", now_us);
+  if (burdock_coordinator_suspects (agent, now_us)) {
+    self->next_plan_us = now_us + SETTLE_US;
+    burdock_coordinator_take_over (agent, true, "the group stands and an agent is silent",
+                                   now_us);
     return;
   }
   if (!group_is_whole (agent, now_us) || !ranks_use_one_map (agent))
     return;
-  if (self->samples < SAMPLES_MIN * group_size (agent) || self->rate_count == 0)
+  if (self->samples < SAMPLES_MIN * burdock_coordinator_size (agent) ||
+      self->rate_count == 0)
     return;
   plan (agent, now_us);
 }
@@ -409,8 +334,8 @@
 
   if (resend && burdock_copy_map_encode (&self->map, &bytes, &length_bytes) < 0)
     resend = false;
-  for (uint32_t r = 0; r < group_size (agent); r++) {
-    const BurdockRankStateMessage *state = &rank_of (agent, r)->state;
+  for (uint32_t r = 0; r < burdock_coordinator_size (agent); r++) {
+    const BurdockRankStateMessage *state = &burdock_coordinator_rank (agent, r)->state;
 
     if (state->loaded_version == self->version)
       continue;
@@ -418,21 +343,22 @@
     if (state->refused_version == self->version) {
       burdock_map_agent_log (agent, "load failed", "rank %u refused version %" PRIu64, r,
                              self->version);
-      enter (agent, BURDOCK_COORDINATOR_IDLE, now_us);
+      burdock_coordinator_enter (agent, BURDOCK_COORDINATOR_IDLE, now_us);
       break;
     }
     if (resend && state->loading_version != self->version)
-      command (agent, r, BURDOCK_MAP_LOAD, (BurdockBytes){ bytes, length_bytes }, now_us);
+      burdock_coordinator_command (agent, r, BURDOCK_MAP_LOAD,
+                                   (BurdockBytes){ bytes, length_bytes }, now_us);
   }
   free (bytes);
   if (resend)
     self->next_send_us = now_us + LOAD_RESEND_US;
   if (loaded)
-    enter (agent, BURDOCK_COORDINATOR_HOLDING, now_us);
+    burdock_coordinator_enter (agent, BURDOCK_COORDINATOR_HOLDING, now_us);
   else if (now_us - self->since_us > LOAD_TIME_US + LOAD_SLACK_US) {
     burdock_map_agent_log (agent, "load failed", "version %" PRIu64 " took too long",
                            self->version);
-    enter (agent, BURDOCK_COORDINATOR_IDLE, now_us);
+    burdock_coordinator_enter (agent, BURDOCK_COORDINATOR_IDLE, now_us);
   }
 }
 
@@ -448,7 +374,7 @@
                             .step = self->step };
 
   if (rank != agent->report.rank)
-    order.upstream = rank_of (agent, rank)->state.upstream;
+    order.upstream = burdock_coordinator_rank (agent, rank)->state.upstream;
   self->direct_id = order.id;
   self->direct_rank = rank;
   self->direct_kind = kind;
@@ -501,8 +427,8 @@
   bool resend = now_us >= self->next_send_us;
   bool armed = true;
 
-  for (uint32_t r = 0; r < group_size (agent); r++) {
-    const BurdockMapPeer *peer = rank_of (agent, r);
+  for (uint32_t r = 0; r < burdock_coordinator_size (agent); r++) {
+    const BurdockMapPeer *peer = burdock_coordinator_rank (agent, r);
 
     if (is_armed (self, peer))
       continue;
@@ -511,12 +437,13 @@
         r != agent->report.rank)
       order_engine (agent, BURDOCK_ORDER_ARM, r);
     else if (resend)
-      command (agent, r, BURDOCK_MAP_ARM, (BurdockBytes){ 0 }, now_us);
+      burdock_coordinator_command (agent, r, BURDOCK_MAP_ARM, (BurdockBytes){ 0 },
+                                   now_us);
   }
   if (resend)
     self->next_send_us = now_us + ARM_RESEND_US;
   if (armed)
-    enter (agent, BURDOCK_COORDINATOR_RELEASING, now_us);
+    burdock_coordinator_enter (agent, BURDOCK_COORDINATOR_RELEASING, now_us);
 }
 
 static void
@@ -535,18 +462,18 @@
 
   /* Nothing was armed, or the ranks have moved on. */
   if (now_us - self->since_us > SETTLE_US && !any_rank_is_armed_or_held (agent)) {
-    enter (agent, BURDOCK_COORDINATOR_IDLE, now_us);
+    burdock_coordinator_enter (agent, BURDOCK_COORDINATOR_IDLE, now_us);
     return;
   }
-  for (uint32_t r = 0; r < group_size (agent); r++) {
-    const BurdockRankStateMessage *state = &rank_of (agent, r)->state;
+  for (uint32_t r = 0; r < burdock_coordinator_size (agent); r++) {
+    const BurdockRankStateMessage *state = &burdock_coordinator_rank (agent, r)->state;
 
     if (state->map_version == self->version)
       continue;
     /* A hold that was carried out late stops the group once more. */
     if (state->held_step == self->step && now_us - self->since_us > SETTLE_US) {
       self->holder = r;
-      enter (agent, BURDOCK_COORDINATOR_RELEASING, now_us);
+      burdock_coordinator_enter (agent, BURDOCK_COORDINATOR_RELEASING, now_us);
     }
     return;
   }
@@ -554,90 +481,15 @@
   burdock_map_agent_log (agent, "map in use", "version %" PRIu64 " since_ms %u",
                          self->version,
                          (uint32_t)((now_us - self->since_us) / US_PER_MS));
-  enter (agent, BURDOCK_COORDINATOR_IDLE, now_us);
-}
-
-/* Finds what an earlier coordinator left; true if there is a hold or an armed rank. */
-static bool
-find_left_over (BurdockMapAgent *agent, bool *armed, bool *held)
-{
-  BurdockCoordinator *self = &agent->coordinator;
-
-  *armed = *held = false;
-  for (uint32_t r = 0; r < group_size (agent); r++) {
-    const BurdockRankStateMessage *state = &rank_of (agent, r)->state;
-
-    if (state->epoch != self->epoch)
-      continue;
-    if (state->held_step != 0) {
-      *held = true;
-      self->holder = r;
-      self->step = state->held_step;
-    }
-  }
-  for (uint32_t r = 0; r < group_size (agent); r++) {
-    const BurdockRankStateMessage *state = &rank_of (agent, r)->state;
-
-    if (state->epoch != self->epoch || state->armed_version == 0)
-      continue;
-    *armed = true;
-    self->version = state->armed_version;
-    if (!*held)
-      self->step = state->armed_step;
-  }
-  return *armed || *held;
-}
-
-static bool
-all_have_promised (BurdockMapAgent *agent, bool resend, uint64_t now_us)
-{
-  BurdockCoordinator *self = &agent->coordinator;
-  bool promised = true;
-
-  for (uint32_t r = 0; r < group_size (agent); r++) {
-    if (burdock_ballot_compare (rank_of (agent, r)->state.ballot, self->ballot) == 0)
-      continue;
-    promised = false;
-    if (resend)
-      command (agent, r, BURDOCK_MAP_PROMISE, (BurdockBytes){ 0 }, now_us);
-  }
-  return promised;
-}
-
-static void
-tick_promising (BurdockMapAgent *agent, uint64_t now_us)
-{
-  BurdockCoordinator *self = &agent->coordinator;
-  bool resend = now_us >= self->next_send_us;
-  bool promised = all_have_promised (agent, resend, now_us);
-  bool armed;
-  bool held;
-
-  if (resend)
-    self->next_send_us = now_us + PROMISE_RESEND_US;
-  if (find_left_over (agent, &armed, &held))
-    self->suspects = false;
-  else if (!self->suspects) {
-    enter (agent, BURDOCK_COORDINATOR_IDLE, now_us);
-    return;
-  }
-  if (!promised && now_us - self->since_us < PROMISE_LIMIT_US)
-    return;
-  burdock_map_agent_log (agent, "complete switch",
-                         "version %" PRIu64 " step %" PRIu64
-                         " armed %d held %d promised %d",
-                         self->version, self->step, armed, held, promised);
-  if (armed)
-    enter (agent, BURDOCK_COORDINATOR_ARMING, now_us);
-  else
-    enter (agent, BURDOCK_COORDINATOR_RELEASING, now_us);
+  burdock_coordinator_enter (agent, BURDOCK_COORDINATOR_IDLE, now_us);
 }
 
 static void
 direct_arm_done (BurdockMapAgent *agent, int32_t status)
 {
   if (status == 0)
-    rank_of (agent, agent->coordinator.direct_rank)->armed_directly = true;
+    burdock_coordinator_rank (agent, agent->coordinator.direct_rank)->armed_directly =
+        true;
 }
 
 static void
@@ -646,9 +498,9 @@
   BurdockCoordinator *self = &agent->coordinator;
 
   if (status == 0) {
-    for (uint32_t r = 0; r < group_size (agent); r++)
-      rank_of (agent, r)->armed_directly = false;
-    enter (agent, BURDOCK_COORDINATOR_ARMING, now_us);
+    for (uint32_t r = 0; r < burdock_coordinator_size (agent); r++)
+      burdock_coordinator_rank (agent, r)->armed_directly = false;
+    burdock_coordinator_enter (agent, BURDOCK_COORDINATOR_ARMING, now_us);
   } else if (status != -ETIMEDOUT) {
     self->step = 0; /* the step has begun; the next report tells which one follows */
     self->hold_failed_us = now_us;
@@ -679,7 +531,7 @@
     direct_arm_done (agent, status);
   else if (self->phase == BURDOCK_COORDINATOR_RELEASING &&
            self->direct_kind == BURDOCK_ORDER_RELEASE && status != -ETIMEDOUT)
-    enter (agent, BURDOCK_COORDINATOR_SWITCHING, now_us);
+    burdock_coordinator_enter (agent, BURDOCK_COORDINATOR_SWITCHING, now_us);
   agent->handler.refresh (agent->handler.ctx, false);
 }
 
@@ -693,10 +545,10 @@
     return;
   if (agent->report.epoch != self->epoch || !agent->report.open) {
     burdock_map_agent_log (agent, "switch ended", "the group was formed anew");
-    enter (agent, BURDOCK_COORDINATOR_IDLE, now_us);
-  } else if (is_outvoted (agent)) {
+    burdock_coordinator_enter (agent, BURDOCK_COORDINATOR_IDLE, now_us);
+  } else if (burdock_coordinator_is_outvoted (agent)) {
     burdock_map_agent_log (agent, "switch ended", "another agent coordinates the group");
-    enter (agent, BURDOCK_COORDINATOR_IDLE, now_us);
+    burdock_coordinator_enter (agent, BURDOCK_COORDINATOR_IDLE, now_us);
     self->next_plan_us = now_us + SETTLE_US;
   }
 }
@@ -731,7 +583,7 @@
     tick_switching (agent, now_us);
     break;
   case BURDOCK_COORDINATOR_PROMISING:
-    tick_promising (agent, now_us);
+    burdock_coordinator_tick_promising (agent, now_us);
     break;
   }
   return now_us + (self->phase == BURDOCK_COORDINATOR_IDLE ? 50 : 10) * US_PER_MS;
