--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -9,9 +9,9 @@
 
 /* Heartbeats carry the load of a gateway; a place at an upstream is used for a second or
  * more, so a tenth of that is recent enough. With more gateways they are sent less often:
- * the number received by each stays at about 80 a second. */
+ * the number received by each stays at about 160 a second. */
 #define HEARTBEAT_MS 100
-#define HEARTBEATS_PER_S 80
+#define HEARTBEATS_PER_S 160
 
 /* Ten heartbeats. */
 #define PEER_SILENT_US UINT64_C (1000000)
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -169,6 +169,7 @@
 {
   BurdockGatewayTraffic *traffic = &gateway->traffic;
   BurdockBalancerSettings settings = {
+    .seed = gateway->incarnation,
     .retry_ratio = gateway->settings.retry_ratio,
     .retry_allowance = gateway->settings.retry_allowance,
   };
--- a/libburdock/balancer-private.h
+++ b/libburdock/balancer-private.h
@@ -72,7 +72,7 @@
   Pool *pools;
   bool dispatching;
   bool again;
-  uint32_t spread;
+  uint64_t random;
   uint64_t now_us;
   uint64_t ticked_us;
   uint64_t next_adjust_us;
--- a/libburdock/balancer-queue.c
+++ b/libburdock/balancer-queue.c
@@ -20,6 +20,9 @@
  * makes them, the own part of a rank is the smaller one. */
 #define GROUP_LOAD_WEIGHT 2.0
 
+/* Upstreams with room that are compared for a request. */
+#define CHOICES 3
+
 /* Part of the retry budget of all gateways that is used; they do not hear of each other's
  * repeats in time to use all of it. */
 #define RETRY_PART 0.6
@@ -52,6 +55,13 @@
   return balancer->settings.retry_allowance * RETRY_PART / gateways;
 }
 
+static uint32_t
+next_random (BurdockBalancer *balancer)
+{
+  balancer->random = balancer->random * UINT64_C (6364136223846793005) + 1;
+  return (uint32_t)(balancer->random >> 33);
+}
+
 static void
 add_repeats (const BurdockBalancer *balancer, Pool *pool, double count)
 {
@@ -102,15 +112,17 @@
   return node->listed && node->pool == pool && !node->info.leaving;
 }
 
-/* Starts at a different upstream each time, so that equals share the requests. */
+/* The best of a few: the loads that the gateways see are as old as their heartbeats, and
+ * if all took the least loaded upstream of the fleet, they would meet there. */
 static Node *
 choose (BurdockBalancer *balancer, const Pool *pool, const BurdockPlacement *placement)
 {
   Node *best = NULL;
   double best_load = 0;
-  uint32_t start = balancer->spread++;
+  uint32_t start = next_random (balancer);
+  uint32_t seen = 0;
 
-  for (uint32_t i = 0; i < balancer->node_count; i++) {
+  for (uint32_t i = 0; i < balancer->node_count && seen < CHOICES; i++) {
     Node *node = balancer->nodes[(start + i) % balancer->node_count];
     double load;
 
@@ -118,6 +130,7 @@
         outstanding (node) >= node->info.slots ||
         is_excluded (placement, node->info.key) || !group_has_room (balancer, node))
       continue;
+    seen++;
     load = load_of (balancer, node);
     if (best != NULL && load >= best_load)
       continue;
@@ -228,7 +241,7 @@
   const BurdockBalancerHandler *handler = &balancer->handler;
 
   balancer->figures.refused++;
-  retry_after_ms += balancer->spread++ * 97 % RETRY_AFTER_SPREAD_MS;
+  retry_after_ms += next_random (balancer) % RETRY_AFTER_SPREAD_MS;
   handler->refuse (handler->ctx, handle, reason, retry_after_ms);
 }
 
--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -53,6 +53,7 @@
   }
   balancer->settings = *settings;
   balancer->handler = *handler;
+  balancer->random = settings->seed;
   balancer->by_key = apr_hash_make (balancer->memory);
   balancer->peers = apr_hash_make (balancer->memory);
   balancer->groups = apr_hash_make (balancer->memory);
--- a/libburdock/balancer.h
+++ b/libburdock/balancer.h
@@ -67,11 +67,13 @@
 
 /**
  * struct BurdockBalancerSettings - deployment of the balancer
+ * @seed: differs between gateways
  * @failure_domain: upstreams there are preferred among equals
  * @retry_ratio: repeated sends allowed to all gateways for each request of a pool
  * @retry_allowance: further repeated sends allowed to all gateways in a window
  */
 typedef struct {
+  uint64_t seed;
   char failure_domain[BURDOCK_NAME_BYTES];
   double retry_ratio;
   uint32_t retry_allowance;
--- a/libburdock/map-coordinator.c
+++ b/libburdock/map-coordinator.c
@@ -103,7 +103,7 @@
     self->rate_count = self->rates != NULL ? count : 0;
     self->samples = 0;
   }
-  for (uint32_t layer = 0; layer < agent->shape.layers; layer++)
+  for (uint32_t layer = 0; self->rates != NULL && layer < agent->shape.layers; layer++)
     add_layer (self->rates + (size_t)layer * agent->shape.experts,
                tokens.data + (size_t)layer * (agent->shape.experts + LARGEST_BYTES),
                agent->shape.experts);
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -63,6 +63,7 @@
     def __init__(self, soak, name, arguments):
         self.soak, self.name, self.arguments = soak, name, arguments
         self.process = None
+        self.lock = asyncio.Lock()
 
     async def start(self):
         log = open(os.path.join(self.soak.logs, self.name + ".log"), "ab")
@@ -75,18 +76,21 @@
             self.process.send_signal(number)
 
     async def restart(self, number, down_s):
-        self.send(number)
-        await self.process.wait()
-        if self.process.returncode not in (0, -number):
-            self.soak.check.broken("END", f"{self.name} ended by itself with "
-                                          f"{self.process.returncode}")
-        await asyncio.sleep(down_s)
-        await self.start()
+        """Overlapping faults of one process follow each other."""
+        async with self.lock:
+            self.send(number)
+            await self.process.wait()
+            if self.process.returncode not in (0, -number):
+                self.soak.check.broken("END", f"{self.name} ended by itself with "
+                                              f"{self.process.returncode}")
+            await asyncio.sleep(down_s)
+            await self.start()
 
     async def freeze(self, for_s):
-        self.send(signal.SIGSTOP)
-        await asyncio.sleep(for_s)
-        self.send(signal.SIGCONT)
+        async with self.lock:
+            self.send(signal.SIGSTOP)
+            await asyncio.sleep(for_s)
+            self.send(signal.SIGCONT)
 
 
 class Soak:
