--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -38,14 +38,6 @@
 
 #define TICK_US UINT64_C (20000)
 
-/* An upstream without a sign of life for this long hangs: a first event comes within 300
- * ms, the next ones within 200 ms. Callers leave after two seconds. */
-#define STALL_FIRST_MS 700
-#define STALL_NEXT_MS 900
-
-/* The same for other calls, as a multiple of the objective. */
-#define STALL_OBJECTIVES 1.2
-
 static void
 add_forward (BurdockGatewayTraffic *traffic, BurdockForward *forward)
 {
@@ -462,14 +454,9 @@
 static bool
 is_stalled (const BurdockForward *forward, uint64_t now_us)
 {
-  uint64_t since_us = now_us - forward->last_sign_us;
-
-  if (forward->phase != BURDOCK_FORWARD_SENT)
-    return false;
-  if (forward->route->kind != BURDOCK_ROUTE_STREAM)
-    return since_us > forward->route->objective_ms * US_PER_MS * STALL_OBJECTIVES;
-  return since_us >
-         (forward->attempt_events > 0 ? STALL_NEXT_MS : STALL_FIRST_MS) * US_PER_MS;
+  return forward->phase == BURDOCK_FORWARD_SENT &&
+         burdock_attempt_is_stalled (forward->route, forward->attempt_events > 0,
+                                     now_us - forward->last_sign_us);
 }
 
 /* Goes on elsewhere where that is allowed, and waits otherwise. */
--- a/libburdock/attempt-policy.c
+++ b/libburdock/attempt-policy.c
@@ -4,6 +4,28 @@
  * no run, but each send counts against the retry budget. */
 #define UNRUN_SENDS_MAX 2
 
+#define US_PER_MS UINT64_C (1000)
+
+/* An upstream without a sign of life for this long hangs: a first event comes within 300
+ * ms, the next ones within 200 ms. Callers leave after two seconds. */
+#define STALL_FIRST_MS 700
+#define STALL_NEXT_MS 900
+
+/* The same for other calls, as a multiple of the objective: the answer is late by then.
+ */
+#define STALL_OBJECTIVES 1.2
+
+bool
+burdock_attempt_is_stalled (const BurdockRoute *route, bool has_events,
+                            uint64_t silent_us)
+{
+  double limit_ms = route->objective_ms * STALL_OBJECTIVES;
+
+  if (route->kind == BURDOCK_ROUTE_STREAM)
+    limit_ms = has_events ? STALL_NEXT_MS : STALL_FIRST_MS;
+  return silent_us > (uint64_t)(limit_ms * US_PER_MS);
+}
+
 static bool
 may_run_again (const BurdockAttemptState *state)
 {
--- a/libburdock/attempt-policy.h
+++ b/libburdock/attempt-policy.h
@@ -51,6 +51,14 @@
  */
 BurdockAttemptStep burdock_attempt_next (const BurdockAttemptState *state);
 
+/**
+ * burdock_attempt_is_stalled() - whether an upstream hangs
+ * @has_events: a part of the stream has come in this attempt
+ * @silent_us: time since the last sign of life
+ */
+bool burdock_attempt_is_stalled (const BurdockRoute *route, bool has_events,
+                                 uint64_t silent_us);
+
 /** burdock_attempt_give_up() - step of a request that is not sent again */
 BurdockAttemptStep burdock_attempt_give_up (const BurdockAttemptState *state);
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,7 +17,6 @@
                      body_of, event_count, read_body, read_head)
 
 GATEWAYS, GROUPS, RANKS, PLAIN = 3, 2, 4, 2
-STORE = ("127.0.9.1", 8000)
 KEYS = {"key-a": "depot", "key-b": "press"}
 
 # Bounds of the users' pages, in seconds.
@@ -99,21 +98,22 @@
         self.random = random.Random(options.seed)
         random.seed(options.seed)
         self.logs = options.logs
-        self.store = Store(*STORE)
+        self.net = f"127.{options.net}"
+        self.store = Store(f"{self.net}.9.1", 8000)
         self.version, self.counts = 1, {}
         self.faults_over = False
         self.served_late = [0, 0]
 
     def gateway_ip(self, k):
-        return f"127.0.1.{k + 1}"
+        return f"{self.net}.1.{k + 1}"
 
     async def start(self):
         os.makedirs(self.logs, exist_ok=True)
         self.groups = [Group(self.check, f"g{g}", RANKS) for g in range(GROUPS)]
-        self.runners = [Runner(self.check, "model", f"127.0.2.{g * RANKS + r + 1}", group, r)
+        self.runners = [Runner(self.check, "model", f"{self.net}.2.{g * RANKS + r + 1}", group, r)
                         for g, group in enumerate(self.groups) for r in range(RANKS)]
-        self.plain = [Runner(self.check, "plain", f"127.0.3.{k + 1}") for k in range(PLAIN)]
-        self.proxies = [Proxy(self.gateway_ip(k), 8600, STORE) for k in range(GATEWAYS)]
+        self.plain = [Runner(self.check, "plain", f"{self.net}.3.{k + 1}") for k in range(PLAIN)]
+        self.proxies = [Proxy(self.gateway_ip(k), 8600, (f"{self.net}.9.1", 8000)) for k in range(GATEWAYS)]
         await self.store.http.start()
         for item in self.runners + self.plain:
             await item.http.start()
@@ -139,7 +139,7 @@
             "--retry-allowance=90"])
 
     def agent(self, k):
-        ip = f"127.0.2.{k + 1}"
+        ip = f"{self.net}.2.{k + 1}"
         return Process(self, f"rank-{k}", [
             f"{self.options.build}/rank/burdock-rank", f"--name=rank-{k}",
             "--failure-domain=z", f"--control={ip}:7000", f"--upstream=http://{ip}:9000"])
@@ -256,8 +256,8 @@
         gateway = pick.choice(self.gateways)
         down_s = 0.2 + pick.random() * 2
         name = pick.choice(("kill", "kill", "term", "freeze", "freeze", "hup", "store", "proxy",
-                            "proxy", "history", "crash", "replace", "grey", "orders", "reset",
-                            "config"))
+                            "proxy", "history", "crash", "replace", "grey", "hang", "orders",
+                            "reset", "config"))
         if self.options.verbose:
             print(f"{time.monotonic() - self.began:7.2f} {name}", flush=True)
         if name == "kill":
@@ -291,6 +291,11 @@
             runner.grey = 0.3
             await asyncio.sleep(down_s)
             runner.grey = 0.0
+        elif name == "hang":
+            runner = pick.choice(self.runners + self.plain)
+            runner.hangs = True
+            await asyncio.sleep(down_s)
+            runner.hangs = False
         elif name == "orders":
             group = pick.choice(self.groups)
             group.lost_orders = 0.3
@@ -352,6 +357,8 @@
     parser.add_argument("--gap", type=float, default=0.8, help="mean time between faults")
     parser.add_argument("--callers", type=int, default=16)
     parser.add_argument("--logs", default="/tmp/burdock-soak")
+    parser.add_argument("--net", type=int, default=0,
+                        help="second number of the loopback addresses, for runs side by side")
     parser.add_argument("--verbose", action="store_true")
     options = parser.parse_args()
     soak = Soak(options)
--- a/tests/soak/standin.py
+++ b/tests/soak/standin.py
@@ -226,7 +226,7 @@
         self.check, self.service, self.ip, self.group, self.rank = (check, service, ip,
                                                                     group, rank)
         self.slots, self.running, self.sequence = slots, 0, 0
-        self.state, self.grey = "available", 0.0
+        self.state, self.grey, self.hangs = "available", 0.0, False
         self.left_at = None
         self.http = HttpServer(ip, 9000, self.handle)
         self.renew()
@@ -262,6 +262,9 @@
         self.check.ran(self, path, attempt, headers)
         self.running += 1
         try:
+            if self.hangs:
+                await asyncio.sleep(10)
+                return False
             if random.random() < self.grey:
                 writer.transport.abort()
                 return False
--- a/tests/test-attempt-policy.c
+++ b/tests/test-attempt-policy.c
@@ -93,7 +93,39 @@
   }
 }
 
+typedef struct {
+  const BurdockRoute *route;
+  bool has_events;
+  uint64_t silent_ms;
+  bool stalled;
+} StallCase;
+
+static const BurdockRoute lookup = { .kind = BURDOCK_ROUTE_IDEMPOTENT,
+                                     .objective_ms = 300 };
+static const BurdockRoute notes = { .kind = BURDOCK_ROUTE_STREAM, .objective_ms = 400 };
+
+static const StallCase stall_cases[] = {
+  { &notes, false, 500, false },  { &notes, false, 750, true },
+  { &notes, true, 750, false },   { &notes, true, 950, true },
+  { &lookup, false, 340, false }, { &lookup, false, 400, true },
+};
+
+/* Guards against callers that leave, after two seconds, while an upstream hangs, and
+ * against leaving one that is only slow. */
+static void
+hanging_upstreams_are_left (void)
+{
+  for (uint32_t i = 0; i < sizeof stall_cases / sizeof stall_cases[0]; i++) {
+    const StallCase *test = &stall_cases[i];
+
+    CU_ASSERT_EQUAL (burdock_attempt_is_stalled (test->route, test->has_events,
+                                                 test->silent_ms * 1000),
+                     test->stalled);
+  }
+}
+
 static const Test tests[] = {
+  { "a caller waits for an upstream that hangs", hanging_upstreams_are_left },
   { "a request is repeated, refused or failed against its kind",
     steps_follow_from_kind_and_result },
   { "a promise is broken in a rare state", promises_hold_in_every_state },
--- a/tests/test-balancer.c
+++ b/tests/test-balancer.c
@@ -180,6 +180,66 @@
   burdock_balancer_free (fixture.balancer);
 }
 
+/* Guards against a lasting shortage in which all requests start too late. */
+static void
+newest_punctual_request_goes_first (void)
+{
+  BurdockUpstream item = upstream (1, "a", 1);
+  uint64_t older;
+  uint64_t newer;
+  Fixture fixture;
+
+  set_up (&fixture, &item, 1);
+  submit (&fixture, 1);
+  older = submit (&fixture, 1);
+  pass (&fixture, 50 * MS);
+  newer = submit (&fixture, 1);
+  for (uint32_t i = 0; i < 2; i++)
+    burdock_balancer_finish (fixture.balancer, 1, BURDOCK_UPSTREAM_OK, fixture.now_us);
+  CU_ASSERT_EQUAL (fixture.order[1], newer);
+  CU_ASSERT_EQUAL (fixture.order[2], older);
+  burdock_balancer_free (fixture.balancer);
+}
+
+/* Guards against a request that leaves a slow upstream for no other one. */
+static void
+room_elsewhere_is_room_at_another_upstream (void)
+{
+  BurdockUpstream items[] = { upstream (1, "a", 1), upstream (2, "a", 1) };
+  BurdockPlacement item;
+  Fixture fixture;
+
+  set_up (&fixture, items, 2);
+  item = placement (&fixture, 0);
+  CU_ASSERT_TRUE (burdock_balancer_has_room (fixture.balancer, &item, 1));
+  burdock_balancer_submit (fixture.balancer, &item, fixture.now_us);
+  item = placement (&fixture, 0);
+  CU_ASSERT_FALSE (
+      burdock_balancer_has_room (fixture.balancer, &item,
+                                 fixture.placed_at[fixture.order[0]] == 1 ? 2 : 1));
+  submit (&fixture, 0);
+  CU_ASSERT_FALSE (burdock_balancer_has_room (fixture.balancer, &item, 1));
+  burdock_balancer_free (fixture.balancer);
+}
+
+static void
+stalled_upstreams_rest (void)
+{
+  BurdockUpstream items[] = { upstream (1, "a", 9), upstream (2, "a", 9) };
+  Fixture fixture;
+
+  set_up (&fixture, items, 2);
+  submit (&fixture, 0);
+  burdock_balancer_finish (fixture.balancer, fixture.placed_at[fixture.order[0]],
+                           BURDOCK_UPSTREAM_STALLED, fixture.now_us);
+  for (uint32_t i = 1; i < 6; i++) {
+    submit (&fixture, 0);
+    CU_ASSERT_NOT_EQUAL (fixture.placed_at[fixture.order[i]],
+                         fixture.placed_at[fixture.order[0]]);
+  }
+  burdock_balancer_free (fixture.balancer);
+}
+
 /* The load: one slot, held for good, and callers that ask on. What waits is refused when
  * it gives up and not later, with a time to come back. */
 static void
@@ -305,6 +365,15 @@
   for (uint32_t i = 0; i < 40; i++)
     submit (&fixture, 0);
   CU_ASSERT_TRUE (fixture.placed < before + 5);
+  before = fixture.placed;
+  for (uint32_t round = 0; round < 40; round++) {
+    for (uint32_t i = 0; i < 10; i++)
+      burdock_balancer_pause (fixture.balancer, 1, 40 * MS, 120);
+    pass (&fixture, 250 * MS);
+    report_rank (&fixture, 1, 1, true);
+    submit (&fixture, 0);
+  }
+  CU_ASSERT_TRUE (fixture.placed > before + 20);
   burdock_balancer_free (fixture.balancer);
 }
 
@@ -336,6 +405,10 @@
   { "an upstream that leaves or is gone gets requests",
     leaving_and_gone_upstreams_get_nothing },
   { "urgent or punctual requests wait behind others", order_of_waiting_requests },
+  { "requests in a shortage all start too late", newest_punctual_request_goes_first },
+  { "a request leaves a slow upstream for none",
+    room_elsewhere_is_room_at_another_upstream },
+  { "an upstream that hangs gets the next request", stalled_upstreams_rest },
   { "a request is held until its caller leaves", waiting_requests_are_refused_in_time },
   { "a request without a chance is held", hopeless_requests_are_refused_at_once },
   { "repeated sends exceed their budget", repeats_are_bounded },
