Load less for small changes of a map

Cause: on groups of 32 ranks a map that is within a fifth of even loads was corrected every 400 ms with up to four loads a rank, and steps are 15 in 100 longer meanwhile. Below 1.3 of the even load a rank loads a quarter of that.

Groups of 8 ranks load one expert at a time already.

--- a/libburdock/map-coordinator.c
+++ b/libburdock/map-coordinator.c
@@ -46,6 +46,11 @@
  * meanwhile; a larger change is made in several maps. */
 #define LOAD_TIME_US (150 * US_PER_MS)
 
+/* Below this load of the most loaded ranks the map is nearly right, and gets a part of
+ * the loads: longer steps while experts are loaded would cost more than is gained. */
+#define LARGE_PEAK 1.3
+#define SMALL_CHANGE 4
+
 /* A map has to lower the load of the most loaded ranks by this part; below it chance
  * decides. */
 #define PLAN_GAIN_MIN 0.03
@@ -288,6 +293,8 @@
   limits.loads_rank = agent->shape.copy_us > 0
                           ? (uint32_t)(LOAD_TIME_US / agent->shape.copy_us)
                           : UINT32_MAX;
+  if (burdock_copy_map_peak (&map, self->rates) < LARGE_PEAK)
+    limits.loads_rank /= SMALL_CHANGE;
   if (limits.loads_rank == 0)
     limits.loads_rank = 1;
   result = burdock_copy_plan (&map, self->rates, &limits);
