--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -353,6 +353,102 @@
   print_series (&map);
 }
 
+static double
+encoded_bytes (const BurdockMessage *message)
+{
+  uint8_t *frame = NULL;
+  uint32_t length_bytes = 0;
+
+  if (burdock_message_encode (message, NULL, &frame, &length_bytes) < 0)
+    return 0;
+  free (frame);
+  return length_bytes;
+}
+
+/* Heartbeat of a gateway with requests at @items upstreams. */
+static double
+heartbeat_bytes (uint32_t items)
+{
+  BurdockMessage *message = calloc (1, sizeof *message);
+  BurdockGatewayLoadMessage *load = &message->gateway_load;
+  double bytes;
+
+  message->header.type = BURDOCK_MSG_GATEWAY_LOAD;
+  snprintf (load->name, sizeof load->name, "edge-failure-domain-1");
+  load->callers = (BurdockAddress){ 0x0a010028, 8227 };
+  load->peer_count = BURDOCK_GATEWAY_ITEMS_MAX;
+  for (uint32_t i = 0; i < load->peer_count; i++)
+    load->peers[i].address = load->callers;
+  load->item_count = items;
+  for (uint32_t i = 0; i < items; i++)
+    load->items[i] = (BurdockLoadItem){ UINT64_MAX - i, 3 };
+  bytes = encoded_bytes (message);
+  free (message);
+  return bytes;
+}
+
+/* State of a rank with the counts of @numbers experts of all layers. */
+static double
+rank_state_bytes (uint32_t numbers)
+{
+  BurdockMessage *message = calloc (1, sizeof *message);
+  uint8_t *data = calloc (numbers + 1, 1);
+  double bytes;
+
+  message->header.type = BURDOCK_MSG_RANK_STATE;
+  snprintf (message->rank_state.group, sizeof message->rank_state.group, "g0-0");
+  message->rank_state.tokens = (BurdockBytes){ data, numbers };
+  bytes = encoded_bytes (message);
+  free (data);
+  free (message);
+  return bytes;
+}
+
+/* Command to load a map with @slots copies of experts in all. */
+static double
+map_command_bytes (uint32_t slots)
+{
+  BurdockMessage *message = calloc (1, sizeof *message);
+  uint8_t *data = calloc (slots, 1);
+  double bytes;
+
+  message->header.type = BURDOCK_MSG_MAP_COMMAND;
+  message->map_command.map = (BurdockBytes){ data, slots };
+  bytes = encoded_bytes (message);
+  free (data);
+  free (message);
+  return bytes;
+}
+
+static void
+print_gateways (void)
+{
+  Series heartbeat = { .role = "gateway",
+                       .quantity = "heartbeat",
+                       .unit = "B",
+                       .per = "upstream in use",
+                       .target = 60 };
+  Series state = { .role = "rank agent",
+                   .quantity = "state with counts",
+                   .unit = "B",
+                   .per = "expert of all layers",
+                   .target = 12 * 128 };
+  Series command = { .role = "rank agent that coordinates",
+                     .quantity = "map for one rank",
+                     .unit = "B",
+                     .per = "copy of an expert",
+                     .target = 12 * 32 * 6 };
+
+  for (uint32_t i = 1; i <= SIZES; i++) {
+    add_point (&heartbeat, i * 10, heartbeat_bytes (i * 10));
+    add_point (&state, i * 384, rank_state_bytes (i * 384));
+    add_point (&command, i * 576, map_command_bytes (i * 576));
+  }
+  print_series (&heartbeat);
+  print_series (&state);
+  print_series (&command);
+}
+
 int
 main (void)
 {
@@ -363,5 +459,6 @@
   print_leases ();
   print_changes ();
   print_maps ();
+  print_gateways ();
   return 0;
 }
--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -288,9 +288,9 @@
   known->count = count;
   memcpy (known->items, items, count * sizeof *items);
   count_peer_items (balancer, known, true);
+  /* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): the table of peers owns a new one */
   burdock_balancer_dispatch (balancer);
-} // NOLINT(clang-analyzer-unix.Malloc): the table of peers owns the new one
-
+}
 static void
 expire_peers (BurdockBalancer *balancer)
 {
