--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -291,6 +291,7 @@
   /* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): the table of peers owns a new one */
   burdock_balancer_dispatch (balancer);
 }
+
 static void
 expire_peers (BurdockBalancer *balancer)
 {
