--- /dev/null
+++ b/daemon/http-answer.c
@@ -0,0 +1,262 @@
+/* Reads requests and makes answers. */
+#include "http-server-private.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define STREAM_TYPE "application/jsonl"
+
+#define STREAM_BLOCK_BYTES 4096
+
+/* Tokens kept for a caller that reads slowly. */
+#define STREAM_MAX_BYTES (1u << 20)
+
+bool
+burdock_http_append (char **buffer, uint32_t *length_bytes, uint32_t *capacity,
+                     const char *data, uint32_t added_bytes)
+{
+  uint32_t needed = *length_bytes + added_bytes + 1;
+
+  if (needed > *capacity) {
+    uint32_t size = needed + needed / 2 + 128;
+    char *grown = realloc (*buffer, size);
+
+    if (grown == NULL)
+      return false;
+    *buffer = grown;
+    *capacity = size;
+  }
+  memcpy (*buffer + *length_bytes, data, added_bytes);
+  *length_bytes += added_bytes;
+  (*buffer)[*length_bytes] = '\0';
+  return true;
+}
+
+uint64_t
+burdock_http_id (const BurdockHttpRequest *request)
+{
+  return request->id;
+}
+
+const char *
+burdock_http_method (const BurdockHttpRequest *request)
+{
+  return request->method;
+}
+
+const char *
+burdock_http_path (const BurdockHttpRequest *request)
+{
+  return request->path;
+}
+
+const char *
+burdock_http_target (const BurdockHttpRequest *request)
+{
+  return request->target;
+}
+
+const char *
+burdock_http_header (const BurdockHttpRequest *request, const char *name)
+{
+  return MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND, name);
+}
+
+const char *
+burdock_http_query (const BurdockHttpRequest *request, const char *name)
+{
+  return MHD_lookup_connection_value (request->connection, MHD_GET_ARGUMENT_KIND, name);
+}
+
+BurdockBytes
+burdock_http_body (const BurdockHttpRequest *request)
+{
+  return (BurdockBytes){ .data = (const uint8_t *)(request->body != NULL ? request->body
+                                                                         : ""),
+                         .length_bytes = request->body_bytes };
+}
+
+uint32_t
+burdock_http_peer (const BurdockHttpRequest *request)
+{
+  return request->peer;
+}
+
+void
+burdock_http_set_data (BurdockHttpRequest *request, void *data)
+{
+  request->data = data;
+}
+
+void *
+burdock_http_data (const BurdockHttpRequest *request)
+{
+  return request->data;
+}
+
+typedef struct {
+  void (*function) (void *ctx, const char *name, const char *value);
+  void *ctx;
+} HeaderVisitor;
+
+static enum MHD_Result
+visit_header (void *ctx, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+  const HeaderVisitor *visitor = ctx;
+
+  visitor->function (visitor->ctx, name, value != NULL ? value : "");
+  return MHD_YES;
+}
+
+void
+burdock_http_each_header (BurdockHttpRequest *request,
+                          void (*function) (void *ctx, const char *name,
+                                            const char *value),
+                          void *ctx)
+{
+  HeaderVisitor visitor = { .function = function, .ctx = ctx };
+
+  MHD_get_connection_values (request->connection, MHD_HEADER_KIND, visit_header,
+                             &visitor);
+}
+
+void
+burdock_http_set_header (BurdockHttpRequest *request, const char *name, const char *value)
+{
+  Header *header = malloc (sizeof *header + strlen (name) + 1);
+
+  if (header == NULL)
+    abort ();
+  memcpy (header->name, name, strlen (name) + 1);
+  header->value = strdup (value);
+  header->next = request->headers;
+  request->headers = header;
+}
+
+static void
+add_headers (BurdockHttpRequest *request, const char *type)
+{
+  struct MHD_Response *response = request->response;
+
+  if (type != NULL)
+    MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE, type);
+  for (const Header *header = request->headers; header != NULL; header = header->next)
+    MHD_add_response_header (response, header->name, header->value);
+  if (request->server->leaving)
+    MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
+}
+
+void
+burdock_http_answer (BurdockHttpRequest *request, uint32_t status, const char *type,
+                     char *body, const char *ran)
+{
+  if (request->response != NULL || request->gone || body == NULL) {
+    free (body);
+    return;
+  }
+  request->status = status;
+  request->ended = true;
+  request->response =
+      MHD_create_response_from_buffer (strlen (body), body, MHD_RESPMEM_MUST_FREE);
+  add_headers (request, type);
+  if (ran != NULL)
+    MHD_add_response_header (request->response, "Burdock-Ran", ran);
+  burdock_http_resume (request);
+}
+
+void
+burdock_http_answer_bytes (BurdockHttpRequest *request, uint32_t status,
+                           BurdockBytes body)
+{
+  if (request->response != NULL || request->gone)
+    return;
+  request->status = status;
+  request->ended = true;
+  request->response =
+      MHD_create_response_from_buffer (body.length_bytes, (void *)body.data,
+                                       MHD_RESPMEM_MUST_COPY);
+  add_headers (request, NULL);
+  burdock_http_resume (request);
+}
+
+void
+burdock_http_abort (BurdockHttpRequest *request)
+{
+  request->gone = true;
+  burdock_http_resume (request);
+}
+
+static ssize_t
+read_stream (void *ctx, uint64_t position, char *out, size_t size_bytes)
+{
+  BurdockHttpRequest *request = ctx;
+  size_t left = request->output_bytes - request->output_sent_bytes;
+  size_t take = left < size_bytes ? left : size_bytes;
+
+  if (request->gone)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  if (take > 0) {
+    memcpy (out, request->output + request->output_sent_bytes, take);
+    request->output_sent_bytes += (uint32_t)take;
+    if (take == left)
+      request->output_bytes = request->output_sent_bytes = 0;
+    return (ssize_t)take;
+  }
+  if (request->ended)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  MHD_suspend_connection (request->connection);
+  request->suspended = true;
+  return 0;
+}
+
+static void
+start_stream (BurdockHttpRequest *request, uint32_t status, const char *type)
+{
+  request->streaming = true;
+  request->status = status;
+  request->response =
+      MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES,
+                                         read_stream, request, NULL);
+  add_headers (request, type);
+}
+
+void
+burdock_http_stream_start (BurdockHttpRequest *request, uint32_t status)
+{
+  if (request->gone || request->response != NULL)
+    return;
+  start_stream (request, status, NULL);
+  burdock_http_resume (request);
+}
+
+int
+burdock_http_stream_write (BurdockHttpRequest *request, const char *data,
+                           uint32_t length_bytes)
+{
+  if (request->gone || request->ended)
+    return 0;
+  if (request->output_bytes + length_bytes > STREAM_MAX_BYTES ||
+      !burdock_http_append (&request->output, &request->output_bytes,
+                            &request->output_capacity, data, length_bytes)) {
+    burdock_http_cut (request);
+    return -ENOBUFS;
+  }
+  if (!request->streaming)
+    start_stream (request, MHD_HTTP_OK, STREAM_TYPE);
+  burdock_http_resume (request);
+  return 0;
+}
+
+void
+burdock_http_stream_end (BurdockHttpRequest *request)
+{
+  request->ended = true;
+  burdock_http_resume (request);
+}
+
+bool
+burdock_http_streaming (const BurdockHttpRequest *request)
+{
+  return request->streaming;
+}
--- a/daemon/http-server.c
+++ b/daemon/http-server.c
@@ -1,22 +1,17 @@
-#include "http-server.h"
+#include "http-server-private.h"
 
 #include <apr_portable.h>
 #include <arpa/inet.h>
 #include <errno.h>
-#include <microhttpd.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #define BACKLOG 1024
-#define STREAM_TYPE "application/jsonl"
-#define STREAM_BLOCK_BYTES 4096
-
-/* Tokens kept for a caller that reads slowly. */
-#define STREAM_MAX_BYTES (1u << 20)
-
 #define GONE_TIMEOUT_S 1u
+#define ROUNDS_TO_CLOSE 16
+#define RUNS_PER_ROUND 4
 #define US_PER_MS UINT64_C (1000)
 
 /* The headers of the interface need about 1 KiB of the memory of a connection.
@@ -30,63 +25,6 @@
                                                   .idle_s = 75,
                                                   .gone_check_ms = 500 };
 
-typedef struct Header {
-  struct Header *next;
-  char *value;
-  char name[];
-} Header;
-
-#define ROUNDS_TO_CLOSE 16
-#define RUNS_PER_ROUND 4
-
-struct BurdockHttpRequest {
-  BurdockHttpServer *server;
-  BurdockHttpRequest *next;
-  BurdockHttpRequest *previous;
-  struct MHD_Connection *connection;
-  uint64_t id;
-  const char *method;
-  char *target;
-  char *path;
-  char *body;
-  uint32_t body_bytes;
-  uint32_t body_capacity;
-  uint32_t peer;
-  struct MHD_Response *response;
-  uint32_t status;
-  Header *headers;
-  bool handed;
-  bool suspended;
-  bool too_large;
-  bool gone;
-  bool closed;
-  bool streaming;
-  bool ended;
-  char *output;
-  uint32_t output_bytes;
-  uint32_t output_sent_bytes;
-  uint32_t output_capacity;
-  void *data;
-};
-
-struct BurdockHttpServer {
-  BurdockLoop *loop;
-  BurdockHttpHandler handler;
-  BurdockHttpLimits limits;
-  struct MHD_Daemon *daemon;
-  BurdockLoopSource source;
-  bool run_needed;
-  bool leaving;
-  bool quiet;
-  uint64_t next_check_us;
-  uint32_t open_count;
-  BurdockHttpRequest *open;
-  BurdockHttpRequest **slots;
-  uint32_t *generations;
-  uint32_t slot_count;
-  uint32_t next_slot;
-};
-
 static bool
 grow_slots (BurdockHttpServer *server)
 {
@@ -223,27 +161,6 @@
   *data = NULL;
 }
 
-static bool
-append (char **buffer, uint32_t *length_bytes, uint32_t *capacity, const char *data,
-        uint32_t added_bytes)
-{
-  uint32_t needed = *length_bytes + added_bytes + 1;
-
-  if (needed > *capacity) {
-    uint32_t size = needed + needed / 2 + 128;
-    char *grown = realloc (*buffer, size);
-
-    if (grown == NULL)
-      return false;
-    *buffer = grown;
-    *capacity = size;
-  }
-  memcpy (*buffer + *length_bytes, data, added_bytes);
-  *length_bytes += added_bytes;
-  (*buffer)[*length_bytes] = '\0';
-  return true;
-}
-
 static uint32_t
 peer_of (struct MHD_Connection *connection)
 {
@@ -261,8 +178,8 @@
   if (request->body_bytes + length_bytes > request->server->limits.body_bytes)
     request->too_large = true;
   if (!request->too_large &&
-      !append (&request->body, &request->body_bytes, &request->body_capacity, data,
-               (uint32_t)length_bytes))
+      !burdock_http_append (&request->body, &request->body_bytes, &request->body_capacity,
+                            data, (uint32_t)length_bytes))
     request->too_large = true;
 }
 
@@ -311,8 +228,8 @@
   return MHD_YES;
 }
 
-static void
-resume (BurdockHttpRequest *request)
+void
+burdock_http_resume (BurdockHttpRequest *request)
 {
   if (!request->suspended)
     return;
@@ -359,12 +276,12 @@
   return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
 }
 
-static void
-cut (BurdockHttpRequest *request)
+void
+burdock_http_cut (BurdockHttpRequest *request)
 {
   request->gone = true;
   close_request (request, false);
-  resume (request);
+  burdock_http_resume (request);
 }
 
 static void
@@ -377,7 +294,7 @@
     if (request->gone || !peer_gone (request))
       continue;
     if (request->suspended)
-      cut (request);
+      burdock_http_cut (request);
     else if (!request->handed)
       MHD_set_connection_option (request->connection, MHD_CONNECTION_OPTION_TIMEOUT,
                                  GONE_TIMEOUT_S);
@@ -489,7 +406,7 @@
   burdock_loop_watch (server->loop, &server->source, 0);
   for (BurdockHttpRequest *request = server->open; request != NULL;
        request = request->next)
-    cut (request);
+    burdock_http_cut (request);
   for (uint32_t i = 0; i < ROUNDS_TO_CLOSE && server->open_count > 0; i++)
     MHD_run (server->daemon);
   MHD_stop_daemon (server->daemon);
@@ -536,231 +453,3 @@
       function (ctx, request);
   }
 }
-
-uint64_t
-burdock_http_id (const BurdockHttpRequest *request)
-{
-  return request->id;
-}
-
-const char *
-burdock_http_method (const BurdockHttpRequest *request)
-{
-  return request->method;
-}
-
-const char *
-burdock_http_path (const BurdockHttpRequest *request)
-{
-  return request->path;
-}
-
-const char *
-burdock_http_target (const BurdockHttpRequest *request)
-{
-  return request->target;
-}
-
-const char *
-burdock_http_header (const BurdockHttpRequest *request, const char *name)
-{
-  return MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND, name);
-}
-
-const char *
-burdock_http_query (const BurdockHttpRequest *request, const char *name)
-{
-  return MHD_lookup_connection_value (request->connection, MHD_GET_ARGUMENT_KIND, name);
-}
-
-BurdockBytes
-burdock_http_body (const BurdockHttpRequest *request)
-{
-  return (BurdockBytes){ .data = (const uint8_t *)(request->body != NULL ? request->body
-                                                                         : ""),
-                         .length_bytes = request->body_bytes };
-}
-
-uint32_t
-burdock_http_peer (const BurdockHttpRequest *request)
-{
-  return request->peer;
-}
-
-void
-burdock_http_set_data (BurdockHttpRequest *request, void *data)
-{
-  request->data = data;
-}
-
-void *
-burdock_http_data (const BurdockHttpRequest *request)
-{
-  return request->data;
-}
-
-typedef struct {
-  void (*function) (void *ctx, const char *name, const char *value);
-  void *ctx;
-} HeaderVisitor;
-
-static enum MHD_Result
-visit_header (void *ctx, enum MHD_ValueKind kind, const char *name, const char *value)
-{
-  const HeaderVisitor *visitor = ctx;
-
-  visitor->function (visitor->ctx, name, value != NULL ? value : "");
-  return MHD_YES;
-}
-
-void
-burdock_http_each_header (BurdockHttpRequest *request,
-                          void (*function) (void *ctx, const char *name,
-                                            const char *value),
-                          void *ctx)
-{
-  HeaderVisitor visitor = { .function = function, .ctx = ctx };
-
-  MHD_get_connection_values (request->connection, MHD_HEADER_KIND, visit_header,
-                             &visitor);
-}
-
-void
-burdock_http_set_header (BurdockHttpRequest *request, const char *name, const char *value)
-{
-  Header *header = malloc (sizeof *header + strlen (name) + 1);
-
-  if (header == NULL)
-    abort ();
-  memcpy (header->name, name, strlen (name) + 1);
-  header->value = strdup (value);
-  header->next = request->headers;
-  request->headers = header;
-}
-
-static void
-add_headers (BurdockHttpRequest *request, const char *type)
-{
-  struct MHD_Response *response = request->response;
-
-  if (type != NULL)
-    MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE, type);
-  for (const Header *header = request->headers; header != NULL; header = header->next)
-    MHD_add_response_header (response, header->name, header->value);
-  if (request->server->leaving)
-    MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
-}
-
-void
-burdock_http_answer (BurdockHttpRequest *request, uint32_t status, const char *type,
-                     char *body, const char *ran)
-{
-  if (request->response != NULL || request->gone || body == NULL) {
-    free (body);
-    return;
-  }
-  request->status = status;
-  request->ended = true;
-  request->response =
-      MHD_create_response_from_buffer (strlen (body), body, MHD_RESPMEM_MUST_FREE);
-  add_headers (request, type);
-  if (ran != NULL)
-    MHD_add_response_header (request->response, "Burdock-Ran", ran);
-  resume (request);
-}
-
-void
-burdock_http_answer_bytes (BurdockHttpRequest *request, uint32_t status,
-                           BurdockBytes body)
-{
-  if (request->response != NULL || request->gone)
-    return;
-  request->status = status;
-  request->ended = true;
-  request->response =
-      MHD_create_response_from_buffer (body.length_bytes, (void *)body.data,
-                                       MHD_RESPMEM_MUST_COPY);
-  add_headers (request, NULL);
-  resume (request);
-}
-
-void
-burdock_http_abort (BurdockHttpRequest *request)
-{
-  request->gone = true;
-  resume (request);
-}
-
-static ssize_t
-read_stream (void *ctx, uint64_t position, char *out, size_t size_bytes)
-{
-  BurdockHttpRequest *request = ctx;
-  size_t left = request->output_bytes - request->output_sent_bytes;
-  size_t take = left < size_bytes ? left : size_bytes;
-
-  if (request->gone)
-    return MHD_CONTENT_READER_END_WITH_ERROR;
-  if (take > 0) {
-    memcpy (out, request->output + request->output_sent_bytes, take);
-    request->output_sent_bytes += (uint32_t)take;
-    if (take == left)
-      request->output_bytes = request->output_sent_bytes = 0;
-    return (ssize_t)take;
-  }
-  if (request->ended)
-    return MHD_CONTENT_READER_END_OF_STREAM;
-  MHD_suspend_connection (request->connection);
-  request->suspended = true;
-  return 0;
-}
-
-static void
-start_stream (BurdockHttpRequest *request, uint32_t status, const char *type)
-{
-  request->streaming = true;
-  request->status = status;
-  request->response =
-      MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES,
-                                         read_stream, request, NULL);
-  add_headers (request, type);
-}
-
-void
-burdock_http_stream_start (BurdockHttpRequest *request, uint32_t status)
-{
-  if (request->gone || request->response != NULL)
-    return;
-  start_stream (request, status, NULL);
-  resume (request);
-}
-
-int
-burdock_http_stream_write (BurdockHttpRequest *request, const char *data,
-                           uint32_t length_bytes)
-{
-  if (request->gone || request->ended)
-    return 0;
-  if (request->output_bytes + length_bytes > STREAM_MAX_BYTES ||
-      !append (&request->output, &request->output_bytes, &request->output_capacity, data,
-               length_bytes)) {
-    cut (request);
-    return -ENOBUFS;
-  }
-  if (!request->streaming)
-    start_stream (request, MHD_HTTP_OK, STREAM_TYPE);
-  resume (request);
-  return 0;
-}
-
-void
-burdock_http_stream_end (BurdockHttpRequest *request)
-{
-  request->ended = true;
-  resume (request);
-}
-
-bool
-burdock_http_streaming (const BurdockHttpRequest *request)
-{
-  return request->streaming;
-}
--- a/tests/test-http-server.c
+++ b/tests/test-http-server.c
@@ -41,6 +41,10 @@
   int32_t http_status;
   char body[TEXT_BYTES];
   bool (*finished) (void *ctx);
+  BurdockHttpTransfer *transfer;
+  uint32_t taken_bytes;
+  char target[64];
+  char header[64];
 } Fixture;
 
 static uint64_t
@@ -76,6 +80,10 @@
   Fixture *fixture = ctx;
 
   fixture->id = burdock_http_id (request);
+  snprintf (fixture->target, sizeof fixture->target, "%s", burdock_http_target (request));
+  if (burdock_http_header (request, "X-Name") != NULL)
+    snprintf (fixture->header, sizeof fixture->header, "%s",
+              burdock_http_header (request, "X-Name"));
   if (strcmp (burdock_http_path (request), "/echo") == 0) {
     BurdockBytes body = burdock_http_body (request);
     char *text = strndup ((const char *)body.data, body.length_bytes);
@@ -301,7 +309,131 @@
   CU_ASSERT_EQUAL (fixture.id, 0);
 }
 
+/* A caller that sees a stream end must not take it for whole when the gateway gave it up.
+ */
+static bool
+abort_when_started (void *ctx)
+{
+  Fixture *fixture = ctx;
+
+  if (fixture->lines == 1 && fixture->open != NULL)
+    burdock_http_abort (fixture->open);
+  return both_done (ctx);
+}
+
+static void
+aborted_stream_is_visible (void)
+{
+  Fixture fixture = { .to_write = 1 };
+
+  open_fixture (&fixture, abort_when_started);
+  start (&fixture, "/stream", "x", 1, 0);
+  run_and_close (&fixture);
+  CU_ASSERT_EQUAL (fixture.status, -EIO);
+  CU_ASSERT_FALSE (fixture.closed_whole);
+}
+
+static int
+take_head (void *ctx, BurdockHttpTransfer *transfer, int32_t http_status)
+{
+  Fixture *fixture = ctx;
+  const char *type = burdock_http_transfer_header (transfer, "Content-Type");
+
+  snprintf (fixture->body, sizeof fixture->body, "%d %s", http_status,
+            type != NULL ? type : "-");
+  return 0;
+}
+
+static int
+take_data (void *ctx, const char *data, size_t length_bytes)
+{
+  Fixture *fixture = ctx;
+
+  fixture->taken_bytes += (uint32_t)length_bytes;
+  return 0;
+}
+
+static void
+count_done (void *ctx, const BurdockHttpResult *result)
+{
+  Fixture *fixture = ctx;
+
+  fixture->done++;
+  fixture->status = result->status;
+}
+
+static BurdockHttpTransfer *
+open_transfer (Fixture *fixture, const char *target)
+{
+  static const char *const headers[] = { "X-Name: value" };
+  BurdockHttpTransfer *transfer = NULL;
+  char url[TEXT_BYTES];
+  BurdockHttpCall call = { .method = "POST",
+                           .url = url,
+                           .target = target,
+                           .headers = headers,
+                           .header_count = 1,
+                           .body = "hello",
+                           .body_bytes = 5,
+                           .once = true,
+                           .ctx = fixture,
+                           .head = take_head,
+                           .data = take_data,
+                           .done = count_done };
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u", fixture->address.port);
+  CU_ASSERT_EQUAL (burdock_http_client_open (fixture->client, &call, &transfer), 0);
+  return transfer;
+}
+
+/* Guards against a request line, a header or a body that is altered on the way. */
+static void
+transfer_is_taken_in_parts (void)
+{
+  Fixture fixture = { 0 };
+
+  open_fixture (&fixture, both_done);
+  open_transfer (&fixture, "/echo?a=%2F&b");
+  run_and_close (&fixture);
+  CU_ASSERT_EQUAL (fixture.status, 0);
+  CU_ASSERT_STRING_EQUAL (fixture.body, "201 text/plain");
+  CU_ASSERT_EQUAL (fixture.taken_bytes, 5);
+  CU_ASSERT_STRING_EQUAL (fixture.target, "/echo?a=%2F&b");
+  CU_ASSERT_STRING_EQUAL (fixture.header, "value");
+}
+
+static bool
+cancel_when_open (void *ctx)
+{
+  Fixture *fixture = ctx;
+
+  if (fixture->open != NULL && fixture->transfer != NULL) {
+    burdock_http_transfer_cancel (fixture->transfer);
+    fixture->transfer = NULL;
+  }
+  return fixture->closed > 0;
+}
+
+/* Guards against an upstream that works on for a caller that has left, and against a
+ * callback into a request that is gone. */
+static void
+cancelled_transfer_ends_its_connection (void)
+{
+  Fixture fixture = { 0 };
+
+  open_fixture (&fixture, cancel_when_open);
+  fixture.transfer = open_transfer (&fixture, "/wait");
+  run_and_close (&fixture);
+  CU_ASSERT_EQUAL (fixture.done, 0);
+  CU_ASSERT_EQUAL (fixture.closed, 1);
+  CU_ASSERT_FALSE (fixture.closed_whole);
+}
+
 static const Test tests[] = {
+  { "a stream that was given up looks whole", aborted_stream_is_visible },
+  { "a request or answer is altered on the way", transfer_is_taken_in_parts },
+  { "a peer works on after a transfer was cancelled",
+    cancelled_transfer_ends_its_connection },
   { "a streamed answer loses lines or its end", stream_arrives_whole },
   { "a request goes on for a caller that went away", caller_that_goes_away_is_noticed },
   { "a stream that was cut off looks whole", stream_cut_by_the_server_is_visible },
