--- a/daemon/http-client.c
+++ b/daemon/http-client.c
@@ -473,6 +473,12 @@
   return CURL_SOCKOPT_OK;
 }
 
+static bool
+sends_body (const char *method)
+{
+  return strcmp (method, "GET") != 0 && strcmp (method, "HEAD") != 0;
+}
+
 /* Sets the options that are the same for all calls of a method. */
 static void
 set_up_handle (const BurdockHttpClient *client, Handle *handle,
@@ -495,7 +501,9 @@
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, keep_alive);
   if (call->once)
     curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, refuse_repetition);
-  if (strcmp (call->method, "GET") == 0)
+  if (strcmp (call->method, "HEAD") == 0)
+    curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
+  if (!sends_body (call->method))
     return;
   curl_easy_setopt (easy, CURLOPT_POST, 1L);
   curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, handle->method);
@@ -589,7 +597,7 @@
   curl_easy_setopt (transfer->handle.easy, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
   set_connection (transfer->handle.easy, call);
   set_headers (transfer, call);
-  if (strcmp (call->method, "GET") != 0)
+  if (sends_body (call->method))
     set_body (transfer, call);
   *out = transfer;
   transfer->next = client->open;
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -146,7 +146,8 @@
   case BURDOCK_ANSWER_FAILURE:
     return BURDOCK_ATTEMPT_FAILURE;
   case BURDOCK_ANSWER_WHOLE:
-    return BURDOCK_ATTEMPT_WHOLE;
+    /* An answer that is no stream cannot continue one. */
+    return forward->answer_started ? BURDOCK_ATTEMPT_CUT : BURDOCK_ATTEMPT_WHOLE;
   case BURDOCK_ANSWER_STREAM:
     if (burdock_event_stream_has_rest (&forward->events))
       return forward->answer_started ? BURDOCK_ATTEMPT_CUT : BURDOCK_ATTEMPT_LOST;
--- a/tests/test-http-server.c
+++ b/tests/test-http-server.c
@@ -402,6 +402,24 @@
   CU_ASSERT_STRING_EQUAL (fixture.header, "value");
 }
 
+/* Guards against a wait for the body of an answer that has none. */
+static void
+head_request_ends_with_its_headers (void)
+{
+  Fixture fixture = { 0 };
+  char url[TEXT_BYTES];
+  BurdockHttpCall call = {
+    .method = "HEAD", .url = url, .ctx = &fixture, .head = take_head, .done = count_done
+  };
+
+  open_fixture (&fixture, both_done);
+  snprintf (url, sizeof url, "http://127.0.0.1:%u/echo", fixture.address.port);
+  CU_ASSERT_EQUAL (burdock_http_client_start (fixture.client, &call), 0);
+  run_and_close (&fixture);
+  CU_ASSERT_EQUAL (fixture.status, 0);
+  CU_ASSERT_STRING_EQUAL (fixture.body, "201 text/plain");
+}
+
 static bool
 cancel_when_open (void *ctx)
 {
@@ -432,6 +450,7 @@
 static const Test tests[] = {
   { "a stream that was given up looks whole", aborted_stream_is_visible },
   { "a request or answer is altered on the way", transfer_is_taken_in_parts },
+  { "a caller waits for the body of a HEAD request", head_request_ends_with_its_headers },
   { "a peer works on after a transfer was cancelled",
     cancelled_transfer_ends_its_connection },
   { "a streamed answer loses lines or its end", stream_arrives_whole },
