--- a/gateway/questions.c
+++ b/gateway/questions.c
@@ -75,6 +75,8 @@
     { "burdock_repeats_denied_total", figures.repeats_denied },
     { "burdock_generation", traffic->table != NULL ? traffic->table->version : 0 },
     { "burdock_peers", traffic->peer_count },
+    { "burdock_store_calls_total", gateway->control.store.calls },
+    { "burdock_store_failures_total", gateway->control.store.failures },
   };
   char *process = burdock_runtime_metrics ();
 
--- a/libburdock/map-agent-private.h
+++ b/libburdock/map-agent-private.h
@@ -30,7 +30,6 @@
   uint64_t hosted_epoch;
   uint32_t hosted_bytes;
   uint8_t hosted[BURDOCK_HOSTED_BYTES_MAX];
-  uint32_t samples;
   bool armed_directly;
 } BurdockMapPeer;
 
@@ -68,8 +67,6 @@
   uint64_t next_send_us;
   uint64_t next_plan_us;
   uint64_t hold_failed_us;
-  uint64_t order_id;
-  BurdockMapOrderKind order_kind;
   uint64_t next_decay_us;
   double *rates;
   uint32_t rate_count;
@@ -102,7 +99,6 @@
   uint64_t *counts;
   uint32_t *fresh; /* tokens since the last report to the coordinator */
   uint8_t *fresh_bytes;
-  uint64_t counts_epoch;
   uint64_t next_state_us;
   uint64_t next_gateways_us;
   uint64_t next_counts_us;
--- a/libburdock/map-agent.c
+++ b/libburdock/map-agent.c
@@ -226,8 +226,7 @@
 }
 
 void
-burdock_map_agent_counts (BurdockMapAgent *agent, uint64_t epoch, const uint64_t *counts,
-                          uint32_t count, uint64_t now_us)
+burdock_map_agent_counts (BurdockMapAgent *agent, const uint64_t *counts, uint32_t count)
 {
   if (count == 0 || !size_counts (agent, count))
     return;
@@ -241,7 +240,6 @@
     agent->fresh[i] = fresh < UINT32_MAX ? (uint32_t)fresh : UINT32_MAX;
     agent->counts[i] = counts[i];
   }
-  agent->counts_epoch = epoch;
   agent->has_counts = true;
 }
 
--- a/libburdock/map-agent.h
+++ b/libburdock/map-agent.h
@@ -125,8 +125,8 @@
  * burdock_map_agent_counts() - tokens of each expert since the engine started
  * @counts: layer by layer; @count values
  */
-void burdock_map_agent_counts (BurdockMapAgent *agent, uint64_t epoch,
-                               const uint64_t *counts, uint32_t count, uint64_t now_us);
+void burdock_map_agent_counts (BurdockMapAgent *agent, const uint64_t *counts,
+                               uint32_t count);
 
 /**
  * burdock_map_agent_hosted() - experts of the local rank in the map of @version
--- a/libburdock/map-coordinator.c
+++ b/libburdock/map-coordinator.c
@@ -68,7 +68,6 @@
   agent->coordinator.phase = phase;
   agent->coordinator.since_us = now_us;
   agent->coordinator.next_send_us = 0;
-  agent->coordinator.order_id = 0;
 }
 
 bool
--- a/rank/main.c
+++ b/rank/main.c
@@ -66,11 +66,11 @@
 }
 
 static void
-take_counts (void *ctx, uint64_t epoch, const uint64_t *counts, uint32_t count)
+take_counts (void *ctx, const uint64_t *counts, uint32_t count)
 {
   Rank *rank = ctx;
 
-  burdock_map_agent_counts (rank->agent, epoch, counts, count, burdock_loop_now_us ());
+  burdock_map_agent_counts (rank->agent, counts, count);
 }
 
 static void
--- a/tests/support/fake-group.c
+++ b/tests/support/fake-group.c
@@ -565,8 +565,8 @@
     if (report || process->wants_report)
       report_to (group, process);
     if (process->wants_counts)
-      burdock_map_agent_counts (process->agent, group->epoch, group->engines[r].counts,
-                                LAYERS * EXPERTS, group->now_us);
+      burdock_map_agent_counts (process->agent, group->engines[r].counts,
+                                LAYERS * EXPERTS);
     process->wants_report = process->wants_counts = false;
     if (group->now_us >= process->next_tick_us)
       process->next_tick_us = burdock_map_agent_tick (process->agent, group->now_us);
