--- a/libburdock/map-agent.c
+++ b/libburdock/map-agent.c
@@ -187,6 +187,11 @@
                  report->map_version != agent->report.map_version ||
                  report->loaded_version != agent->report.loaded_version;
 
+  if (report->rank >= BURDOCK_COPY_RANKS_MAX) {
+    burdock_map_agent_log (agent, "group", "rank %u is above the largest, %u",
+                           report->rank, BURDOCK_COPY_RANKS_MAX - 1);
+    return;
+  }
   if (moved || report->active == 0 || !report->open || report->step != agent->report.step)
     agent->progress_us = now_us;
   if (moved || report->open != agent->report.open) {
--- a/tests/test-map-agent.c
+++ b/tests/test-map-agent.c
@@ -1,4 +1,5 @@
 #include "fake-group.h"
+#include "map-agent.h"
 #include "test.h"
 
 #include <stdlib.h>
@@ -93,7 +94,45 @@
   fake_group_free (group);
 }
 
+static void
+ignore_send (void *ctx, const BurdockMessage *message, const BurdockAddress *to,
+             uint32_t count)
+{
+}
+
+static void
+ignore_refresh (void *ctx, bool counts)
+{
+}
+
+static void
+ignore_log (void *ctx, const char *step, const char *detail)
+{
+}
+
+/* Guards against writes behind the table of ranks; run with the address sanitizer. */
+static void
+ranks_beyond_the_largest_are_ignored (void)
+{
+  BurdockMapAgentSettings settings = { .id = 1, .incarnation = 1 };
+  BurdockMapAgentHandler handler = { .send = ignore_send,
+                                     .refresh = ignore_refresh,
+                                     .log = ignore_log };
+  BurdockRankReport report = { .group = "g",
+                               .rank = BURDOCK_COPY_RANKS_MAX,
+                               .size = BURDOCK_COPY_RANKS_MAX + 1,
+                               .open = true };
+  BurdockMapAgent *agent = burdock_map_agent_new (&settings, &handler);
+
+  burdock_map_agent_report (agent, &report, S);
+  CU_ASSERT_FALSE (burdock_map_agent_needs_hosted (agent));
+  CU_ASSERT_EQUAL (burdock_map_agent_tick (agent, S), UINT64_MAX);
+  burdock_map_agent_free (agent);
+}
+
 static const Test tests[] = {
+  { "a rank beyond the largest is written behind the table",
+    ranks_beyond_the_largest_are_ignored },
   { "maps do not follow the demand", maps_follow_the_demand },
   { "orders without an answer stop the maps", late_orders_do_not_stop_the_maps },
   { "ranks run a step with different maps, or stand", no_step_mixes_maps_under_faults },
