Date the return of the store from the call that shows it

The return now counts from the start of the call. Ruled out: late delivery of the change (all gateways had it within 5 ms).

--- a/gateway/control.c
+++ b/gateway/control.c
@@ -77,7 +77,7 @@
 }
 
 static void
-config_reachable (void *ctx, bool reachable, const char *reason)
+config_reachable (void *ctx, bool reachable, uint64_t since_us, const char *reason)
 {
   burdock_log (reachable ? BURDOCK_LOG_INFO : BURDOCK_LOG_WARNING,
                reachable ? "store regained" : "store lost", "-", "configuration: %s",
@@ -216,7 +216,7 @@
 }
 
 static void
-upstream_reachable (void *ctx, bool reachable, const char *reason)
+upstream_reachable (void *ctx, bool reachable, uint64_t since_us, const char *reason)
 {
   BurdockGateway *gateway = ctx;
   BurdockGatewayControl *control = &gateway->control;
@@ -224,7 +224,7 @@
   burdock_log (reachable ? BURDOCK_LOG_INFO : BURDOCK_LOG_WARNING,
                reachable ? "store regained" : "store lost", "-", "upstreams: %s", reason);
   if (reachable && control->upstreams_whole)
-    control->store_back_us = burdock_loop_now_us ();
+    control->store_back_us = since_us;
 }
 
 /* Drops the entries that were not written again in time; returns the next due time. */
--- a/tests/test-platform-client.c
+++ b/tests/test-platform-client.c
@@ -28,6 +28,7 @@
   BurdockAnswerForm form;
   int32_t status;
   BurdockRankReport report;
+  uint64_t since_us;
 } Fixture;
 
 static uint64_t
@@ -99,9 +100,12 @@
 }
 
 static void
-watch_reachable (void *ctx, bool reachable, const char *reason)
+watch_reachable (void *ctx, bool reachable, uint64_t since_us, const char *reason)
 {
+  Fixture *fixture = ctx;
+
   add_seen (ctx, reachable ? "+" : "!");
+  fixture->since_us = since_us;
 }
 
 static uint64_t
@@ -349,7 +353,42 @@
   }
 }
 
+/* Found by hunting on sementeira-campina (scale-2, seed 716127795627): a call that waited
+ * for changes from the end of a cut on showed eight seconds later that the store was
+ * back, and the removal that it brought was taken for a lapse of that moment. */
+static void
+return_of_the_store_dates_from_the_call (void)
+{
+  static const char *const answers[] = {
+    "503 {}", "200 {\"rows\":[],\"hasMore\":false,\"schemaVersion\":5}"
+  };
+  BurdockTableHandler handler;
+  uint64_t started_us;
+  Fixture fixture;
+
+  open_fixture (&fixture, answers, 2);
+  handler = (BurdockTableHandler){ &fixture, watch_begin, watch_row, watch_end,
+                                   watch_reachable };
+  fixture.store = (BurdockStoreClient){ .loop = fixture.loop,
+                                        .client = fixture.client,
+                                        .url = fixture.url,
+                                        .random = no_spread };
+  fixture.watch = burdock_table_watch_new (&fixture.store, "t", &handler);
+  fixture.until = "!";
+  burdock_loop_run (fixture.loop);
+  /* The next call starts at a time of its own, which is not that of its answer. */
+  started_us = burdock_loop_now_us () + 1000000;
+  burdock_table_watch_tick (fixture.watch, started_us);
+  fixture.finished = false;
+  fixture.until = "+";
+  burdock_loop_run (fixture.loop);
+  CU_ASSERT_EQUAL (fixture.since_us, started_us);
+  close_fixture (&fixture);
+}
+
 static const Test tests[] = {
+  { "a removal long after an outage is taken for a lapse",
+    return_of_the_store_dates_from_the_call },
   { "a change of a table is lost or taken back", watches_deliver_the_table },
   { "a foreign answer or refusal is passed on", answers_are_judged_by_their_headers },
   { "an order of unknown outcome counts as refused", orders_end_with_what_is_known },
