--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -81,21 +81,13 @@
   counters->first_event_ms[bucket]++;
 }
 
-static void
-note_pause (BurdockForward *forward, uint64_t pause_us)
-{
-  if (pause_us > forward->longest_pause_us)
-    forward->longest_pause_us = pause_us;
-  burdock_balancer_pause (forward->gateway->traffic.balancer, forward->upstream.key,
-                          pause_us, forward->route->pause_ms);
-}
-
 static void
 pass_event (void *ctx, const char *event, uint32_t length_bytes)
 {
   BurdockForward *forward = ctx;
   BurdockGatewayTraffic *traffic = &forward->gateway->traffic;
   uint64_t now_us = burdock_loop_now_us ();
+  uint64_t pause_us = forward->attempt_events > 0 ? now_us - forward->last_event_us : 0;
 
   if (!forward->answer_started) {
     forward->answer_started = true;
@@ -103,9 +95,11 @@
     burdock_exchange_copy_headers (forward->transfer, forward->http);
     burdock_http_stream_start (forward->http, forward->answered_status);
     note_first_event (forward, now_us);
-  } else if (forward->attempt_events > 0) {
-    note_pause (forward, now_us - forward->last_event_us);
   }
+  if (pause_us > forward->longest_pause_us)
+    forward->longest_pause_us = pause_us;
+  burdock_balancer_event (traffic->balancer, forward->upstream.key, pause_us,
+                          forward->route->pause_ms, now_us);
   forward->attempt_events++;
   forward->last_event_us = forward->last_sign_us = now_us;
   traffic->counters.events++;
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -459,6 +459,18 @@
                                      now_us - forward->last_sign_us);
 }
 
+static void
+report_silence (const BurdockForward *forward, uint64_t now_us)
+{
+  uint64_t silent_us = now_us - forward->last_sign_us;
+
+  if (burdock_balancer_silent (forward->gateway->traffic.balancer, forward->upstream.key,
+                               silent_us, now_us))
+    burdock_log_about (BURDOCK_LOG_WARNING, "upstream silent", forward->call.attempt_id,
+                       forward->upstream.id, "silent_ms %u",
+                       (uint32_t)(silent_us / US_PER_MS));
+}
+
 /* Goes on elsewhere where that is allowed, and waits otherwise. */
 static void
 leave_stalled (BurdockForward *forward, uint64_t now_us)
@@ -499,8 +511,10 @@
     next = forward->next;
     if (forward->phase != BURDOCK_FORWARD_DONE && now_us >= forward->deadline_us)
       time_out (forward);
-    else if (is_stalled (forward, now_us))
+    else if (is_stalled (forward, now_us)) {
+      report_silence (forward, now_us);
       leave_stalled (forward, now_us);
+    }
   }
   return traffic->forward_count > 0 ? now_us + TICK_US : BURDOCK_LOOP_NEVER_US;
 }
--- a/libburdock/balancer-private.h
+++ b/libburdock/balancer-private.h
@@ -12,6 +12,13 @@
 #include <apr_hash.h>
 #include <apr_pools.h>
 
+/* Signs of life of an upstream, or of all upstreams of a group together. */
+typedef struct {
+  uint64_t sign_us;         /* time of the last one */
+  uint64_t silent_us;       /* time at which it was last found silent */
+  uint64_t silent_until_us; /* gets no requests until then */
+} Life;
+
 typedef struct Group {
   char name[BURDOCK_NAME_BYTES];
   uint64_t epoch;
@@ -21,6 +28,7 @@
   uint32_t outstanding;
   uint32_t pauses;
   double pause_sum; /* in parts of the target */
+  Life life;
 } Group;
 
 typedef struct Waiting {
@@ -45,11 +53,13 @@
   Group *group;
   uint32_t rank;
   uint64_t rank_heard_us;
+  uint64_t step; /* last step that its agent reported */
   bool listed;
   uint32_t own;
   uint32_t others;
   double failure_rate;
   uint64_t paused_until_us;
+  Life life;
 } Node;
 
 typedef struct {
--- a/libburdock/balancer-queue.c
+++ b/libburdock/balancer-queue.c
@@ -112,6 +112,13 @@
   return node->listed && node->pool == pool && !node->info.leaving;
 }
 
+static bool
+is_silent (const BurdockBalancer *balancer, const Node *node)
+{
+  return node->life.silent_until_us > balancer->now_us ||
+         (node->group != NULL && node->group->life.silent_until_us > balancer->now_us);
+}
+
 /* The best of a few: the loads that the gateways see are as old as their heartbeats, and
  * if all took the least loaded upstream of the fleet, they would meet there. */
 static Node *
@@ -127,7 +134,7 @@
     double load;
 
     if (!is_usable (node, pool) || node->paused_until_us > balancer->now_us ||
-        outstanding (node) >= node->info.slots ||
+        is_silent (balancer, node) || outstanding (node) >= node->info.slots ||
         is_excluded (placement, node->info.key) || !group_has_room (balancer, node))
       continue;
     seen++;
--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -23,6 +23,9 @@
 #define STALL_PAUSE_US UINT64_C (3000000)
 #define STALL_GAIN 0.3
 
+/* A request that is silent for a shorter time may just be slow. */
+#define SILENT_MIN_US UINT64_C (700000)
+
 /* Weight of one answer in the failure rate of an upstream, about twenty answers. */
 #define FAILURE_GAIN 0.08
 
@@ -307,6 +310,17 @@
   }
 }
 
+/* A rank that reports two steps since its group was found silent shows that it runs. */
+static void
+note_step (Node *node, uint64_t heard_before_us, uint64_t step)
+{
+  Life *life = &node->group->life;
+
+  if (step > node->step && heard_before_us > life->silent_us)
+    life->silent_until_us = 0;
+  node->step = step;
+}
+
 void
 burdock_balancer_rank_state (BurdockBalancer *balancer,
                              const BurdockRankStateMessage *state, uint64_t now_us)
@@ -324,6 +338,7 @@
     burdock_balancer_attach (node);
   }
   node->rank = state->rank;
+  note_step (node, node->rank_heard_us, state->step);
   node->rank_heard_us = now_us;
   if (state->epoch < group->epoch)
     return;
@@ -370,11 +385,23 @@
   return count;
 }
 
+static void
+note_sign (Node *node, uint64_t now_us)
+{
+  node->life.sign_us = now_us;
+  node->life.silent_until_us = 0;
+  if (node->group == NULL)
+    return;
+  node->group->life.sign_us = now_us;
+  node->group->life.silent_until_us = 0;
+}
+
 static void
 judge (Node *node, BurdockUpstreamOutcome outcome, uint64_t now_us)
 {
   switch (outcome) {
   case BURDOCK_UPSTREAM_OK:
+    note_sign (node, now_us);
     node->failure_rate *= 1 - FAILURE_GAIN;
     return;
   case BURDOCK_UPSTREAM_FAILED:
@@ -385,6 +412,7 @@
     node->paused_until_us = now_us + STALL_PAUSE_US;
     return;
   case BURDOCK_UPSTREAM_BUSY:
+    note_sign (node, now_us);
     node->paused_until_us = now_us + BUSY_PAUSE_US;
     return;
   case BURDOCK_UPSTREAM_UNREACHABLE:
@@ -416,17 +444,44 @@
 }
 
 void
-burdock_balancer_pause (BurdockBalancer *balancer, uint64_t upstream, uint64_t pause_us,
-                        uint32_t target_ms)
+burdock_balancer_event (BurdockBalancer *balancer, uint64_t upstream, uint64_t pause_us,
+                        uint32_t target_ms, uint64_t now_us)
 {
   Node *node = burdock_balancer_node (balancer, upstream);
 
-  if (node == NULL || node->group == NULL || target_ms == 0)
+  if (node == NULL)
+    return;
+  note_sign (node, now_us);
+  if (node->group == NULL || target_ms == 0 || pause_us == 0)
     return;
   node->group->pauses++;
   node->group->pause_sum += (double)pause_us / (target_ms * US_PER_MS);
 }
 
+static bool
+find_silent (Life *life, uint64_t now_us)
+{
+  if (now_us < life->sign_us + SILENT_MIN_US || now_us < life->silent_until_us)
+    return false;
+  life->silent_us = now_us;
+  life->silent_until_us = now_us + STALL_PAUSE_US;
+  return true;
+}
+
+/* The ranks of a group begin each step together, so that one that hangs stops all. */
+bool
+burdock_balancer_silent (BurdockBalancer *balancer, uint64_t upstream, uint64_t silent_us,
+                         uint64_t now_us)
+{
+  Node *node = burdock_balancer_node (balancer, upstream);
+
+  if (node == NULL || silent_us < SILENT_MIN_US)
+    return false;
+  if (node->group != NULL && now_us >= node->group->life.sign_us + SILENT_MIN_US)
+    return find_silent (&node->group->life, now_us);
+  return find_silent (&node->life, now_us);
+}
+
 static void
 adjust_group (Group *group)
 {
--- a/libburdock/balancer.h
+++ b/libburdock/balancer.h
@@ -147,11 +147,25 @@
                               BurdockUpstreamOutcome outcome, uint64_t now_us);
 
 /**
- * burdock_balancer_pause() - pause between two events of a stream
- * @target_ms: longest pause that is on time
+ * burdock_balancer_event() - an upstream sent a part of an answer
+ * @pause_us: time since the part before, 0 for the first one
+ * @target_ms: longest pause that is on time, 0 for none
  */
-void burdock_balancer_pause (BurdockBalancer *balancer, uint64_t upstream,
-                             uint64_t pause_us, uint32_t target_ms);
+void burdock_balancer_event (BurdockBalancer *balancer, uint64_t upstream,
+                             uint64_t pause_us, uint32_t target_ms, uint64_t now_us);
+
+/**
+ * burdock_balancer_silent() - a request has waited too long for a part of its answer
+ * @silent_us: time since the last part, or since the request was sent
+ *
+ * If no other request had a sign of life from the upstream meanwhile, it gets no further
+ * requests for a while, or until the next sign. Callers that leave free places at it, and
+ * what is sent there would be read only after they have left, too.
+ *
+ * Returns true if the upstream was not known to be silent.
+ */
+bool burdock_balancer_silent (BurdockBalancer *balancer, uint64_t upstream,
+                              uint64_t silent_us, uint64_t now_us);
 
 /** burdock_balancer_may_repeat() - takes one repeated send from the budget of a pool */
 bool burdock_balancer_may_repeat (BurdockBalancer *balancer, const char *pool);
--- a/tests/test-balancer.c
+++ b/tests/test-balancer.c
@@ -240,6 +240,93 @@
   burdock_balancer_free (fixture.balancer);
 }
 
+/* The load: an upstream hangs while callers leave it after 2 s. Guards against requests
+ * that are sent there in their place and read when their callers have left as well. */
+static void
+silent_upstreams_get_nothing (void)
+{
+  BurdockUpstream item = upstream (1, "a", 3);
+  Fixture fixture;
+
+  set_up (&fixture, &item, 1);
+  for (uint32_t i = 0; i < 3; i++)
+    submit (&fixture, 0);
+  pass (&fixture, 900 * MS);
+  burdock_balancer_silent (fixture.balancer, 1, 900 * MS, fixture.now_us);
+  pass (&fixture, 1100 * MS);
+  for (uint32_t i = 0; i < 3; i++)
+    burdock_balancer_finish (fixture.balancer, 1, BURDOCK_UPSTREAM_ABANDONED,
+                             fixture.now_us);
+  submit (&fixture, 0);
+  CU_ASSERT_EQUAL (fixture.placed, 3);
+  /* A sign of life ends it. */
+  burdock_balancer_event (fixture.balancer, 1, 0, 0, fixture.now_us);
+  submit (&fixture, 0);
+  CU_ASSERT_EQUAL (fixture.placed, 5);
+  burdock_balancer_free (fixture.balancer);
+}
+
+/* Guards against an upstream that is left alone for one request that takes long. */
+static void
+upstreams_that_answer_others_are_not_silent (void)
+{
+  BurdockUpstream item = upstream (1, "a", 3);
+  Fixture fixture;
+
+  set_up (&fixture, &item, 1);
+  submit (&fixture, 0);
+  pass (&fixture, 900 * MS);
+  burdock_balancer_event (fixture.balancer, 1, 100 * MS, 200, fixture.now_us - 100 * MS);
+  burdock_balancer_silent (fixture.balancer, 1, 900 * MS, fixture.now_us);
+  submit (&fixture, 0);
+  CU_ASSERT_EQUAL (fixture.placed, 2);
+  burdock_balancer_free (fixture.balancer);
+}
+
+static void
+report_step (Fixture *fixture, uint32_t rank, uint64_t step)
+{
+  BurdockRankStateMessage state = { .upstream = { rank + 1, 80 },
+                                    .group = "g",
+                                    .epoch = 1,
+                                    .rank = rank,
+                                    .size = 2,
+                                    .open = true,
+                                    .step = step };
+
+  burdock_balancer_rank_state (fixture->balancer, &state, fixture->now_us);
+}
+
+/* Guards against a group that runs again and gets no requests, as none is left at it from
+ * which a sign could come. */
+static void
+steps_end_the_silence_of_a_group (void)
+{
+  BurdockUpstream items[] = { upstream (1, "a", 3), upstream (2, "a", 3) };
+  Fixture fixture;
+
+  set_up (&fixture, items, 2);
+  report_step (&fixture, 0, 10);
+  report_step (&fixture, 1, 10);
+  pass (&fixture, 900 * MS);
+  burdock_balancer_silent (fixture.balancer, 1, 900 * MS, fixture.now_us);
+  burdock_balancer_silent (fixture.balancer, 2, 900 * MS, fixture.now_us);
+  /* This step was begun before the group was found silent. */
+  pass (&fixture, 100 * MS);
+  report_step (&fixture, 0, 12);
+  submit (&fixture, 0);
+  CU_ASSERT_EQUAL (fixture.placed, 0);
+  pass (&fixture, 500 * MS);
+  report_step (&fixture, 0, 12);
+  submit (&fixture, 0);
+  CU_ASSERT_EQUAL (fixture.placed, 0);
+  pass (&fixture, 100 * MS);
+  report_step (&fixture, 0, 13);
+  submit (&fixture, 0);
+  CU_ASSERT_EQUAL (fixture.placed, 3);
+  burdock_balancer_free (fixture.balancer);
+}
+
 /* The load: one slot, held for good, and callers that ask on. What waits is refused when
  * it gives up and not later, with a time to come back. */
 static void
@@ -356,7 +443,7 @@
   CU_ASSERT_EQUAL (before, 80);
   for (uint32_t round = 0; round < 20; round++) {
     for (uint32_t i = 0; i < 10; i++)
-      burdock_balancer_pause (fixture.balancer, 1, 150 * MS, 120);
+      burdock_balancer_event (fixture.balancer, 1, 150 * MS, 120, fixture.now_us);
     pass (&fixture, 250 * MS);
     report_rank (&fixture, 1, 1, true);
   }
@@ -368,7 +455,7 @@
   before = fixture.placed;
   for (uint32_t round = 0; round < 40; round++) {
     for (uint32_t i = 0; i < 10; i++)
-      burdock_balancer_pause (fixture.balancer, 1, 40 * MS, 120);
+      burdock_balancer_event (fixture.balancer, 1, 40 * MS, 120, fixture.now_us);
     pass (&fixture, 250 * MS);
     report_rank (&fixture, 1, 1, true);
     submit (&fixture, 0);
@@ -409,6 +496,11 @@
   { "a request leaves a slow upstream for none",
     room_elsewhere_is_room_at_another_upstream },
   { "an upstream that hangs gets the next request", stalled_upstreams_rest },
+  { "a silent upstream gets requests in the place of those whose callers left",
+    silent_upstreams_get_nothing },
+  { "a slow request closes an upstream that answers others",
+    upstreams_that_answer_others_are_not_silent },
+  { "a group that runs again stays without requests", steps_end_the_silence_of_a_group },
   { "a request is held until its caller leaves", waiting_requests_are_refused_in_time },
   { "a request without a chance is held", hopeless_requests_are_refused_at_once },
   { "repeated sends exceed their budget", repeats_are_bounded },
