--- a/libburdock/balancer-queue.c
+++ b/libburdock/balancer-queue.c
@@ -20,6 +20,12 @@
  * makes them, the own part of a rank is the smaller one. */
 #define GROUP_LOAD_WEIGHT 2.0
 
+/* Part of the places of a group that late requests may fill. Each gateway has a line of
+ * its own, and a place that one gives to a late request is missing at another for one
+ * that is still on time. On kaitiaki-slots-grown scale-1, 0.7, 0.85 and 1 had 0.53, 0.57
+ * and 0.43 of all requests answered on time. */
+#define LATE_PART 0.85
+
 /* Upstreams with room that are compared for a request. */
 #define CHOICES 3
 
@@ -72,13 +78,14 @@
 }
 
 static bool
-group_has_room (const BurdockBalancer *balancer, const Node *node)
+group_has_room (const BurdockBalancer *balancer, const Node *node, bool late)
 {
   const Group *group = node->group;
+  double share = group != NULL ? group->share * (late ? LATE_PART : 1) : 1;
 
   if (group == NULL || balancer->now_us - node->rank_heard_us > RANK_SILENT_US)
     return true;
-  return group->open && group->outstanding < group->slots * group->share;
+  return group->open && group->outstanding < group->slots * share;
 }
 
 static bool
@@ -128,6 +135,7 @@
   double best_load = 0;
   uint32_t start = next_random (balancer);
   uint32_t seen = 0;
+  bool late = placement->on_time_until_us < balancer->now_us;
 
   for (uint32_t i = 0; i < balancer->node_count && seen < CHOICES; i++) {
     Node *node = balancer->nodes[(start + i) % balancer->node_count];
@@ -135,7 +143,7 @@
 
     if (!is_usable (node, pool) || node->paused_until_us > balancer->now_us ||
         is_silent (balancer, node) || outstanding (node) >= node->info.slots ||
-        is_excluded (placement, node->info.key) || !group_has_room (balancer, node))
+        is_excluded (placement, node->info.key) || !group_has_room (balancer, node, late))
       continue;
     seen++;
     load = load_of (balancer, node);
--- a/tests/test-balancer.c
+++ b/tests/test-balancer.c
@@ -327,6 +327,32 @@
   burdock_balancer_free (fixture.balancer);
 }
 
+/* The load: a group with room for 16 at the start, and requests that are late already
+ * beside others that are on time. Guards against a group that is full of late answers. */
+static void
+late_requests_leave_room_for_others (void)
+{
+  BurdockUpstream items[] = { upstream (1, "a", 10), upstream (2, "a", 10) };
+  Fixture fixture;
+  uint32_t late;
+
+  set_up (&fixture, items, 2);
+  report_step (&fixture, 0, 10);
+  report_step (&fixture, 1, 10);
+  for (uint32_t i = 0; i < 16; i++) {
+    BurdockPlacement item = placement (&fixture, 0);
+
+    item.on_time_until_us = fixture.now_us - 1;
+    burdock_balancer_submit (fixture.balancer, &item, fixture.now_us);
+  }
+  late = fixture.placed;
+  CU_ASSERT_TRUE (late >= 12 && late < 16);
+  submit (&fixture, 0);
+  CU_ASSERT_EQUAL (fixture.placed, late + 1);
+  CU_ASSERT_EQUAL (fixture.order[late], fixture.next_handle);
+  burdock_balancer_free (fixture.balancer);
+}
+
 /* The load: one slot, held for good, and callers that ask on. What waits is refused when
  * it gives up and not later, with a time to come back. */
 static void
@@ -500,6 +526,8 @@
     silent_upstreams_get_nothing },
   { "a slow request closes an upstream that answers others",
     upstreams_that_answer_others_are_not_silent },
+  { "late requests take the places of those that are on time",
+    late_requests_leave_room_for_others },
   { "a group that runs again stays without requests", steps_end_the_silence_of_a_group },
   { "a request is held until its caller leaves", waiting_requests_are_refused_in_time },
   { "a request without a chance is held", hopeless_requests_are_refused_at_once },
