--- a/libburdock/balancer-queue.c
+++ b/libburdock/balancer-queue.c
@@ -126,27 +126,55 @@
          (node->group != NULL && node->group->life.silent_until_us > balancer->now_us);
 }
 
+static bool
+is_eligible (const BurdockBalancer *balancer, const Node *node, const Pool *pool,
+             const BurdockPlacement *placement)
+{
+  bool late = placement->on_time_until_us < balancer->now_us;
+
+  return is_usable (node, pool) && node->paused_until_us <= balancer->now_us &&
+         !is_silent (balancer, node) && outstanding (node) < node->info.slots &&
+         !is_excluded (placement, node->info.key) &&
+         group_has_room (balancer, node, late);
+}
+
+/* Fills @sample with eligible nodes, each equally likely, and returns their number. A
+ * walk from a random start would meet the same ones after each long row of full nodes. */
+static uint32_t
+sample_nodes (BurdockBalancer *balancer, const Pool *pool,
+              const BurdockPlacement *placement, Node **sample)
+{
+  uint32_t seen = 0;
+
+  for (uint32_t i = 0; i < balancer->node_count; i++) {
+    Node *node = balancer->nodes[i];
+    uint32_t at;
+
+    if (!is_eligible (balancer, node, pool, placement))
+      continue;
+    at = seen < CHOICES ? seen : next_random (balancer) % (seen + 1);
+    seen++;
+    if (at < CHOICES)
+      sample[at] = node;
+  }
+  return seen < CHOICES ? seen : CHOICES;
+}
+
 /* The best of a few: the loads that the gateways see are as old as their heartbeats, and
  * if all took the least loaded upstream of the fleet, they would meet there. */
 static Node *
 choose (BurdockBalancer *balancer, const Pool *pool, const BurdockPlacement *placement)
 {
+  Node *sample[CHOICES];
+  uint32_t count = sample_nodes (balancer, pool, placement, sample);
+  uint32_t start = next_random (balancer); /* decides between equals */
   Node *best = NULL;
   double best_load = 0;
-  uint32_t start = next_random (balancer);
-  uint32_t seen = 0;
-  bool late = placement->on_time_until_us < balancer->now_us;
 
-  for (uint32_t i = 0; i < balancer->node_count && seen < CHOICES; i++) {
-    Node *node = balancer->nodes[(start + i) % balancer->node_count];
-    double load;
+  for (uint32_t i = 0; i < count; i++) {
+    Node *node = sample[(start + i) % count];
+    double load = load_of (balancer, node);
 
-    if (!is_usable (node, pool) || node->paused_until_us > balancer->now_us ||
-        is_silent (balancer, node) || outstanding (node) >= node->info.slots ||
-        is_excluded (placement, node->info.key) || !group_has_room (balancer, node, late))
-      continue;
-    seen++;
-    load = load_of (balancer, node);
     if (best != NULL && load >= best_load)
       continue;
     best = node;
--- a/tests/test-balancer.c
+++ b/tests/test-balancer.c
@@ -353,6 +353,35 @@
   burdock_balancer_free (fixture.balancer);
 }
 
+/* The load: forty gateways that place one request each, while twelve upstreams in a row
+ * are full and eight are free. Guards against all of them taking the first free one. */
+static void
+gateways_spread_over_free_upstreams (void)
+{
+  BurdockUpstream items[20];
+  BurdockLoadItem loads[12];
+  uint32_t taken[21] = { 0 };
+
+  for (uint32_t i = 0; i < 20; i++)
+    items[i] = upstream (i + 1, "a", 10);
+  for (uint32_t i = 0; i < 12; i++)
+    loads[i] = (BurdockLoadItem){ .upstream = i + 1, .outstanding = 10 };
+  for (uint32_t gateway = 0; gateway < 40; gateway++) {
+    BurdockBalancerSettings settings = { .seed = gateway, .failure_domain = "a" };
+    Fixture fixture = { .now_us = S };
+    BurdockBalancerHandler handler = { &fixture, take_place, take_refusal };
+
+    fixture.balancer = burdock_balancer_new (&settings, &handler);
+    burdock_balancer_set_upstreams (fixture.balancer, items, 20, fixture.now_us);
+    burdock_balancer_peer_load (fixture.balancer, 9, loads, 12, fixture.now_us);
+    submit (&fixture, 0);
+    taken[fixture.placed_at[fixture.order[0]]]++;
+    burdock_balancer_free (fixture.balancer);
+  }
+  for (uint32_t key = 13; key <= 20; key++)
+    CU_ASSERT_TRUE (taken[key] <= 12);
+}
+
 /* The load: one slot, held for good, and callers that ask on. What waits is refused when
  * it gives up and not later, with a time to come back. */
 static void
@@ -526,6 +555,8 @@
     silent_upstreams_get_nothing },
   { "a slow request closes an upstream that answers others",
     upstreams_that_answer_others_are_not_silent },
+  { "gateways meet at the first free upstream after full ones",
+    gateways_spread_over_free_upstreams },
   { "late requests take the places of those that are on time",
     late_requests_leave_room_for_others },
   { "a group that runs again stays without requests", steps_end_the_silence_of_a_group },
