--- a/libburdock/map-coordinator.c
+++ b/libburdock/map-coordinator.c
@@ -30,9 +30,9 @@
 /* Ranks report their maps within this time of a switch. */
 #define SETTLE_US (400 * US_PER_MS)
 
-/* Half life of the counts is 0.39 s: faster follows chance, slower lags behind a demand
+/* Half life of the counts is 0.19 s: faster follows chance, slower lags behind a demand
  * that moves every few seconds. */
-#define DECAY_INTERVAL_US (125 * US_PER_MS)
+#define DECAY_INTERVAL_US (60 * US_PER_MS)
 #define DECAY 0.80
 
 /* Reports of a rank before the first plan: a few steps tell more than the initial map,
