--- a/cli/cli.h
+++ b/cli/cli.h
@@ -58,6 +58,7 @@
 int cli_show (Cli *cli, int argc, char **argv);
 int cli_status (Cli *cli, int argc, char **argv);
 int cli_timeline (Cli *cli, int argc, char **argv);
+int cli_story (Cli *cli, int argc, char **argv);
 
 /** cli_arguments() - checks the number of positional arguments; -EINVAL with a message */
 int cli_arguments (const char *command, int argc, int minimum, int maximum,
--- a/cli/main.c
+++ b/cli/main.c
@@ -24,6 +24,7 @@
   { "plan", "FILE GROUP TRACE", "plan a rank group from recorded popularity", cli_plan },
   { "replay", "FILE GROUP TRACE", "replay recorded popularity interval by interval",
     cli_replay },
+  { "story", "ATTEMPT LOG...", "show what logs tell about one request", cli_story },
   { "timeline", "[FILTER...]", "show what happened, over all members", cli_timeline },
 };
 
@@ -39,6 +40,7 @@
     "  show [effective WORKSPACE [BRANCH]]   show the configuration in force\n"
     "  status                                show members, leases and rank groups\n"
     "  entries                               show the entries that callers are told\n"
+    "  story ATTEMPT LOG...                  show what logs tell about one request\n"
     "  timeline                              show what happened, over all members\n"
     "  plan FILE GROUP TRACE                 plan a rank group from a trace\n"
     "  replay FILE GROUP TRACE               replay a trace interval by interval\n\n"
--- a/daemon/log.c
+++ b/daemon/log.c
@@ -86,6 +86,25 @@
   return poll (&state, 1, 0) == 1 && (state.revents & POLLOUT) != 0;
 }
 
+/* Puts a line with the number of dropped ones before @line. */
+static void
+report_dropped (GString *line, uint32_t lost)
+{
+  GString *report = g_string_new (NULL);
+  char *count = g_strdup_printf ("lines %" PRIu32, lost);
+
+  append_time (report);
+  append_field (report, "level", level_names[BURDOCK_LOG_WARNING], -1);
+  append_field (report, "instance", instance_name, -1);
+  append_field (report, "step", "log lines dropped", -1);
+  append_field (report, "peer", "-", -1);
+  append_field (report, "detail", count, -1);
+  g_string_append_c (report, '\n');
+  g_string_prepend (line, report->str);
+  g_free (count);
+  g_string_free (report, TRUE);
+}
+
 static void
 write_or_drop (GString *line)
 {
@@ -97,7 +116,7 @@
   }
   lost = atomic_exchange (&dropped_lines, 0);
   if (lost > 0)
-    g_string_prepend (line, "step=\"log lines dropped\"\n");
+    report_dropped (line, lost);
   if (write (STDOUT_FILENO, line->str, line->len) < 0)
     atomic_fetch_add (&dropped_lines, lost + 1);
 }
--- /dev/null
+++ b/tests/test-story.c
@@ -0,0 +1,122 @@
+#include "story.h"
+#include "test.h"
+
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Lines of three processes in one file, out of order, as a collector may leave them. */
+static const char *const lines[] = {
+  "time=2026-12-04T08:00:02.900Z level=info instance=g2 step=\"request ended\" peer=i-1 "
+  "detail=\"outcome passed status 200 route r pool p sent 1 ran 1 reason none first_ms "
+  "180 total_ms 900 placed_ms 0 events 9 pause_ms 60\" subject=other",
+  "  18.2 g1 time=2026-12-04T08:00:02.100Z level=info instance=g1 step=\"request ended\" "
+  "peer=i-2 detail=\"outcome failed status 502 route r pool p sent 1 ran 1 reason none "
+  "first_ms 0 total_ms 1100 placed_ms 20 events 0 pause_ms 0\" subject=a1",
+  "time=2026-12-04T08:00:02.099Z level=info instance=g1 step=\"attempt failed\" peer=i-2 "
+  "detail=\"result 5 status -5 sent 1\" subject=a1",
+  "time=2026-12-04T08:00:01.500Z level=warning instance=g3 step=\"upstream silent\" "
+  "peer=i-2 detail=\"silent_ms 700\" subject=b7",
+  "time=2026-12-04T08:00:01.600Z level=warning instance=g3 step=\"store lost\" peer=- "
+  "detail=\"status -5\"",
+  "time=2026-12-04T07:00:01.500Z level=info instance=g1 step=\"upstream gone\" peer=i-2 "
+  "detail=\"its entry was removed\"",
+  "time=2026-12-04T08:00:03.000Z level=info instance=g1 step=\"request ended\" peer=- "
+  "detail=\"outcome refused status 503 route r pool p sent 0 ran 0 reason overload "
+  "first_ms 0 total_ms 1000 placed_ms 0 events 0 pause_ms 0\" subject=c3",
+  "time=2026-12-04T08:00:04.000Z level=info instance=g1 step=\"request ended\" peer=i-1 "
+  "detail=\"outcome passed status 200 route r pool p sent 1 ran 1 reason none "
+  "first_ms 950 total_ms 1900 placed_ms 800 events 9 pause_ms 90\" subject=d4",
+  "time=2026-12-04T08:00:05.000Z level=info instance=g1 step=\"request rejected\" peer=- "
+  "detail=\"status 404 path /x\\\" subject=a1 \" subject=e5",
+  "time=yesterday instance=g1 step=x peer=- detail=y subject=a1",
+  "no line of a log",
+};
+
+typedef struct {
+  const char *name;
+  const char *id;
+  uint32_t own;
+  const char *has[4];
+  const char *lacks[3];
+} StoryCase;
+
+static const StoryCase cases[] = {
+  { "lost answer, with what others saw of the upstream",
+    "a1",
+    2,
+    { "upstream silent", "attempt failed", "cause: failed 502: may have run", NULL },
+    { "store lost", "upstream gone", "404" } },
+  { "refusal",
+    "c3",
+    1,
+    { "cause: refused 503: found no place", "total 1000 ms" },
+    { NULL } },
+  { "late answer",
+    "d4",
+    1,
+    { "cause: passed 200", "first event after 950 ms", "late: it waited for a place" },
+    { NULL } },
+  { "no end in the logs", "e5", 1, { "cause: unknown" }, { NULL } },
+  { "unknown request", "ff", 0, { NULL }, { "cause" } },
+};
+
+static char *
+tell (const char *id, uint32_t *own)
+{
+  CliStory *story = cli_story_new (id);
+  char *text = NULL;
+  size_t size_bytes = 0;
+  FILE *out = open_memstream (&text, &size_bytes);
+
+  for (size_t i = 0; i < sizeof lines / sizeof lines[0]; i++)
+    cli_story_add (story, lines[i]);
+  *own = cli_story_print (story, out);
+  fclose (out);
+  cli_story_free (story);
+  return text;
+}
+
+static void
+stories_are_told (void)
+{
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    const StoryCase *item = &cases[i];
+    uint32_t own;
+    char *text = tell (item->id, &own);
+    bool right = own == item->own;
+
+    for (uint32_t k = 0; k < 4 && item->has[k] != NULL; k++)
+      right = right && strstr (text, item->has[k]) != NULL;
+    for (uint32_t k = 0; k < 3 && item->lacks[k] != NULL; k++)
+      right = right && strstr (text, item->lacks[k]) == NULL;
+    if (!right)
+      fprintf (stderr, "%s:\n%s", item->name, text);
+    CU_ASSERT_TRUE (right);
+    free (text);
+  }
+}
+
+static void
+records_are_in_order (void)
+{
+  uint32_t own;
+  char *text = tell ("a1", &own);
+  const char *silent = strstr (text, "upstream silent");
+  const char *failed = strstr (text, "attempt failed");
+  const char *ended = strstr (text, "request ended");
+
+  CU_ASSERT_TRUE (silent != NULL && silent < failed && failed < ended);
+  free (text);
+}
+
+static const Test tests[] = {
+  { "the cause of a request's end is not found in the logs", stories_are_told },
+  { "records are shown in the order of the files", records_are_in_order },
+};
+
+int
+main (void)
+{
+  return test_main ("story", tests, TEST_COUNT (tests));
+}
