--- a/cli/story.c
+++ b/cli/story.c
@@ -44,7 +44,6 @@
   { "refused", "no-upstream", "", "found no upstream: none was listed and not leaving" },
   { "refused", "deadline", "", "its time was up before it found a place" },
   { "refused", "", "", "each upstream that it was sent to refused it; it did not run" },
-  { "failed", "", "504", "its time was up while the upstream still worked on it" },
   { "failed", "", "",
     "may have run and its answer was lost; no further run was allowed, or there was no "
     "time, place or retry budget left" },
@@ -199,18 +198,21 @@
   return (first->time_ms > second->time_ms) - (first->time_ms < second->time_ms);
 }
 
-/* Whether a record is about an upstream of the request, or about a dependency of the
- * gateway that had it. */
+/* Whether a record is about an upstream of the request, about a dependency of the gateway
+ * that had it, or about a group that broke or opened, which leaves less room to all. */
 static bool
 concerns (const CliStory *story, const Record *record)
 {
+  if (g_strcmp0 (record->step, "group") == 0)
+    return true;
   for (guint i = 0; i < story->own->len; i++) {
     const Record *own = g_ptr_array_index (story->own, i);
 
     if (g_strcmp0 (own->peer, "-") != 0 && g_strcmp0 (own->peer, record->peer) == 0)
       return true;
     if (g_strcmp0 (own->instance, record->instance) == 0 &&
-        g_strcmp0 (record->peer, "-") == 0)
+        (g_strcmp0 (record->peer, "-") == 0 ||
+         g_strcmp0 (record->step, "upstream silent") == 0))
       return true;
   }
   return false;
@@ -299,32 +301,34 @@
 }
 
 static void
-print_cause (FILE *out, const Record *end)
+print_cause (FILE *out, const Record *end, bool timed_out)
 {
   char *outcome = detail_word (end, "outcome");
   char *reason = detail_word (end, "reason");
   char *status = detail_word (end, "status");
 
   fprintf (out, "cause: %s %s: %s\n", outcome, status,
-           cause_of (outcome, reason, status));
+           timed_out ? "its time was up while the upstream still worked on it"
+                     : cause_of (outcome, reason, status));
   print_times (out, end);
   g_free (status);
   g_free (outcome);
   g_free (reason);
 }
 
+/* Returns the last record about the request with @step, or NULL. */
 static const Record *
-end_of (const CliStory *story)
+last_of (const CliStory *story, const char *step)
 {
-  const Record *end = NULL;
+  const Record *last = NULL;
 
   for (guint i = 0; i < story->own->len; i++) {
     const Record *record = g_ptr_array_index (story->own, i);
 
-    if (g_strcmp0 (record->step, "request ended") == 0)
-      end = record;
+    if (g_strcmp0 (record->step, step) == 0)
+      last = record;
   }
-  return end;
+  return last;
 }
 
 static void
@@ -361,9 +365,9 @@
     print_record (out, record, own ? "*" : " ");
   }
   g_ptr_array_unref (all);
-  end = end_of (story);
+  end = last_of (story, "request ended");
   if (end != NULL)
-    print_cause (out, end);
+    print_cause (out, end, last_of (story, "request timed out") != NULL);
   else if (story->own->len > 0)
     fprintf (out, "cause: unknown: the logs do not hold the end of the request\n");
   return story->own->len;
--- a/tests/test-story.c
+++ b/tests/test-story.c
@@ -29,6 +29,13 @@
   "first_ms 950 total_ms 1900 placed_ms 800 events 9 pause_ms 90\" subject=d4",
   "time=2026-12-04T08:00:05.000Z level=info instance=g1 step=\"request rejected\" peer=- "
   "detail=\"status 404 path /x\\\" subject=a1 \" subject=e5",
+  "time=2026-12-04T08:00:06.000Z level=info instance=g1 step=\"request timed out\" "
+  "peer=i-9 detail=\"phase 2 limit_ms 400\" subject=f6",
+  "time=2026-12-04T08:00:06.001Z level=info instance=g1 step=\"request ended\" peer=i-9 "
+  "detail=\"outcome broken status 200 route r pool p sent 1 ran 0 reason none first_ms "
+  "120 total_ms 400 placed_ms 0 events 2 pause_ms 90\" subject=f6",
+  "time=2026-12-04T08:00:05.000Z level=info instance=r7 step=group peer=- detail=\"group "
+  "x epoch 3 rank 1 of 8 broken map 0 step 9\"",
   "time=yesterday instance=g1 step=x peer=- detail=y subject=a1",
   "no line of a log",
 };
@@ -57,6 +64,11 @@
     1,
     { "cause: passed 200", "first event after 950 ms", "late: it waited for a place" },
     { NULL } },
+  { "time limit, while a group was broken",
+    "f6",
+    2,
+    { "epoch 3 rank 1 of 8 broken", "cause: broken 200: its time was up" },
+    { NULL } },
   { "no end in the logs", "e5", 1, { "cause: unknown" }, { NULL } },
   { "unknown request", "ff", 0, { NULL }, { "cause" } },
 };
