--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -308,7 +308,8 @@
     measure_heartbeats (balancer, (double)(now_us - known->heard_us));
   known->heard_us = now_us;
   known->count = count;
-  memcpy (known->items, items, count * sizeof *items);
+  if (count > 0)
+    memcpy (known->items, items, count * sizeof *items);
   count_peer_items (balancer, known, true);
   /* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): the table of peers owns a new one */
   burdock_balancer_dispatch (balancer);
