--- a/libburdock/balancer-queue.c
+++ b/libburdock/balancer-queue.c
@@ -258,7 +258,8 @@
     if (node == NULL)
       return;
     placement = unlink_waiting (balancer, pool, at);
-    if (node->group != NULL && is_late (balancer, &placement))
+    if (node->group != NULL && is_late (balancer, &placement) &&
+        node->group->late_credit >= 1)
       node->group->late_credit -= 1;
     place (balancer, pool, node, placement.handle);
   }
--- a/tests/test-balancer.c
+++ b/tests/test-balancer.c
@@ -360,6 +360,35 @@
   burdock_balancer_free (fixture.balancer);
 }
 
+/* The load: late requests while no agent of the group is heard, when nothing limits them.
+ * Guards against a debt that keeps late requests out once agents are heard again. */
+static void
+late_requests_leave_no_debt (void)
+{
+  BurdockUpstream items[] = { upstream (1, "a", 20), upstream (2, "a", 20) };
+  uint32_t before;
+  Fixture fixture;
+
+  set_up (&fixture, items, 2);
+  report_step (&fixture, 0, 10);
+  report_step (&fixture, 1, 10);
+  pass (&fixture, 3 * S);
+  for (uint64_t peer = 1; peer < 10; peer++)
+    burdock_balancer_peer_load (fixture.balancer, peer, NULL, 0, fixture.now_us);
+  for (uint32_t i = 0; i < 40; i++)
+    submit_late (&fixture);
+  for (uint32_t i = 0; i < fixture.next_handle; i++)
+    burdock_balancer_finish (fixture.balancer, fixture.placed_at[fixture.order[i]],
+                             BURDOCK_UPSTREAM_OK, fixture.now_us);
+  before = fixture.placed;
+  report_step (&fixture, 0, 11);
+  report_step (&fixture, 1, 11);
+  pass (&fixture, 100 * MS);
+  submit_late (&fixture);
+  CU_ASSERT_EQUAL (fixture.placed, before + 1);
+  burdock_balancer_free (fixture.balancer);
+}
+
 /* The load: a group with room for 16 at the start, and requests that are late already
  * beside others that are on time. Guards against a group that is full of late answers. */
 static void
@@ -616,6 +645,7 @@
     upstreams_that_answer_others_are_not_silent },
   { "gateways meet at the first free upstream after full ones",
     gateways_spread_over_free_upstreams },
+  { "late requests are kept out after agents were silent", late_requests_leave_no_debt },
   { "late requests of all gateways fill a group at once", late_requests_share_the_room },
   { "late requests take the places of those that are on time",
     late_requests_leave_room_for_others },
