--- a/libburdock/balancer-private.h
+++ b/libburdock/balancer-private.h
@@ -23,6 +23,7 @@
   char name[BURDOCK_NAME_BYTES];
   uint64_t epoch;
   bool open;
+  uint64_t heard_us; /* last report of any of its agents */
   double share;
   uint32_t slots;
   uint32_t outstanding;
--- a/libburdock/balancer-queue.c
+++ b/libburdock/balancer-queue.c
@@ -4,8 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* An agent reports once a second; without a report the state is unknown. */
-#define RANK_SILENT_US UINT64_C (2500000)
+/* Each agent reports once a second; without any the state of a group is unknown. */
+#define GROUP_SILENT_US UINT64_C (2500000)
 
 /* Requests that a failure rate of 1 counts for in the comparison of upstreams. */
 #define FAILURE_LOAD 24.0
@@ -92,7 +92,7 @@
   const Group *group = node->group;
   double share = group != NULL ? group->share * (late ? LATE_PART : 1) : 1;
 
-  if (group == NULL || balancer->now_us - node->rank_heard_us > RANK_SILENT_US)
+  if (group == NULL || balancer->now_us - group->heard_us > GROUP_SILENT_US)
     return true;
   if (late && group->late_credit < 1)
     return false;
--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -358,7 +358,7 @@
   }
   node->rank = state->rank;
   note_step (node, node->rank_heard_us, state->step);
-  node->rank_heard_us = now_us;
+  node->rank_heard_us = group->heard_us = now_us;
   if (state->epoch < group->epoch)
     return;
   if (state->epoch == group->epoch && state->open == group->open)
--- a/tests/test-balancer.c
+++ b/tests/test-balancer.c
@@ -355,6 +355,26 @@
   burdock_balancer_free (fixture.balancer);
 }
 
+/* Guards against a rank whose agent is silent, which would stay open to all requests that
+ * find its group full. */
+static void
+a_silent_agent_leaves_its_rank_in_the_group (void)
+{
+  Fixture fixture;
+
+  set_up_group (&fixture, 10);
+  for (uint32_t i = 0; i < 14; i++)
+    submit (&fixture, 0);
+  for (uint32_t i = 0; i < 6; i++) {
+    pass (&fixture, 500 * MS);
+    report_step (&fixture, 1, 11 + i);
+  }
+  CU_ASSERT_EQUAL (fixture.placed, 14);
+  submit (&fixture, 0);
+  CU_ASSERT_EQUAL (fixture.placed, 14);
+  burdock_balancer_free (fixture.balancer);
+}
+
 static void
 submit_late (Fixture *fixture)
 {
@@ -669,6 +689,8 @@
   { "late requests take the places of those that are on time",
     late_requests_leave_room_for_others },
   { "a group that runs again stays without requests", steps_end_the_silence_of_a_group },
+  { "a rank whose agent is silent takes what its full group does not",
+    a_silent_agent_leaves_its_rank_in_the_group },
   { "a group that hangs gets requests at its other ranks",
     ranks_of_a_group_are_silent_together },
   { "a request is held until its caller leaves", waiting_requests_are_refused_in_time },
