--- a/libburdock/map-coordinator.c
+++ b/libburdock/map-coordinator.c
@@ -3,6 +3,7 @@
 
 #include <errno.h>
 #include <inttypes.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -30,9 +31,11 @@
 /* Ranks report their maps within this time of a switch. */
 #define SETTLE_US (400 * US_PER_MS)
 
-/* Half life of the counts is 0.19 s: faster follows chance, slower lags behind a demand
- * that moves every few seconds. */
-#define DECAY_INTERVAL_US (60 * US_PER_MS)
+/* Interval at which the counts of a group of one rank decay. All ranks report counts, and
+ * the chance in their sum falls with the root of their number; so does the interval. A
+ * shorter one follows chance, a longer one lags behind a demand that moves every few
+ * seconds. The half life is 0.39 s with 8 ranks and 0.19 s with 32. */
+#define DECAY_INTERVAL_US (354 * US_PER_MS)
 #define DECAY 0.80
 
 /* Reports of a rank before the first plan: a few steps tell more than the initial map,
@@ -114,12 +117,21 @@
   self->samples++;
 }
 
+uint64_t
+burdock_coordinator_decay_interval_us (uint32_t ranks)
+{
+  return (uint64_t)((double)DECAY_INTERVAL_US / sqrt (ranks > 0 ? ranks : 1));
+}
+
 static void
-decay_rates (BurdockCoordinator *self, uint64_t now_us)
+decay_rates (BurdockMapAgent *agent, uint64_t now_us)
 {
+  BurdockCoordinator *self = &agent->coordinator;
+
   if (now_us < self->next_decay_us)
     return;
-  self->next_decay_us = now_us + DECAY_INTERVAL_US;
+  self->next_decay_us =
+      now_us + burdock_coordinator_decay_interval_us (burdock_coordinator_size (agent));
   for (uint32_t i = 0; i < self->rate_count; i++)
     self->rates[i] *= DECAY;
 }
@@ -584,7 +596,7 @@
 {
   BurdockCoordinator *self = &agent->coordinator;
 
-  decay_rates (self, now_us);
+  decay_rates (agent, now_us);
   check_group (agent, now_us);
   if (self->phase == BURDOCK_COORDINATOR_IDLE &&
       !burdock_coordinator_is_self (agent, now_us))
--- a/libburdock/map-coordinator.h
+++ b/libburdock/map-coordinator.h
@@ -22,6 +22,9 @@
 void burdock_coordinator_enter (BurdockMapAgent *agent, BurdockCoordinatorPhase phase,
                                 uint64_t now_us);
 
+/** burdock_coordinator_decay_interval_us() - interval at which counts of experts decay */
+uint64_t burdock_coordinator_decay_interval_us (uint32_t ranks);
+
 /** burdock_coordinator_command() - tells the agent of @rank what to do */
 void burdock_coordinator_command (BurdockMapAgent *agent, uint32_t rank,
                                   BurdockMapCommandKind kind, BurdockBytes map,
--- a/tests/test-map-agent.c
+++ b/tests/test-map-agent.c
@@ -1,5 +1,6 @@
 #include "fake-group.h"
 #include "map-agent.h"
+#include "map-coordinator.h"
 #include "test.h"
 
 #include <stdlib.h>
@@ -130,7 +131,31 @@
   burdock_map_agent_free (agent);
 }
 
+/* Bounds follow from what each size has to do: a map has to follow demand that moves
+ * every few seconds, and groups of 32 see it move every one or two. */
+static const struct {
+  uint32_t ranks;
+  uint64_t least_ms;
+  uint64_t most_ms;
+} decays[] = {
+  { 0, 300, 400 }, { 1, 300, 400 }, { 2, 200, 300 }, { 8, 100, 150 }, { 32, 50, 75 },
+};
+
+/* Guards against small groups whose maps follow chance, and large ones whose maps lag. */
+static void
+counts_of_large_groups_decay_faster (void)
+{
+  for (size_t i = 0; i < sizeof decays / sizeof decays[0]; i++) {
+    uint64_t interval_us = burdock_coordinator_decay_interval_us (decays[i].ranks);
+
+    CU_ASSERT_TRUE (interval_us >= decays[i].least_ms * 1000);
+    CU_ASSERT_TRUE (interval_us <= decays[i].most_ms * 1000);
+  }
+}
+
 static const Test tests[] = {
+  { "small groups follow chance, or large ones lag behind demand",
+    counts_of_large_groups_decay_faster },
   { "a rank beyond the largest is written behind the table",
     ranks_beyond_the_largest_are_ignored },
   { "maps do not follow the demand", maps_follow_the_demand },
