Read numbers in every notation that the platform may write

A whole number may be written with a zero fraction or an exponent; out of range, it is refused with its name, value and range.

--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -35,7 +35,7 @@
   TYPE_FILE,
   TYPE_ADDRESS,
   TYPE_U32,
-  TYPE_RATIO,
+  TYPE_REAL,
   TYPE_SEEDS,
   TYPE_LEVEL,
 } Type;
@@ -46,8 +46,8 @@
  * @roles: bit mask of the roles that accept it
  * @required: bit mask of the roles that require it
  * @offset: offset of the field in &BurdockDaemonSettings
- * @minimum: lowest value of a TYPE_U32 or TYPE_RATIO
- * @maximum: highest value of a TYPE_U32 or TYPE_RATIO
+ * @minimum: lowest value of a TYPE_U32 or TYPE_REAL
+ * @maximum: highest value of a TYPE_U32 or TYPE_REAL
  */
 typedef struct {
   const char *name;
@@ -106,11 +106,11 @@
   { "metrics", "IP:PORT", "address of the metrics endpoint, none by default",
     GATEWAY | RANK_AGENT, 0, TYPE_ADDRESS, FIELD (metrics_address), 0, 0 },
   { "retry-ratio", "RATIO",
-    "retries of all gateways together per request, 0.1 by default", GATEWAY, 0,
-    TYPE_RATIO, FIELD (retry_ratio), 0, 1 },
+    "retries of all gateways together per request, 0.1 by default", GATEWAY, 0, TYPE_REAL,
+    FIELD (retry_ratio), 0, 1 },
   { "retry-allowance", "N",
     "further retries of all gateways together in 10 s, 20 by default", GATEWAY, 0,
-    TYPE_U32, FIELD (retry_allowance), 0, 1000000 },
+    TYPE_REAL, FIELD (retry_allowance), 0, 1000000 },
   { "log-level", "LEVEL", "debug, info (default), warning or error", ALL_ROLES, 0,
     TYPE_LEVEL, FIELD (log_level), 0, 0 },
 };
@@ -193,32 +193,33 @@
   return true;
 }
 
+/* Parses a number in decimal notation, with a fraction or exponent if any. The platform
+ * fills in settings in every form that TOML and JSON allow. strtod() alone would also
+ * accept hexadecimal numbers, infinities and leading spaces. */
 static bool
-parse_u32 (const Option *option, uint32_t *out, const char *value)
+parse_real (const Option *option, double *out, const char *value)
 {
-  unsigned long number;
   char *end;
+  double number;
 
-  if (value[0] < '0' || value[0] > '9')
+  if (value[0] < '0' || value[0] > '9' ||
+      value[strspn (value, "0123456789.eE+-")] != '\0')
     return false;
-  errno = 0;
-  number = strtoul (value, &end, 10);
-  if (errno != 0 || *end != '\0' || number < option->minimum || number > option->maximum)
+  number = strtod (value, &end);
+  if (*end != '\0' || !(number >= option->minimum) || !(number <= option->maximum))
     return false;
-  *out = (uint32_t)number;
+  *out = number;
   return true;
 }
 
 static bool
-parse_ratio (const Option *option, double *out, const char *value)
+parse_u32 (const Option *option, uint32_t *out, const char *value)
 {
-  char *end;
-  double number = strtod (value, &end);
+  double number;
 
-  if (end == value || *end != '\0' || !(number >= option->minimum) ||
-      !(number <= option->maximum))
+  if (!parse_real (option, &number, value) || number != (uint32_t)number)
     return false;
-  *out = number;
+  *out = (uint32_t)number;
   return true;
 }
 
@@ -269,11 +270,11 @@
   case TYPE_U32:
     if (parse_u32 (option, field, value))
       return 0;
-    snprintf (expected, sizeof expected, "a number from %u to %u", option->minimum,
+    snprintf (expected, sizeof expected, "a whole number from %u to %u", option->minimum,
               option->maximum);
     return report_invalid (parser->program, option->name, value, expected);
-  case TYPE_RATIO:
-    if (parse_ratio (option, field, value))
+  case TYPE_REAL:
+    if (parse_real (option, field, value))
       return 0;
     snprintf (expected, sizeof expected, "a number from %u to %u", option->minimum,
               option->maximum);
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -34,7 +34,7 @@
   BurdockAddress directory_address;
   BurdockAddress metrics_address;
   double retry_ratio;
-  uint32_t retry_allowance;
+  double retry_allowance;
   char tls_certificate[BURDOCK_URL_BYTES];
   char tls_key[BURDOCK_URL_BYTES];
   BurdockLogLevel log_level;
--- a/libburdock/balancer.h
+++ b/libburdock/balancer.h
@@ -81,7 +81,7 @@
   uint64_t seed;
   char failure_domain[BURDOCK_NAME_BYTES];
   double retry_ratio;
-  uint32_t retry_allowance;
+  double retry_allowance;
 } BurdockBalancerSettings;
 
 /** enum BurdockUpstreamOutcome - how a request at an upstream ended */
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -37,6 +37,12 @@
   { "address for a URL", 0, -EINVAL, "--upstream", "127.0.0.1:4", NULL, NULL },
   { "rank", 0, 0, "--rank", "4095", NULL, NULL },
   { "negative rank", 0, -EINVAL, "--rank", "-1", NULL, NULL },
+  { "rank with an exponent", 0, 0, "--rank", "4e3", NULL, NULL },
+  { "rank with a zero fraction", 0, 0, "--rank", "7.000", NULL, NULL },
+  { "rank with a fraction", 0, -EINVAL, "--rank", "7.5", NULL, NULL },
+  { "rank beyond 32 bits", 0, -EINVAL, "--rank", "4294967303", NULL, NULL },
+  { "rank beyond 64 bits", 0, -EINVAL, "--rank", "18446744073709551623", NULL, NULL },
+  { "hexadecimal rank", 0, -EINVAL, "--rank", "0x10", NULL, NULL },
   { "number with a unit", 0, -EINVAL, "--stop-limit-ms", "5s", NULL, NULL },
   { "no capacity", 0, -EINVAL, "--capacity", "0", NULL, NULL },
   { "seeds", 0, 0, "--seeds", "127.0.0.1:1,127.0.0.1:2", NULL, NULL },
@@ -126,7 +132,57 @@
   }
 }
 
+typedef struct {
+  const char *value;
+  double expected; /* negative if the value is rejected */
+} AllowanceCase;
+
+static const AllowanceCase allowance_cases[] = {
+  { "94", 94 },        { "94.0", 94 },   { "37.333333333333336", 37.333333333333336 },
+  { "9.4e1", 94 },     { "1E+3", 1000 }, { "4e-1", 0.4 },
+  { "0", 0 },          { "1e7", -1 },    { "18446744073709551616", -1 },
+  { "1e999", -1 },     { "-1", -1 },     { "nan", -1 },
+  { "inf", -1 },       { "0x10", -1 },   { " 5", -1 },
+  { "5 retries", -1 }, { "", -1 },
+};
+
+/* Guards against a gateway that does not start because the platform writes a number as a
+ * fraction or with an exponent, and against numbers that are stored altered. */
+static void
+numbers_are_read_in_every_notation (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (allowance_cases); i++) {
+    const AllowanceCase *row = &allowance_cases[i];
+    const char *arguments[] = { "test",
+                                "--name",
+                                "g",
+                                "--failure-domain",
+                                "a",
+                                "--control",
+                                "1.1.1.1:1",
+                                "--http",
+                                "1.1.1.1:2",
+                                "--ready",
+                                "1.1.1.1:3",
+                                "--directory",
+                                "1.1.1.1:4",
+                                "--store",
+                                "http://1.1.1.1:5",
+                                "--retry-allowance",
+                                row->value };
+    BurdockDaemonSettings settings;
+    int status = burdock_settings_parse (&settings, BURDOCK_ROLE_GATEWAY, "test",
+                                         (int)TEST_COUNT (arguments), (char **)arguments);
+
+    CU_ASSERT_EQUAL (status, row->expected >= 0 ? 0 : -EINVAL);
+    if (status == 0)
+      CU_ASSERT_EQUAL (settings.retry_allowance, row->expected);
+  }
+}
+
 static const Test tests[] = {
+  { "a number in an unusual notation is rejected or altered",
+    numbers_are_read_in_every_notation },
   { "an invalid setting is not rejected at start",
     invalid_settings_are_rejected_at_start },
   { "an environment variable overrides a flag", flags_take_precedence_over_variables },
