Keep one upstream per address whatever the order of the rows

Where the row of the new id came first in the listing, the old entry stayed beside it, as only entries with lower versions were dropped when a row was read. The state of the agent at that address applied to one of the two, so the other one counted as an upstream without a group and got requests while the group was broken: 209 were rejected by runners and passed on as 503 until the group opened at 36.65 s.

Change: upstream-registry in the library holds the entries and their rules, without I/O; it keeps the entry whose row was written last. The state of a rank applies to every upstream at its address.

--- a/gateway/control.c
+++ b/gateway/control.c
@@ -3,30 +3,13 @@
 #include "log.h"
 
 #include <apr_hash.h>
+#include <errno.h>
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define US_PER_MS UINT64_C (1000)
 
-/* Rows may expire while the store is unreachable. Upstreams write them again within about
- * 2 s after it is reachable; for this time, removed rows do not delete their entries. */
-#define REREGISTRATION_GRACE_US UINT64_C (2200000)
-
-/**
- * struct UpstreamEntry - row of an upstream in the store
- * @version: version of the row as last read
- * @remove_at_us: time at which the entry is deleted because its row was removed, 0 if the
- *   row exists
- * @seen: the row is part of the listing in progress
- */
-typedef struct {
-  BurdockUpstream upstream;
-  uint64_t version;
-  uint64_t remove_at_us;
-  bool seen;
-} UpstreamEntry;
-
 static uint64_t
 random_value (void *ctx)
 {
@@ -92,117 +75,49 @@
 static void
 publish_upstreams (BurdockGateway *gateway)
 {
-  BurdockGatewayControl *control = &gateway->control;
-  uint32_t count = apr_hash_count (control->upstreams);
+  const BurdockUpstreamRegistry *registry = gateway->control.upstreams;
+  uint32_t count = burdock_upstream_registry_count (registry);
   BurdockUpstreamList *list = malloc (sizeof *list + count * sizeof (BurdockUpstream));
 
   if (list == NULL)
     abort ();
-  list->count = 0;
-  for (apr_hash_index_t *at = apr_hash_first (NULL, control->upstreams); at != NULL;
-       at = apr_hash_next (at)) {
-    const UpstreamEntry *entry = apr_hash_this_val (at);
-
-    list->items[list->count++] = entry->upstream;
-  }
+  list->count = count;
+  burdock_upstream_registry_copy (registry, list->items);
   free (burdock_slot_put (&gateway->published_upstreams, list));
   notify_traffic (gateway);
 }
 
 static void
-delete_entry (BurdockGatewayControl *control, UpstreamEntry *entry, const char *reason)
+log_upstream (void *ctx, const char *step, const char *id, const char *detail)
 {
-  burdock_log (BURDOCK_LOG_INFO, "upstream gone", entry->upstream.id, "%s", reason);
-  apr_hash_set (control->upstreams, entry->upstream.id, APR_HASH_KEY_STRING, NULL);
-  free (entry);
-}
-
-/* A row that is removed right after an outage, and whose upstream did not announce that
- * it leaves, has probably expired. Its deletion is delayed, as it may be written again.
- */
-static void
-handle_removal (BurdockGatewayControl *control, UpstreamEntry *entry)
-{
-  uint64_t now_us = burdock_loop_now_us ();
-
-  if (!entry->upstream.leaving && control->store_reachable_us != 0 &&
-      now_us < control->store_reachable_us + REREGISTRATION_GRACE_US) {
-    if (entry->remove_at_us == 0)
-      entry->remove_at_us = control->store_reachable_us + REREGISTRATION_GRACE_US;
-    return;
-  }
-  delete_entry (control, entry, "its entry was removed");
-}
-
-/* A restarted upstream has a new id at the same address; the row with its previous id
- * remains in the store until it expires. */
-static void
-delete_replaced_entries (BurdockGatewayControl *control, const UpstreamEntry *entry)
-{
-  const BurdockAddress *address = &entry->upstream.address;
-
-  for (apr_hash_index_t *at = apr_hash_first (NULL, control->upstreams); at != NULL;
-       at = apr_hash_next (at)) {
-    UpstreamEntry *other = apr_hash_this_val (at);
-
-    if (other != entry && other->version < entry->version &&
-        other->upstream.address.ipv4 == address->ipv4 &&
-        other->upstream.address.port == address->port)
-      delete_entry (control, other, "another upstream has its address");
-  }
+  burdock_log (BURDOCK_LOG_INFO, step, id, "%s", detail);
 }
 
 static void
 upstream_row (void *ctx, const BurdockTableRow *row)
 {
   BurdockGateway *gateway = ctx;
-  BurdockGatewayControl *control = &gateway->control;
-  UpstreamEntry *entry = apr_hash_get (control->upstreams, row->key, APR_HASH_KEY_STRING);
+  BurdockUpstreamRegistry *registry = gateway->control.upstreams;
   BurdockUpstream upstream;
 
   if (row->removed) {
-    if (entry != NULL)
-      handle_removal (control, entry);
-    return;
-  }
-  if (row->value.data == NULL ||
-      burdock_platform_decode_upstream (row->key, row->value, &upstream) < 0) {
+    burdock_upstream_registry_remove (registry, row->key, burdock_loop_now_us ());
+  } else if (row->value.data == NULL ||
+             burdock_platform_decode_upstream (row->key, row->value, &upstream) < 0) {
     burdock_log (BURDOCK_LOG_WARNING, "read upstream", row->key,
                  "the entry is invalid and ignored");
-    if (entry != NULL)
-      delete_entry (control, entry, "its entry is invalid");
-    return;
-  }
-  if (entry == NULL) {
-    entry = calloc (1, sizeof *entry);
-    if (entry == NULL)
-      abort ();
-    entry->upstream = upstream;
-    apr_hash_set (control->upstreams, entry->upstream.id, APR_HASH_KEY_STRING, entry);
-    burdock_log (BURDOCK_LOG_INFO, "upstream found", row->key, "pool %s slots %u%s",
-                 upstream.pool, upstream.slots, upstream.leaving ? " leaving" : "");
-  } else if (upstream.leaving && !entry->upstream.leaving) {
-    burdock_log (BURDOCK_LOG_INFO, "upstream leaving", row->key, "pool %s",
-                 upstream.pool);
+    burdock_upstream_registry_reject (registry, row->key);
+  } else {
+    burdock_upstream_registry_put (registry, &upstream, row->version);
   }
-  entry->upstream = upstream;
-  entry->version = row->version;
-  entry->remove_at_us = 0;
-  entry->seen = true;
-  delete_replaced_entries (control, entry);
-} // NOLINT(clang-analyzer-unix.Malloc): control->upstreams owns the entry
+}
 
 static void
 upstream_begin (void *ctx)
 {
   BurdockGateway *gateway = ctx;
 
-  for (apr_hash_index_t *at = apr_hash_first (NULL, gateway->control.upstreams);
-       at != NULL; at = apr_hash_next (at)) {
-    UpstreamEntry *entry = apr_hash_this_val (at);
-
-    entry->seen = false;
-  }
+  burdock_upstream_registry_begin_listing (gateway->control.upstreams);
 }
 
 static void
@@ -211,13 +126,8 @@
   BurdockGateway *gateway = ctx;
   BurdockGatewayControl *control = &gateway->control;
 
-  for (apr_hash_index_t *at = apr_hash_first (NULL, control->upstreams);
-       listing && at != NULL; at = apr_hash_next (at)) {
-    UpstreamEntry *entry = apr_hash_this_val (at);
-
-    if (!entry->seen)
-      handle_removal (control, entry);
-  }
+  if (listing)
+    burdock_upstream_registry_end_listing (control->upstreams, burdock_loop_now_us ());
   control->upstreams_listed = true;
   publish_upstreams (gateway);
 }
@@ -231,31 +141,16 @@
   burdock_log (reachable ? BURDOCK_LOG_INFO : BURDOCK_LOG_WARNING,
                reachable ? "store regained" : "store lost", "-", "upstreams: %s", reason);
   if (reachable && control->upstreams_listed)
-    control->store_reachable_us = since_us;
+    burdock_upstream_registry_store_regained (control->upstreams, since_us);
 }
 
-/* Deletes the entries whose rows were not written again in time; returns the time of the
- * next deletion. */
 static uint64_t
-expire_entries (BurdockGateway *gateway, uint64_t now_us)
+expire_upstreams (BurdockGateway *gateway, uint64_t now_us)
 {
-  BurdockGatewayControl *control = &gateway->control;
-  uint64_t next_us = BURDOCK_LOOP_NEVER_US;
-  bool changed = false;
+  bool changed;
+  uint64_t next_us =
+      burdock_upstream_registry_expire (gateway->control.upstreams, now_us, &changed);
 
-  for (apr_hash_index_t *at = apr_hash_first (NULL, control->upstreams); at != NULL;
-       at = apr_hash_next (at)) {
-    UpstreamEntry *entry = apr_hash_this_val (at);
-
-    if (entry->remove_at_us == 0)
-      continue;
-    if (entry->remove_at_us > now_us) {
-      next_us = entry->remove_at_us < next_us ? entry->remove_at_us : next_us;
-      continue;
-    }
-    delete_entry (control, entry, "its entry was not written again after the outage");
-    changed = true;
-  }
   if (changed)
     publish_upstreams (gateway);
   return next_us;
@@ -265,7 +160,7 @@
 control_hook (void *ctx, uint64_t now_us)
 {
   BurdockGateway *gateway = ctx;
-  uint64_t next_us = expire_entries (gateway, now_us);
+  uint64_t next_us = expire_upstreams (gateway, now_us);
   uint64_t config_us = burdock_table_watch_tick (gateway->control.config_watch, now_us);
   uint64_t upstream_us =
       burdock_table_watch_tick (gateway->control.upstream_watch, now_us);
@@ -292,7 +187,9 @@
 
   if (status < 0)
     return status;
-  control->upstreams = apr_hash_make (burdock_loop_pool (control->runtime.loop));
+  control->upstreams = burdock_upstream_registry_new (log_upstream, gateway);
+  if (control->upstreams == NULL)
+    return -ENOMEM;
   control->store = (BurdockStoreClient){ .loop = control->runtime.loop,
                                          .client = control->runtime.client,
                                          .random_ctx = &control->runtime,
@@ -314,8 +211,6 @@
 
   burdock_table_watch_free (control->config_watch);
   burdock_table_watch_free (control->upstream_watch);
-  for (apr_hash_index_t *at = apr_hash_first (NULL, control->upstreams); at != NULL;
-       at = apr_hash_next (at))
-    free (apr_hash_this_val (at));
+  burdock_upstream_registry_free (control->upstreams);
   burdock_runtime_clear (&control->runtime);
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "settings.h"
 #include "slot.h"
 #include "table-watch.h"
+#include "upstream-registry.h"
 
 #define BURDOCK_GATEWAY_PEERS_MAX 512
 
@@ -98,9 +99,6 @@
 /**
  * struct BurdockGatewayControl - state of the control thread
  * @config_version: version of the last configuration that was published
- * @upstreams: upstream rows by id
- * @store_reachable_us: time at which the store became reachable again after an outage, 0
- *   before the first one
  * @upstreams_listed: the table of upstreams was read at least once
  */
 typedef struct {
@@ -109,8 +107,7 @@
   BurdockTableWatch *config_watch;
   BurdockTableWatch *upstream_watch;
   uint64_t config_version;
-  apr_hash_t *upstreams;
-  uint64_t store_reachable_us;
+  BurdockUpstreamRegistry *upstreams;
   bool upstreams_listed;
 } BurdockGatewayControl;
 
--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -135,14 +135,19 @@
   return apr_hash_get (balancer->nodes_by_key, &key, sizeof key);
 }
 
+static bool
+have_same_address (BurdockAddress a, BurdockAddress b)
+{
+  return a.ipv4 == b.ipv4 && a.port == b.port;
+}
+
 static Node *
 find_node_at (const BurdockBalancer *balancer, BurdockAddress address)
 {
   for (uint32_t i = 0; i < balancer->node_count; i++) {
     Node *node = balancer->nodes[i];
 
-    if (node->listed && node->info.address.ipv4 == address.ipv4 &&
-        node->info.address.port == address.port)
+    if (node->listed && have_same_address (node->info.address, address))
       return node;
   }
   return NULL;
@@ -350,23 +355,34 @@
   }
 }
 
+static void
+join_group (Node *node, Group *group, uint32_t rank)
+{
+  node->rank = rank;
+  if (node->group == group)
+    return;
+  burdock_balancer_subtract_from_group (node);
+  node->group = group;
+  burdock_balancer_add_to_group (node);
+}
+
 void
 burdock_balancer_set_rank_state (BurdockBalancer *balancer,
                                  const BurdockRankStateMessage *state, uint64_t now_us)
 {
-  Node *node = find_node_at (balancer, state->upstream);
   Group *group;
 
   balancer->now_us = now_us;
-  if (node == NULL)
+  if (find_node_at (balancer, state->upstream) == NULL)
     return;
   group = group_for_name (balancer, state->group);
-  if (node->group != group) {
-    burdock_balancer_subtract_from_group (node);
-    node->group = group;
-    burdock_balancer_add_to_group (node);
+  /* Until the list of upstreams is up to date, it may have two at one address. */
+  for (uint32_t i = 0; i < balancer->node_count; i++) {
+    Node *node = balancer->nodes[i];
+
+    if (node->listed && have_same_address (node->info.address, state->upstream))
+      join_group (node, group, state->rank);
   }
-  node->rank = state->rank;
   record_step (group, state->rank, state->step);
   group->last_report_us = now_us;
   if (state->epoch < group->epoch)
--- /dev/null
+++ b/tests/test-upstream-registry.c
@@ -0,0 +1,156 @@
+#include "test.h"
+#include "upstream-registry.h"
+
+#include <apr_general.h>
+#include <stdio.h>
+#include <string.h>
+
+#define US_PER_MS UINT64_C (1000)
+#define US_PER_S (1000 * US_PER_MS)
+
+static void
+ignore_log (void *ctx, const char *step, const char *id, const char *detail)
+{
+}
+
+static void
+put (BurdockUpstreamRegistry *registry, const char *id, uint32_t ipv4, bool leaving,
+     uint64_t version)
+{
+  BurdockUpstream item = { .address = { ipv4, 80 }, .leaving = leaving, .slots = 1 };
+
+  snprintf (item.id, sizeof item.id, "%s", id);
+  burdock_upstream_registry_put (registry, &item, version);
+}
+
+static bool
+has (const BurdockUpstreamRegistry *registry, const char *id)
+{
+  BurdockUpstream items[8];
+  uint32_t count = burdock_upstream_registry_count (registry);
+
+  CU_ASSERT_TRUE_FATAL (count <= 8);
+  burdock_upstream_registry_copy (registry, items);
+  for (uint32_t i = 0; i < count; i++) {
+    if (strcmp (items[i].id, id) == 0)
+      return true;
+  }
+  return false;
+}
+
+typedef struct {
+  const char *name;
+  const char *first;
+  uint64_t first_version;
+  const char *second;
+  uint64_t second_version;
+  const char *kept;
+} AddressCase;
+
+static const AddressCase address_cases[] = {
+  { "the later row comes last", "old", 1, "new", 2, "new" },
+  { "the later row comes first", "new", 2, "old", 1, "new" },
+};
+
+/* After a loss of power the rows of the previous ids are still listed, in the order of the
+ * ids. Guards against keeping two upstreams at one address: only one of them was known as
+ * a rank of its group, and the other one got requests while the group was broken. */
+static void
+the_latest_upstream_at_an_address_is_kept (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (address_cases); i++) {
+    const AddressCase *row = &address_cases[i];
+    BurdockUpstreamRegistry *registry = burdock_upstream_registry_new (ignore_log, NULL);
+
+    burdock_upstream_registry_begin_listing (registry);
+    put (registry, row->first, 7, false, row->first_version);
+    put (registry, row->second, 7, false, row->second_version);
+    put (registry, "elsewhere", 8, false, 1);
+    burdock_upstream_registry_end_listing (registry, US_PER_S);
+    if (burdock_upstream_registry_count (registry) != 2 || !has (registry, row->kept) ||
+        !has (registry, "elsewhere"))
+      CU_FAIL (row->name);
+    burdock_upstream_registry_free (registry);
+  }
+}
+
+typedef struct {
+  const char *name;
+  bool outage;          /* the store was regained 1 s before the row is removed */
+  bool leaving;
+  uint64_t rewrite_us;  /* time from the removal until the row is written again, or 0 */
+  bool kept_at_once;    /* right after the removal */
+  bool kept_finally;    /* 3 s after the removal */
+} RemovalCase;
+
+static const RemovalCase removal_cases[] = {
+  { "removed in calm times", false, false, 0, false, false },
+  { "expired during an outage, upstream gone", true, false, 0, true, false },
+  { "expired during an outage, upstream back", true, false, US_PER_S, true, true },
+  { "left during an outage", true, true, 0, false, false },
+};
+
+/* Guards against upstreams that vanish with the rows that expired while the store was
+ * away, and against upstreams that stay although they are gone. */
+static void
+rows_that_expired_in_an_outage_are_awaited (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (removal_cases); i++) {
+    const RemovalCase *row = &removal_cases[i];
+    BurdockUpstreamRegistry *registry = burdock_upstream_registry_new (ignore_log, NULL);
+    uint64_t now_us = 10 * US_PER_S;
+    bool changed;
+
+    put (registry, "a", 7, row->leaving, 1);
+    if (row->outage)
+      burdock_upstream_registry_store_regained (registry, now_us - US_PER_S);
+    burdock_upstream_registry_remove (registry, "a", now_us);
+    CU_ASSERT_EQUAL (has (registry, "a"), row->kept_at_once);
+    if (row->rewrite_us > 0)
+      put (registry, "a", 7, false, 2);
+    burdock_upstream_registry_expire (registry, now_us + 3 * US_PER_S, &changed);
+    if (has (registry, "a") != row->kept_finally)
+      CU_FAIL (row->name);
+    burdock_upstream_registry_free (registry);
+  }
+}
+
+/* Guards against upstreams that a complete list no longer contains, and against one whose
+ * row was overwritten with something unreadable. */
+static void
+missing_and_invalid_rows_are_dropped (void)
+{
+  BurdockUpstreamRegistry *registry = burdock_upstream_registry_new (ignore_log, NULL);
+
+  put (registry, "a", 1, false, 1);
+  put (registry, "b", 2, false, 2);
+  put (registry, "c", 3, false, 3);
+  burdock_upstream_registry_begin_listing (registry);
+  put (registry, "b", 2, false, 4);
+  put (registry, "c", 3, false, 5);
+  burdock_upstream_registry_end_listing (registry, US_PER_S);
+  CU_ASSERT_FALSE (has (registry, "a"));
+  burdock_upstream_registry_reject (registry, "c");
+  burdock_upstream_registry_reject (registry, "unknown");
+  CU_ASSERT_TRUE (has (registry, "b"));
+  CU_ASSERT_EQUAL (burdock_upstream_registry_count (registry), 1);
+  burdock_upstream_registry_free (registry);
+}
+
+static const Test tests[] = {
+  { "two upstreams are kept at one address", the_latest_upstream_at_an_address_is_kept },
+  { "rows that expired in an outage remove their upstreams at once, or never",
+    rows_that_expired_in_an_outage_are_awaited },
+  { "missing or invalid rows keep their upstreams", missing_and_invalid_rows_are_dropped },
+};
+
+int
+main (void)
+{
+  int status;
+
+  apr_initialize ();
+  status = test_main ("upstream-registry", tests, TEST_COUNT (tests));
+  apr_terminate ();
+  return status;
+}
