Refuse at once while all groups of a pool are broken or stalled

Change: a request that can still meet its objective is refused at once, to return after 2.2 to 2.6 s, most of the third of its time that a caller waits; one that has come back waits, as it does not come back again.

--- a/libburdock/balancer-queue.c
+++ b/libburdock/balancer-queue.c
@@ -47,6 +47,10 @@
  * often. The jitter spreads the retries. */
 #define RETRY_AFTER_OVERLOAD_MS 400
 #define RETRY_AFTER_NO_UPSTREAM_MS 1000
+
+/* A group that lost a rank is open again a few seconds later. Callers wait for at most a
+ * third of their remaining time. */
+#define RETRY_AFTER_SUSPENDED_MS 2200
 #define RETRY_AFTER_JITTER_MS 400
 
 /* With fewer queued requests the placement rate gives no estimate of the waiting time. */
@@ -299,6 +303,31 @@
   return false;
 }
 
+static bool
+is_suspended (const BurdockBalancer *balancer, const Node *node)
+{
+  const Group *group = node->group;
+
+  if (is_silent (balancer, node))
+    return true;
+  return group != NULL && !group->open &&
+         balancer->now_us - group->last_report_us <= AGENT_REPORT_TIMEOUT_US;
+}
+
+/* Whether no upstream of @pool can run a request now: all belong to groups that are
+ * broken or stalled. */
+static bool
+is_pool_suspended (const BurdockBalancer *balancer, const Pool *pool)
+{
+  for (uint32_t i = 0; i < balancer->node_count; i++) {
+    const Node *node = balancer->nodes[i];
+
+    if (is_usable (node, pool) && !is_suspended (balancer, node))
+      return false;
+  }
+  return true;
+}
+
 static void
 refuse_request (BurdockBalancer *balancer, uint64_t handle, BurdockReason reason,
                 uint32_t retry_after_ms)
@@ -340,6 +369,13 @@
                     RETRY_AFTER_NO_UPSTREAM_MS);
     return;
   }
+  /* A caller that has come back does not come back again, so its request waits. */
+  if (placement->excluded_count == 0 && !is_late (balancer, placement) &&
+      is_pool_suspended (balancer, pool)) {
+    refuse_request (balancer, placement->handle, BURDOCK_REASON_NO_UPSTREAM,
+                    RETRY_AFTER_SUSPENDED_MS);
+    return;
+  }
   if (would_miss_queue_deadline (balancer, pool, placement)) {
     refuse_request (balancer, placement->handle, BURDOCK_REASON_OVERLOAD,
                     RETRY_AFTER_OVERLOAD_MS);
--- a/libburdock/map-orders.c
+++ b/libburdock/map-orders.c
@@ -76,8 +76,7 @@
   BurdockReplicaMap map = { 0 };
 
   if (agent->report.loaded_version == command->version ||
-      agent->refused_version == command->version ||
-      !decode_map (agent, command, &map))
+      agent->refused_version == command->version || !decode_map (agent, command, &map))
     return;
   burdock_replica_map_clear (&agent->order_map);
   agent->order_map = map;
--- a/libburdock/replica-map.c
+++ b/libburdock/replica-map.c
@@ -72,8 +72,8 @@
 uint64_t
 burdock_replica_map_hash (const BurdockReplicaMap *map)
 {
-  uint64_t hash = burdock_hash_pair (map->layers, burdock_hash_pair (map->ranks,
-                                                                      map->experts));
+  uint64_t hash =
+      burdock_hash_pair (map->layers, burdock_hash_pair (map->ranks, map->experts));
 
   for (uint32_t i = 0; i < map->layers * map->experts; i++) {
     for (uint32_t w = 0; w < BURDOCK_BIT_SET_WORDS; w++)
--- a/libburdock/replica-map.h
+++ b/libburdock/replica-map.h
@@ -47,8 +47,8 @@
 /**
  * burdock_replica_map_encode() - encodes @map for the wire
  * @bytes: receives memory to be released with free()
- * Layers, the highest rank and the highest expert, then, layer by layer and rank by rank, the number
- * of experts and the experts, one byte each. Returns 0 or -ENOMEM.
+ * Layers, the highest rank and the highest expert, then, layer by layer and rank by rank,
+ * the number of experts and the experts, one byte each. Returns 0 or -ENOMEM.
  */
 int burdock_replica_map_encode (const BurdockReplicaMap *map, uint8_t **bytes,
                                 uint32_t *length_bytes);
@@ -74,7 +74,8 @@
  * malformed bytes, which leave @map partly changed */
 int burdock_replica_map_apply_changes (BurdockReplicaMap *map, BurdockBytes bytes);
 
-/** burdock_replica_map_hosted_experts() - writes the experts that @rank hosts in @layer to
+/** burdock_replica_map_hosted_experts() - writes the experts that @rank hosts in @layer
+ * to
  * @experts, which has room for all experts of a layer, and returns their number */
 uint32_t burdock_replica_map_hosted_experts (const BurdockReplicaMap *map, uint32_t layer,
                                              uint32_t rank, uint8_t *experts);
