Iterate over hash tables in a reproducible order

Change: tables that are iterated are created by burdock_hash_table_new(), whose order depends on the keys only. Tables keyed by what callers send keep the random seed.

--- a/bench/sim-store.c
+++ b/bench/sim-store.c
@@ -1,5 +1,7 @@
 #include "sim.h"
 
+#include "hash-table.h"
+
 #include <apr_strings.h>
 #include <errno.h>
 #include <stdlib.h>
@@ -49,8 +51,8 @@
   SimStore *store = calloc (1, sizeof *store);
 
   store->sim = sim;
-  store->rows = apr_hash_make (sim->pool);
-  store->objects = apr_hash_make (sim->pool);
+  store->rows = burdock_hash_table_new (sim->pool);
+  store->objects = burdock_hash_table_new (sim->pool);
   return store;
 }
 
--- a/daemon/transport.c
+++ b/daemon/transport.c
@@ -1,8 +1,8 @@
 #include "transport.h"
 
+#include "hash-table.h"
 #include "message.h"
 
-#include <apr_hash.h>
 #include <apr_network_io.h>
 #include <apr_portable.h>
 #include <errno.h>
@@ -506,7 +506,7 @@
   transport->loop = loop;
   transport->handler = *handler;
   transport->can_connect = can_connect;
-  transport->connections = apr_hash_make (transport->pool);
+  transport->connections = burdock_hash_table_new (transport->pool);
   burdock_loop_add_hook (loop, transport_hook, transport);
   return transport;
 }
--- a/libburdock/admission.c
+++ b/libburdock/admission.c
@@ -1,10 +1,10 @@
 #include "admission.h"
 
 #include "error.h"
+#include "hash-table.h"
 #include "limit-share.h"
 
 #include <apr_general.h>
-#include <apr_hash.h>
 #include <apr_pools.h>
 #include <stdlib.h>
 #include <string.h>
@@ -37,7 +37,7 @@
 
   apr_initialize ();
   apr_pool_create (&admission->memory, NULL);
-  admission->workspaces = apr_hash_make (admission->memory);
+  admission->workspaces = burdock_hash_table_new (admission->memory);
   admission->retry_tokens = RETRY_TOKENS_MAX;
   return admission;
 }
--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -1,5 +1,7 @@
 #include "balancer-private.h"
 
+#include "hash-table.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -71,9 +73,9 @@
   balancer->settings = *settings;
   balancer->handler = *handler;
   balancer->random_state = settings->seed;
-  balancer->nodes_by_key = apr_hash_make (balancer->memory);
-  balancer->peers = apr_hash_make (balancer->memory);
-  balancer->groups = apr_hash_make (balancer->memory);
+  balancer->nodes_by_key = burdock_hash_table_new (balancer->memory);
+  balancer->peers = burdock_hash_table_new (balancer->memory);
+  balancer->groups = burdock_hash_table_new (balancer->memory);
   return balancer;
 }
 
--- a/libburdock/upstream-registry.c
+++ b/libburdock/upstream-registry.c
@@ -1,11 +1,13 @@
 #include "upstream-registry.h"
 
-#include <apr_hash.h>
+#include "hash-table.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 
 /* Rows may expire while the store is unreachable. Upstreams write them again within about
- * 2 s after it is reachable; for this time, removed rows do not remove their upstreams. */
+ * 2 s after it is reachable; for this time, removed rows do not remove their upstreams.
+ */
 #define REREGISTRATION_GRACE_US UINT64_C (2200000)
 
 /**
@@ -39,7 +41,7 @@
     free (registry);
     return NULL;
   }
-  registry->entries = apr_hash_make (registry->memory);
+  registry->entries = burdock_hash_table_new (registry->memory);
   registry->log = log;
   registry->ctx = ctx;
   return registry;
--- a/libburdock/upstream-registry.h
+++ b/libburdock/upstream-registry.h
@@ -2,8 +2,8 @@
  * DOC: upstream-registry.h - upstreams according to their rows in the store
  *
  * Each upstream writes a row under its id and renews it. Rows expire when their upstream
- * is gone, but also while the store is unreachable; such rows are written again soon after
- * the outage. The registry performs no I/O and belongs to one thread.
+ * is gone, but also while the store is unreachable; such rows are written again soon
+ * after the outage. The registry performs no I/O and belongs to one thread.
  */
 #ifndef BURDOCK_UPSTREAM_REGISTRY_H
 #define BURDOCK_UPSTREAM_REGISTRY_H
@@ -18,8 +18,8 @@
 
 /** burdock_upstream_registry_new() - creates an empty registry; NULL without memory.
  * Release with burdock_upstream_registry_free(). */
-BurdockUpstreamRegistry *
-burdock_upstream_registry_new (BurdockUpstreamRegistryLog log, void *ctx);
+BurdockUpstreamRegistry *burdock_upstream_registry_new (BurdockUpstreamRegistryLog log,
+                                                        void *ctx);
 void burdock_upstream_registry_free (BurdockUpstreamRegistry *registry);
 
 /** burdock_upstream_registry_begin_listing() - a complete list of the rows follows */
@@ -46,8 +46,8 @@
 /**
  * burdock_upstream_registry_remove() - handles the removal of a row
  *
- * A row that is removed right after an outage, and whose upstream did not announce that it
- * leaves, has probably expired; the upstream is kept until
+ * A row that is removed right after an outage, and whose upstream did not announce that
+ * it leaves, has probably expired; the upstream is kept until
  * burdock_upstream_registry_expire() removes it.
  */
 void burdock_upstream_registry_remove (BurdockUpstreamRegistry *registry, const char *id,
@@ -56,7 +56,8 @@
 /** burdock_upstream_registry_reject() - removes an upstream whose row is invalid */
 void burdock_upstream_registry_reject (BurdockUpstreamRegistry *registry, const char *id);
 
-/** burdock_upstream_registry_store_regained() - the store answers again since @since_us */
+/** burdock_upstream_registry_store_regained() - the store answers again since @since_us
+ */
 void burdock_upstream_registry_store_regained (BurdockUpstreamRegistry *registry,
                                                uint64_t since_us);
 
--- a/tests/test-upstream-registry.c
+++ b/tests/test-upstream-registry.c
@@ -52,9 +52,10 @@
   { "the later row comes first", "new", 2, "old", 1, "new" },
 };
 
-/* After a loss of power the rows of the previous ids are still listed, in the order of the
- * ids. Guards against keeping two upstreams at one address: only one of them was known as
- * a rank of its group, and the other one got requests while the group was broken. */
+/* After a loss of power the rows of the previous ids are still listed, in the order of
+ * the ids. Guards against keeping two upstreams at one address: only one of them was
+ * known as a rank of its group, and the other one got requests while the group was
+ * broken. */
 static void
 the_latest_upstream_at_an_address_is_kept (void)
 {
@@ -76,11 +77,11 @@
 
 typedef struct {
   const char *name;
-  bool outage;          /* the store was regained 1 s before the row is removed */
+  bool outage; /* the store was regained 1 s before the row is removed */
   bool leaving;
-  uint64_t rewrite_us;  /* time from the removal until the row is written again, or 0 */
-  bool kept_at_once;    /* right after the removal */
-  bool kept_finally;    /* 3 s after the removal */
+  uint64_t rewrite_us; /* time from the removal until the row is written again, or 0 */
+  bool kept_at_once;   /* right after the removal */
+  bool kept_finally;   /* 3 s after the removal */
 } RemovalCase;
 
 static const RemovalCase removal_cases[] = {
@@ -137,11 +138,39 @@
   burdock_upstream_registry_free (registry);
 }
 
+#define ORDER_ROWS 32
+
+/* Guards against a list whose order differs between runs: the balancer then makes other
+ * random choices, and a failure cannot be reproduced from its seed. */
+static void
+equal_rows_give_equal_lists (void)
+{
+  BurdockUpstream lists[2][ORDER_ROWS];
+
+  for (uint32_t i = 0; i < 2; i++) {
+    BurdockUpstreamRegistry *registry = burdock_upstream_registry_new (ignore_log, NULL);
+
+    for (uint32_t r = 0; r < ORDER_ROWS; r++) {
+      char id[16];
+
+      snprintf (id, sizeof id, "i-%u", (unsigned)r);
+      put (registry, id, r + 1, false, r + 1);
+    }
+    CU_ASSERT_EQUAL_FATAL (burdock_upstream_registry_count (registry), ORDER_ROWS);
+    burdock_upstream_registry_copy (registry, lists[i]);
+    burdock_upstream_registry_free (registry);
+  }
+  for (uint32_t r = 0; r < ORDER_ROWS; r++)
+    CU_ASSERT_STRING_EQUAL (lists[0][r].id, lists[1][r].id);
+}
+
 static const Test tests[] = {
   { "two upstreams are kept at one address", the_latest_upstream_at_an_address_is_kept },
   { "rows that expired in an outage remove their upstreams at once, or never",
     rows_that_expired_in_an_outage_are_awaited },
-  { "missing or invalid rows keep their upstreams", missing_and_invalid_rows_are_dropped },
+  { "equal rows give lists in different orders", equal_rows_give_equal_lists },
+  { "missing or invalid rows keep their upstreams",
+    missing_and_invalid_rows_are_dropped },
 };
 
 int
