--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -18,6 +18,11 @@
 #define INCARNATION_RANDOM_BITS 12
 
 #define VARIABLE_BYTES 64
+
+/* Part of the grace time that a planned stop waits for running requests; the rest is for
+ * the last answers and the end of the process. */
+#define GRACE_RATIO 0.9
+#define MS_PER_S 1000
 #define ENTRY (1u << BURDOCK_ROLE_ENTRY)
 #define AGENT (1u << BURDOCK_ROLE_AGENT)
 #define GATEWAY (1u << BURDOCK_ROLE_GATEWAY)
@@ -111,6 +116,13 @@
   { "retry-allowance", "N",
     "further retries of all gateways together in 10 s, 20 by default", GATEWAY, 0,
     TYPE_REAL, FIELD (retry_allowance), 0, 1000000 },
+  { "drain-limit-ms", "MS",
+    "time within which an upstream that leaves gets no more requests, 2000 by default",
+    GATEWAY, 0, TYPE_REAL, FIELD (drain_limit_ms), 100, 3600000 },
+  { "grace-s", "S",
+    "time from SIGTERM until the process is killed; sets --stop-limit-ms to nine tenths "
+    "of it",
+    GATEWAY, 0, TYPE_REAL, FIELD (grace_s), 0, 86400 },
   { "log-level", "LEVEL", "debug, info (default), warning or error", ALL_ROLES, 0,
     TYPE_LEVEL, FIELD (log_level), 0, 0 },
 };
@@ -443,10 +455,14 @@
   settings->library.stop_limit_ms = 60000;
   settings->retry_ratio = 0.1;
   settings->retry_allowance = 20;
+  settings->drain_limit_ms = 2000;
   settings->library.incarnation = new_incarnation ();
   if (read_environment (&parser, role_bit) < 0 ||
       run_argp (&parser, role_bit, argc, argv) < 0 ||
       check_required (&parser, role_bit) < 0)
     return -EINVAL;
+  if (settings->grace_s > 0)
+    settings->library.stop_limit_ms =
+        (uint32_t)(settings->grace_s * MS_PER_S * GRACE_RATIO);
   return read_keys (program, settings);
 }
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -22,6 +22,9 @@
  *   none
  * @retry_ratio: gateways: retries allowed to all gateways together per request of a pool
  * @retry_allowance: gateways: further retries allowed to all gateways together in 10 s
+ * @drain_limit_ms: gateways: time within which an upstream that leaves gets no more
+ *   requests
+ * @grace_s: gateways: time from SIGTERM until the process is killed, 0 if unknown
  * @tls_certificate: entries: PEM file, empty for plain HTTP
  * @tls_key: entries: PEM file of the private key
  * @operator_key: key that authenticates operators, if @has_operator_key
@@ -35,6 +38,8 @@
   BurdockAddress metrics_address;
   double retry_ratio;
   double retry_allowance;
+  double drain_limit_ms;
+  double grace_s;
   char tls_certificate[BURDOCK_URL_BYTES];
   char tls_key[BURDOCK_URL_BYTES];
   BurdockLogLevel log_level;
--- a/gateway/control.c
+++ b/gateway/control.c
@@ -10,6 +10,20 @@
 
 #define US_PER_MS UINT64_C (1000)
 
+/* Delay of the next call to the store after changes, as a part of the time within which a
+ * change has to be applied. Instances that start or leave together cause bursts of
+ * changes; each of them ends the calls of all gateways, and each call is charged for. */
+#define CHANGES_DELAY_RATIO 0.25
+#define CHANGES_DELAY_MAX_MS 1000
+
+static uint32_t
+changes_delay_ms (double drain_limit_ms)
+{
+  double delay_ms = drain_limit_ms * CHANGES_DELAY_RATIO;
+
+  return delay_ms < CHANGES_DELAY_MAX_MS ? (uint32_t)delay_ms : CHANGES_DELAY_MAX_MS;
+}
+
 static uint64_t
 random_value (void *ctx)
 {
@@ -192,6 +206,8 @@
     return -ENOMEM;
   control->store = (BurdockStoreClient){ .loop = control->runtime.loop,
                                          .client = control->runtime.client,
+                                         .changes_delay_ms = changes_delay_ms (
+                                             gateway->settings.drain_limit_ms),
                                          .random_ctx = &control->runtime,
                                          .random = random_value };
   control->store.url = gateway->settings.store_url;
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -180,7 +180,53 @@
   }
 }
 
+typedef struct {
+  const char *grace_s;
+  uint32_t stop_limit_ms;
+} GraceCase;
+
+static const GraceCase grace_cases[] = {
+  { "8", 7200 },
+  { "2.5", 2250 },
+  { "0", 60000 },
+};
+
+/* Guards against a planned stop that takes longer than the platform waits before it kills
+ * the process, with its last requests. */
+static void
+a_stop_ends_within_the_grace_time (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (grace_cases); i++) {
+    const char *arguments[] = { "test",
+                                "--name",
+                                "g",
+                                "--failure-domain",
+                                "a",
+                                "--control",
+                                "1.1.1.1:1",
+                                "--http",
+                                "1.1.1.1:2",
+                                "--ready",
+                                "1.1.1.1:3",
+                                "--directory",
+                                "1.1.1.1:4",
+                                "--store",
+                                "http://1.1.1.1:5",
+                                "--grace-s",
+                                grace_cases[i].grace_s };
+    BurdockDaemonSettings settings;
+
+    CU_ASSERT_EQUAL (burdock_settings_parse (&settings, BURDOCK_ROLE_GATEWAY, "test",
+                                             (int)TEST_COUNT (arguments),
+                                             (char **)arguments),
+                     0);
+    CU_ASSERT_EQUAL (settings.library.stop_limit_ms, grace_cases[i].stop_limit_ms);
+  }
+}
+
 static const Test tests[] = {
+  { "a planned stop takes longer than the grace time",
+    a_stop_ends_within_the_grace_time },
   { "a number in an unusual notation is rejected or altered",
     numbers_are_read_in_every_notation },
   { "an invalid setting is not rejected at start",
