Bound what a server in trouble sends without end

Streams were read for as long as blocks without an id, empty lines or repeated events came, each of them counted as activity, so that a stalled stream that sent a byte now and then was never taken for stalled; and a line that came in small pieces was searched from its start each time (72 s for 4 MB). Up to 8 MB of each answer were buffered, without a bound for all.

Change: 64 KB of header lines per answer, interim answers and trailers included; 1 MB between two events with new ids; only an event with a new id counts as activity; 32 MB for all buffered answers; each byte of a stream is searched once.

Test first: test-endless, twelve forms of endless answers and six of endless streams; two and four of them failed. A chunk extension without end is only cut at the time limit of the call: libcurl skips it without telling, and without using memory.

--- a/daemon/http-client.c
+++ b/daemon/http-client.c
@@ -18,6 +18,10 @@
 /* Bounds a buffered response, and one line of a stream. */
 #define BODY_MAX_BYTES (4u << 20)
 
+/* Bounds the header lines of a response, those of interim responses and trailers
+ * included. libcurl keeps all of them in memory. */
+#define HEADERS_MAX_BYTES (64u << 10)
+
 /* A peer that takes longer to accept a connection is treated as down. */
 #define DEFAULT_CONNECT_TIMEOUT_MS 2000
 
@@ -53,6 +57,7 @@
   size_t body_bytes;
   size_t body_capacity;
   size_t scanned_bytes;
+  size_t header_bytes;
   struct curl_slist *headers;
   bool added;
   bool cancelled;
@@ -417,7 +422,8 @@
   size_t length_bytes = size * count;
   long http_status = 0;
 
-  if (transfer->cancelled)
+  transfer->header_bytes += length_bytes;
+  if (transfer->cancelled || transfer->header_bytes > HEADERS_MAX_BYTES)
     return 0;
   if (transfer->head == NULL || length_bytes > 2 || line[0] != '\r')
     return length_bytes;
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -16,6 +16,9 @@
 /* Largest answer that is buffered until it is complete. */
 #define BUFFERED_ANSWER_MAX_BYTES (8u << 20)
 
+/* Memory of all buffered answers together: an instance has 160 MB or more. */
+#define BUFFERED_ANSWERS_MAX_BYTES (32u << 20)
+
 /* Number of streams over which the moving average of the time to the first event is
  * taken. */
 #define FIRST_EVENT_MEAN_WEIGHT 16
@@ -26,15 +29,20 @@
 static int
 buffer_body (BurdockForward *forward, const char *data, size_t length_bytes)
 {
+  size_t *buffered_bytes = &forward->gateway->traffic.buffered_bytes;
   size_t needed = forward->body_bytes + length_bytes;
 
   if (needed > BUFFERED_ANSWER_MAX_BYTES)
     return -EMSGSIZE;
   if (needed > forward->body_capacity_bytes) {
-    char *grown = realloc (forward->body, needed * 2);
+    char *grown;
 
+    if (*buffered_bytes + needed * 2 > BUFFERED_ANSWERS_MAX_BYTES)
+      return -EMSGSIZE;
+    grown = realloc (forward->body, needed * 2);
     if (grown == NULL)
       return -ENOMEM;
+    *buffered_bytes += needed * 2 - forward->body_capacity_bytes;
     forward->body = grown;
     forward->body_capacity_bytes = (uint32_t)needed * 2;
   }
@@ -104,7 +112,11 @@
   burdock_balancer_record_event (traffic->balancer, forward->upstream.key, gap_us,
                                  forward->route->pause_ms, now_us);
   forward->attempt_event_count++;
-  forward->last_event_us = forward->last_activity_us = now_us;
+  forward->last_event_us = now_us;
+  /* An event that does not advance the stream is no sign that its upstream works. */
+  if (forward->event_stream.last_id != forward->last_activity_id)
+    forward->last_activity_us = now_us;
+  forward->last_activity_id = forward->event_stream.last_id;
   traffic->counters.events++;
   burdock_http_stream_write (forward->http_request, event, length_bytes);
 }
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -64,6 +64,7 @@
   traffic->forward_count--;
   burdock_event_stream_clear (&forward->event_stream);
   burdock_route_table_unref (forward->table);
+  traffic->buffered_bytes -= forward->body_capacity_bytes;
   free (forward->body);
   free (forward);
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -116,6 +116,7 @@
  * @table: route table in use, NULL before the first one
  * @forwards: list of requests that have not been closed
  * @next_handle: last handle given to a request
+ * @buffered_bytes: memory of the answers that are buffered until they are complete
  * @mean_first_event_us: moving average of the time from sending a request to its first
  *   event, 0 before the first one
  * @upstreams_received: a list of upstreams was received from the control thread
@@ -139,6 +140,7 @@
   BurdockForward *forwards;
   uint32_t forward_count;
   uint64_t next_handle;
+  size_t buffered_bytes;
   uint64_t mean_first_event_us;
   bool upstreams_received;
   uint32_t keep_alive_max_s;
--- a/libburdock/event-stream.c
+++ b/libburdock/event-stream.c
@@ -16,7 +16,8 @@
 void
 burdock_event_stream_restart (BurdockEventStream *stream)
 {
-  stream->length_bytes = 0;
+  stream->length_bytes = stream->idle_bytes = 0;
+  stream->scanned_bytes = stream->searched_bytes = 0;
 }
 
 bool
@@ -25,21 +26,25 @@
   return stream->length_bytes > 0;
 }
 
-/* Length of the first event, including its terminating empty line; 0 if it is incomplete.
- * Lines end in LF or CR LF. */
+/* Length of the first event at @offset of the buffer, including its terminating empty
+ * line; 0 if it is incomplete. Lines end in LF or CR LF. Each byte is read once. */
 static uint32_t
-event_length (const char *data, uint32_t length_bytes)
+event_length (BurdockEventStream *stream, uint32_t offset)
 {
-  uint32_t start = 0;
+  const char *data = stream->buffer + offset;
+  uint32_t length_bytes = stream->length_bytes - offset;
   const char *end;
 
-  while ((end = memchr (data + start, '\n', length_bytes - start)) != NULL) {
-    uint32_t line_bytes = (uint32_t)(end - data) - start;
+  while ((end = memchr (data + stream->searched_bytes, '\n',
+                        length_bytes - stream->searched_bytes)) != NULL) {
+    uint32_t line = stream->scanned_bytes;
+    uint32_t line_bytes = (uint32_t)(end - data) - line;
 
-    if (line_bytes == 0 || (line_bytes == 1 && data[start] == '\r'))
-      return (uint32_t)(end - data) + 1;
-    start = (uint32_t)(end - data) + 1;
+    stream->scanned_bytes = stream->searched_bytes = (uint32_t)(end - data) + 1;
+    if (line_bytes == 0 || (line_bytes == 1 && data[line] == '\r'))
+      return stream->scanned_bytes;
   }
+  stream->searched_bytes = length_bytes;
   return 0;
 }
 
@@ -83,6 +88,21 @@
   return 0;
 }
 
+static void
+handle_event (BurdockEventStream *stream, const char *event, uint32_t length_bytes,
+              BurdockEventStreamSink sink, void *ctx)
+{
+  uint64_t id = event_id (event, length_bytes);
+
+  if (id != 0 && id <= stream->last_id)
+    return;
+  if (id != 0) {
+    stream->last_id = id;
+    stream->idle_bytes = 0;
+  }
+  sink (ctx, event, length_bytes);
+}
+
 int
 burdock_event_stream_feed (BurdockEventStream *stream, const char *data,
                            uint32_t length_bytes, BurdockEventStreamSink sink, void *ctx)
@@ -93,18 +113,13 @@
 
   if (status < 0)
     return status;
-  while ((length = event_length (stream->buffer + offset,
-                                 stream->length_bytes - offset)) > 0) {
-    uint64_t id = event_id (stream->buffer + offset, length);
-
-    if (id == 0 || id > stream->last_id) {
-      if (id != 0)
-        stream->last_id = id;
-      sink (ctx, stream->buffer + offset, length);
-    }
+  stream->idle_bytes += length_bytes;
+  while ((length = event_length (stream, offset)) > 0) {
+    handle_event (stream, stream->buffer + offset, length, sink, ctx);
     offset += length;
+    stream->scanned_bytes = stream->searched_bytes = 0;
   }
   stream->length_bytes -= offset;
   memmove (stream->buffer, stream->buffer + offset, stream->length_bytes);
-  return 0;
+  return stream->idle_bytes <= BURDOCK_STREAM_EVENT_MAX_BYTES ? 0 : -EMSGSIZE;
 }
--- a/libburdock/event-stream.h
+++ b/libburdock/event-stream.h
@@ -9,11 +9,15 @@
 
 #include "burdock.h"
 
-/* Maximum size of an event; a longer one is an error. */
+/* Maximum size of an event, and of all bytes between two events with new ids; more is an
+ * error. */
 #define BURDOCK_STREAM_EVENT_MAX_BYTES (1u << 20)
 
 /**
  * struct BurdockEventStream - incremental parser of one answer
+ * @scanned_bytes: bytes of complete lines in the buffer that do not end an event
+ * @searched_bytes: bytes of the buffer that were searched for the end of a line
+ * @idle_bytes: bytes received since the last event with a new id
  * @last_id: id of the last complete event with an id, 0 before the first one
  *
  * Initialize with zeros; release with burdock_event_stream_clear().
@@ -22,6 +26,9 @@
   char *buffer;
   uint32_t length_bytes;
   uint32_t capacity_bytes;
+  uint32_t scanned_bytes;
+  uint32_t searched_bytes;
+  uint32_t idle_bytes;
   uint64_t last_id;
 } BurdockEventStream;
 
@@ -40,9 +47,9 @@
 /**
  * burdock_event_stream_feed() - parses bytes and passes on the events that they complete
  *
- * Events whose id is not above @last_id were already delivered and are dropped. Returns
- * 0; -EMSGSIZE if the buffered bytes would exceed BURDOCK_STREAM_EVENT_MAX_BYTES;
- * -ENOMEM.
+ * Events whose id is not above @last_id were already delivered and are dropped; blocks
+ * without an id, such as comments, are passed on. Returns 0; -EMSGSIZE if more than
+ * BURDOCK_STREAM_EVENT_MAX_BYTES arrive without an event that has a new id; -ENOMEM.
  */
 int burdock_event_stream_feed (BurdockEventStream *stream, const char *data,
                                uint32_t length_bytes, BurdockEventStreamSink sink,
--- /dev/null
+++ b/tests/test-endless.c
@@ -0,0 +1,238 @@
+/* Servers in trouble that send bytes without end, until the client closes the connection. */
+#include "event-stream.h"
+#include "http-client.h"
+#include "test.h"
+
+#include <apr_general.h>
+#include <curl/curl.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
+
+#define TIMEOUT_MS 1500
+#define BLOCK_BYTES (64u << 10)
+
+/* Ends a server that the client does not stop, so that the test fails instead of hanging.
+ */
+#define SERVE_MAX_S 5
+
+/* A gateway instance has 160 MB or more for a few hundred requests. */
+#define MEMORY_MAX_KB (24 << 10)
+
+typedef struct {
+  int listener;
+  const char *prefix;
+  const char *repeated;
+  size_t sent_bytes;
+  bool stopped_by_client;
+  pthread_t thread;
+} EndlessServer;
+
+static bool
+send_all (EndlessServer *server, int peer, const char *data, size_t length_bytes)
+{
+  while (length_bytes > 0) {
+    ssize_t sent = send (peer, data, length_bytes, MSG_NOSIGNAL);
+
+    if (sent <= 0)
+      return false;
+    data += sent;
+    length_bytes -= (size_t)sent;
+    server->sent_bytes += (size_t)sent;
+  }
+  return true;
+}
+
+static void *
+serve (void *ctx)
+{
+  EndlessServer *server = ctx;
+  int peer = accept (server->listener, NULL, NULL);
+  size_t repeated_bytes = strlen (server->repeated);
+  size_t block_bytes = BLOCK_BYTES / repeated_bytes * repeated_bytes;
+  char *block = malloc (BLOCK_BYTES);
+  char request[2048];
+  time_t until_s = time (NULL) + SERVE_MAX_S;
+
+  if (peer < 0 || block == NULL)
+    abort ();
+  for (size_t at = 0; at < block_bytes; at += repeated_bytes)
+    memcpy (block + at, server->repeated, repeated_bytes);
+  if (recv (peer, request, sizeof request, 0) > 0 &&
+      send_all (server, peer, server->prefix, strlen (server->prefix))) {
+    while (time (NULL) < until_s && send_all (server, peer, block, block_bytes))
+      ;
+  }
+  server->stopped_by_client = time (NULL) < until_s;
+  free (block);
+  close (peer);
+  return NULL;
+}
+
+static uint16_t
+start_server (EndlessServer *server, const char *prefix, const char *repeated)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t address_bytes = sizeof address;
+
+  *server = (EndlessServer){ .prefix = prefix, .repeated = repeated };
+  server->listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (bind (server->listener, (struct sockaddr *)&address, sizeof address) < 0 ||
+      listen (server->listener, 1) < 0 ||
+      getsockname (server->listener, (struct sockaddr *)&address, &address_bytes) < 0 ||
+      pthread_create (&server->thread, NULL, serve, server) != 0)
+    abort ();
+  return ntohs (address.sin_port);
+}
+
+typedef struct {
+  BurdockLoop *loop;
+  bool done;
+  int32_t status;
+} Call;
+
+static void
+call_done (void *ctx, const BurdockHttpResult *result)
+{
+  Call *call = ctx;
+
+  call->done = true;
+  call->status = result->status;
+  burdock_loop_stop (call->loop);
+}
+
+static long
+peak_memory_kb (void)
+{
+  struct rusage usage;
+
+  getrusage (RUSAGE_SELF, &usage);
+  return usage.ru_maxrss;
+}
+
+#define HEAD "HTTP/1.1 200 OK\r\n"
+#define CHUNKED HEAD "Transfer-Encoding: chunked\r\n\r\n"
+
+typedef struct {
+  const char *name;
+  const char *prefix;
+  const char *repeated;
+} EndlessCase;
+
+static const EndlessCase endless_cases[] = {
+  { "status line", "HTTP/1.1 200 ", "O" },
+  { "no answer at all", "", "x" },
+  { "empty lines", "", "\r\n" },
+  { "one header line", HEAD "X-A: ", "y" },
+  { "header lines", HEAD, "X-A: y\r\n" },
+  { "interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+  { "interim answers with headers", "", "HTTP/1.1 103 Early Hints\r\nX-A: y\r\n\r\n" },
+  { "chunk size", CHUNKED, "0" },
+  { "chunk extension", CHUNKED "1;", "x" },
+  { "trailers", CHUNKED "1\r\nx\r\n0\r\n", "X-T: y\r\n" },
+  { "chunks", CHUNKED, "4\r\nxxxx\r\n" },
+  { "body without length", HEAD "Connection: close\r\n\r\n", "x" },
+};
+
+/* Guards against a client that stores what a server sends without end until the process is
+ * killed for its memory, or that reads on after the time of the call has passed. */
+static void
+endless_answers_are_cut (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (endless_cases); i++) {
+    EndlessServer server;
+    char url[64];
+    Call call = { .loop = burdock_loop_new () };
+    BurdockHttpClient *client = burdock_http_client_new (call.loop);
+    BurdockHttpCall options = { .method = "GET",
+                                .url = url,
+                                .timeout_ms = TIMEOUT_MS,
+                                .ctx = &call,
+                                .done = call_done };
+    long memory_kb = peak_memory_kb ();
+
+    snprintf (url, sizeof url, "http://127.0.0.1:%u",
+              start_server (&server, endless_cases[i].prefix, endless_cases[i].repeated));
+    CU_ASSERT_EQUAL (burdock_http_client_start (client, &options), 0);
+    burdock_loop_run (call.loop);
+    burdock_http_client_free (client);
+    burdock_loop_free (call.loop);
+    pthread_join (server.thread, NULL);
+    close (server.listener);
+    if (!call.done || call.status == 0 || !server.stopped_by_client ||
+        peak_memory_kb () - memory_kb > MEMORY_MAX_KB) {
+      printf ("%s: status %d, %zu bytes read, memory grew by %ld KB\n",
+              endless_cases[i].name, call.status, server.sent_bytes,
+              peak_memory_kb () - memory_kb);
+      CU_FAIL (endless_cases[i].name);
+    }
+  }
+}
+
+typedef struct {
+  const char *name;
+  const char *block;
+} StreamCase;
+
+static const StreamCase stream_cases[] = {
+  { "a line without end", "data: x" },
+  { "lines of one event without end", "data: x\n" },
+  { "comments", ": still here\n\n" },
+  { "empty lines", "\n" },
+  { "events without an id", "data: x\n\n" },
+  { "an event that was delivered before", "id: 1\ndata: x\n\n" },
+};
+
+static void
+ignore_event (void *ctx, const char *event, uint32_t length_bytes)
+{
+}
+
+/* Guards against a stream that is read for as long as its upstream sends bytes, although
+ * none of them make a new event. */
+static void
+streams_without_progress_end (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (stream_cases); i++) {
+    const char *block = stream_cases[i].block;
+    BurdockEventStream stream = { 0 };
+    size_t fed_bytes = 0;
+    int status =
+        burdock_event_stream_feed (&stream, "id: 1\ndata: a\n\n", 15, ignore_event, NULL);
+
+    for (; status == 0 && fed_bytes < 4 * BURDOCK_STREAM_EVENT_MAX_BYTES;
+         fed_bytes += strlen (block))
+      status = burdock_event_stream_feed (&stream, block, (uint32_t)strlen (block),
+                                          ignore_event, NULL);
+    if (status != -EMSGSIZE)
+      CU_FAIL (stream_cases[i].name);
+    CU_ASSERT_EQUAL (stream.last_id, 1);
+    burdock_event_stream_clear (&stream);
+  }
+}
+
+static const Test tests[] = {
+  { "an answer without end takes all memory, or all the time", endless_answers_are_cut },
+  { "a stream without new events never ends", streams_without_progress_end },
+};
+
+int
+main (void)
+{
+  int status;
+
+  apr_initialize ();
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  status = test_main ("endless", tests, TEST_COUNT (tests));
+  curl_global_cleanup ();
+  apr_terminate ();
+  return status;
+}
