Spread the reports of a group to the gateways over time

All agents of a group reported its opening at the same moment and then every 12 s, so that for most of the time gateways took the state of the group for unknown and admitted everything.

Change: the report after a change is followed by the next one after a random part of the interval.

Test first: test-map-agent, 'the agents of a group report to the gateways at the same time'.

--- a/libburdock/map-agent.c
+++ b/libburdock/map-agent.c
@@ -471,12 +471,19 @@
 notify_gateways (BurdockMapAgent *agent, uint64_t now_us)
 {
   BurdockAddress to[BURDOCK_MAP_GATEWAYS_MAX];
+  uint64_t interval_us;
 
   remove_silent_gateways (agent, now_us);
   if (!agent->state_changed && now_us < agent->next_gateway_state_us)
     return;
+  /* All ranks report a change at the same time; the random delay spreads their next
+   * reports over the interval. */
+  interval_us = gateway_state_interval_us (agent);
+  agent->next_gateway_state_us =
+      now_us + (agent->state_changed
+                    ? agent->handler.random (agent->handler.ctx) % interval_us
+                    : interval_us);
   agent->state_changed = false;
-  agent->next_gateway_state_us = now_us + gateway_state_interval_us (agent);
   for (uint32_t i = 0; i < agent->gateway_count; i++)
     to[i] = agent->gateways[i].address;
   burdock_map_agent_send_state (agent, to, agent->gateway_count, false);
--- a/tests/support/fake-group.c
+++ b/tests/support/fake-group.c
@@ -24,6 +24,7 @@
 #define FORM_GROUP_US (1000 * US_PER_MS)
 #define DEMAND_INTERVAL_US (3500 * US_PER_MS)
 #define PORT 7000
+#define GATEWAY_IPV4 100
 #define EVENTS_MAX 16384
 
 /** struct Engine - engine of one rank, as specified by the protocol */
@@ -88,6 +89,8 @@
   uint64_t next_crash_us;
   uint64_t next_herd_kill_us;
   uint32_t states;
+  uint64_t gateway_state_us; /* last state that was sent to the gateway */
+  uint64_t longest_gateway_gap_us;
   uint64_t longest_stall_us;
   uint32_t mixed_steps;
   uint32_t steps;
@@ -141,6 +144,20 @@
   abort ();
 }
 
+static void
+record_gateway_state (FakeGroup *group, const BurdockAddress *to, uint32_t count)
+{
+  uint64_t gap_us = group->now_us - group->gateway_state_us;
+
+  for (uint32_t i = 0; i < count; i++) {
+    if (to[i].ipv4 != GATEWAY_IPV4)
+      continue;
+    if (group->gateway_state_us != 0 && gap_us > group->longest_gateway_gap_us)
+      group->longest_gateway_gap_us = gap_us;
+    group->gateway_state_us = group->now_us;
+  }
+}
+
 static void
 send_message (void *ctx, const BurdockMessage *message, const BurdockAddress *to,
               uint32_t count)
@@ -148,8 +165,10 @@
   Process *process = ctx;
   FakeGroup *group = process->group;
 
-  if (message->header.type == BURDOCK_MSG_RANK_STATE)
+  if (message->header.type == BURDOCK_MSG_RANK_STATE) {
     group->states += count;
+    record_gateway_state (group, to, count);
+  }
   for (uint32_t i = 0; i < count; i++) {
     Event *event;
 
@@ -548,8 +567,9 @@
     message->roster.ranks[r] = (BurdockRosterRank){ address_of (r), r };
   for (uint32_t r = 0; r < group->ranks; r++) {
     if (group->processes[r].agent != NULL)
-      burdock_map_agent_receive (group->processes[r].agent, (BurdockAddress){ 100, PORT },
-                                 message, group->now_us);
+      burdock_map_agent_receive (group->processes[r].agent,
+                                 (BurdockAddress){ GATEWAY_IPV4, PORT }, message,
+                                 group->now_us);
   }
   free (message);
 }
@@ -663,3 +683,9 @@
 {
   return group->states;
 }
+
+uint64_t
+fake_group_longest_gateway_gap_us (const FakeGroup *group)
+{
+  return group->longest_gateway_gap_us;
+}
--- a/tests/support/fake-group.h
+++ b/tests/support/fake-group.h
@@ -55,6 +55,10 @@
  */
 uint32_t fake_group_states (const FakeGroup *group);
 
+/** fake_group_longest_gateway_gap_us() - longest time in which no agent sent its state to
+ * the gateway */
+uint64_t fake_group_longest_gateway_gap_us (const FakeGroup *group);
+
 /** fake_group_longest_stall_us() - longest time without a step */
 uint64_t fake_group_longest_stall_us (const FakeGroup *group);
 
--- a/tests/test-endless.c
+++ b/tests/test-endless.c
@@ -1,4 +1,5 @@
-/* Servers in trouble that send bytes without end, until the client closes the connection. */
+/* Servers in trouble that send bytes without end, until the client closes the connection.
+ */
 #include "event-stream.h"
 #include "http-client.h"
 #include "test.h"
@@ -142,8 +143,8 @@
   { "body without length", HEAD "Connection: close\r\n\r\n", "x" },
 };
 
-/* Guards against a client that stores what a server sends without end until the process is
- * killed for its memory, or that reads on after the time of the call has passed. */
+/* Guards against a client that stores what a server sends without end until the process
+ * is killed for its memory, or that reads on after the time of the call has passed. */
 static void
 endless_answers_are_cut (void)
 {
--- a/tests/test-map-agent.c
+++ b/tests/test-map-agent.c
@@ -133,6 +133,19 @@
   CU_ASSERT_TRUE (count_states (24) < 3 * count_states (12));
 }
 
+/* All agents of a group start at the same time and each reports rarely. Guards against
+ * reports that come together, with a pause in which gateways take the state of the group
+ * for unknown and no longer apply its limit. */
+static void
+gateways_hear_of_a_group_all_the_time (void)
+{
+  FakeGroup *group = fake_group_new (1, 24, &(FakeFaults){ 0 });
+
+  fake_group_run (group, 20 * US_PER_S);
+  CU_ASSERT_TRUE (fake_group_longest_gateway_gap_us (group) < 2 * US_PER_S);
+  fake_group_free (group);
+}
+
 /* Shows that the check above can fail: an engine that accepts an arm order without arming
  * keeps the old map, as if the coordinator had not waited for that rank. */
 static void
@@ -156,6 +169,12 @@
 {
 }
 
+static uint64_t
+zero_random (void *ctx)
+{
+  return 0;
+}
+
 static void
 ignore_log (void *ctx, const char *step, const char *detail)
 {
@@ -189,6 +208,7 @@
   BurdockMapAgentSettings settings = { .id = 1, .incarnation = 1 };
   BurdockMapAgentHandler handler = { .send = ignore_send,
                                      .refresh = ignore_refresh,
+                                     .random = zero_random,
                                      .log = ignore_log };
 
   for (uint32_t i = 0; i < sizeof size_cases / sizeof size_cases[0]; i++) {
@@ -235,6 +255,8 @@
   { "ranks run a step with different maps, or stall", no_step_mixes_maps_under_faults },
   { "the number of states grows with the square of the group",
     states_grow_with_the_group },
+  { "the agents of a group report to the gateways at the same time, with a pause",
+    gateways_hear_of_a_group_all_the_time },
   { "the check for mixed maps cannot fail", check_detects_mixed_maps },
 };
 
