--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -25,6 +25,8 @@
 # new requests; after the last fault, requests are answered again.
 DRAIN_S = 2.0
 RECOVERY_S = 12.0
+# The limit of a shutdown holds for gateways that have met no fault for this time.
+STABILITY_S = 3.0
 
 # Kind of requests: path prefix, method, timeout in ms. "once" must not run twice, "safe" is
 # idempotent.
@@ -334,6 +336,21 @@
         runner.state = "available"
         await self.store.put("servers", runner.id, runner.store_row())
 
+    async def drain_when_calm(self):
+        """Drains an upstream when all gateways are calm, and checks that it gets nothing once
+        its drain time has passed. With --sabotage drain the gateways are not told, so that
+        the check has to fail."""
+        await asyncio.sleep(STABILITY_S)
+        runner = self.plain_runners[0]
+        runner.state = "draining"
+        if self.options.sabotage != "drain":
+            await self.store.put("servers", runner.id, runner.store_row())
+        runner.left_at = time.monotonic()
+        await asyncio.sleep(DRAIN_S + 3)
+        runner.left_at = None
+        runner.state = "available"
+        await self.store.put("servers", runner.id, runner.store_row())
+
     async def run(self):
         self.began = time.monotonic()
         end = [self.began + self.options.seconds + RECOVERY_S + 6]
@@ -350,7 +367,7 @@
         for task in pending:
             if task.exception():
                 raise task.exception()
-        await asyncio.gather(*callers)
+        await asyncio.gather(self.drain_when_calm(), *callers)
         served, asked = self.late_requests
         if asked == 0 or served < 0.9 * asked:
             self.check.add_violation("RECOVER", f"{served} of {asked} requests succeeded after the "
@@ -373,6 +390,8 @@
     parser.add_argument("--logs", default="/tmp/burdock-soak")
     parser.add_argument("--net", type=int, default=0,
                         help="second number of the loopback addresses, for runs side by side")
+    parser.add_argument("--sabotage", choices=("drain",),
+                        help="break a promise, to show that its check can fail")
     parser.add_argument("--verbose", action="store_true")
     options = parser.parse_args()
     soak = Soak(options)
