Call the store again when another gateway has a newer configuration

Change: heartbeats carry the version of the configuration; a gateway that has been behind another for 0.8 s repeats its calls for the configuration and for the upstreams. The delay after changes of the configuration is 0.3 s again.

--- a/gateway/control.c
+++ b/gateway/control.c
@@ -10,7 +10,11 @@
 
 #define US_PER_MS UINT64_C (1000)
 
-/* Delay of the next call to the store after changes, as a part of the time within which a
+/* Delay of the next call after a change of the configuration. Versions may come in quick
+ * succession, and each has to be in force within 2 s or more. */
+#define CONFIG_CHANGES_DELAY_MS 300
+
+/* Delay of the next call after changes of upstreams, as a part of the time within which a
  * change has to be applied. Instances that start or leave together cause bursts of
  * changes; each of them ends the calls of all gateways, and each call is charged for. */
 #define CHANGES_DELAY_RATIO 0.25
@@ -24,6 +28,10 @@
   return delay_ms < CHANGES_DELAY_MAX_MS ? (uint32_t)delay_ms : CHANGES_DELAY_MAX_MS;
 }
 
+/* The gateways read a change within this time of each other, unless a call to the store
+ * has no answer. */
+#define CONFIG_LAG_US UINT64_C (800000)
+
 static uint64_t
 random_value (void *ctx)
 {
@@ -170,15 +178,49 @@
   return next_us;
 }
 
+void
+burdock_gateway_control_wake (void *ctx)
+{
+}
+
+/* Another gateway has had a newer configuration for a while, so the answers to the calls
+ * in progress were probably lost. Without this, the gateway would notice when the time
+ * limit of the long poll ends. */
+static uint64_t
+check_config_lag (BurdockGateway *gateway, uint64_t now_us)
+{
+  BurdockGatewayControl *control = &gateway->control;
+  uint64_t peer_version = gateway->peer_config_version;
+
+  if (peer_version <= control->config_version) {
+    control->config_lag_since_us = 0;
+    return BURDOCK_LOOP_NEVER_US;
+  }
+  if (control->config_lag_since_us == 0)
+    control->config_lag_since_us = now_us;
+  if (now_us < control->config_lag_since_us + CONFIG_LAG_US)
+    return control->config_lag_since_us + CONFIG_LAG_US;
+  burdock_log (BURDOCK_LOG_WARNING, "configuration behind", "-",
+               "version %" PRIu64 ", another gateway has %" PRIu64
+               "; calling the store again",
+               control->config_version, peer_version);
+  burdock_table_watch_call_again (control->config_watch, CONFIG_LAG_US, now_us);
+  burdock_table_watch_call_again (control->upstream_watch, CONFIG_LAG_US, now_us);
+  control->config_lag_since_us = now_us;
+  return now_us + CONFIG_LAG_US;
+}
+
 static uint64_t
 control_hook (void *ctx, uint64_t now_us)
 {
   BurdockGateway *gateway = ctx;
-  uint64_t next_us = expire_upstreams (gateway, now_us);
+  uint64_t expire_us = expire_upstreams (gateway, now_us);
+  uint64_t next_us = check_config_lag (gateway, now_us);
   uint64_t config_us = burdock_table_watch_tick (gateway->control.config_watch, now_us);
   uint64_t upstream_us =
       burdock_table_watch_tick (gateway->control.upstream_watch, now_us);
 
+  next_us = expire_us < next_us ? expire_us : next_us;
   next_us = config_us < next_us ? config_us : next_us;
   return upstream_us < next_us ? upstream_us : next_us;
 }
@@ -206,15 +248,15 @@
     return -ENOMEM;
   control->store = (BurdockStoreClient){ .loop = control->runtime.loop,
                                          .client = control->runtime.client,
-                                         .changes_delay_ms = changes_delay_ms (
-                                             gateway->settings.drain_limit_ms),
                                          .random_ctx = &control->runtime,
                                          .random = random_value };
   control->store.url = gateway->settings.store_url;
   control->config_watch =
-      burdock_table_watch_new (&control->store, BURDOCK_PLATFORM_CONFIG_TABLE, &config);
+      burdock_table_watch_new (&control->store, BURDOCK_PLATFORM_CONFIG_TABLE,
+                               CONFIG_CHANGES_DELAY_MS, &config);
   control->upstream_watch =
       burdock_table_watch_new (&control->store, BURDOCK_PLATFORM_UPSTREAM_TABLE,
+                               changes_delay_ms (gateway->settings.drain_limit_ms),
                                &upstreams);
   burdock_loop_add_hook (control->runtime.loop, control_hook, gateway);
   return 0;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -99,6 +99,8 @@
 /**
  * struct BurdockGatewayControl - state of the control thread
  * @config_version: version of the last configuration that was published
+ * @config_lag_since_us: time since which another gateway has a newer configuration, 0 if
+ *   none has
  * @upstreams_listed: the table of upstreams was read at least once
  */
 typedef struct {
@@ -108,6 +110,7 @@
   BurdockTableWatch *upstream_watch;
   uint64_t config_version;
   BurdockUpstreamRegistry *upstreams;
+  uint64_t config_lag_since_us;
   bool upstreams_listed;
 } BurdockGatewayControl;
 
@@ -124,6 +127,7 @@
  *   before an upstream has sent a keep-alive timeout
  * @leaving: the gateway is shutting down
  * @roster_round: number of times that rosters were sent to all agents
+ * @heartbeats_sent: number of heartbeats sent since the start
  * @peer_offset: index at which the next list of peers starts, so that all peers are
  *   listed in turn
  * @outgoing: buffer for the message being sent
@@ -151,6 +155,7 @@
   uint64_t roster_round;
   uint32_t peer_count;
   BurdockGatewayPeer peers[BURDOCK_GATEWAY_PEERS_MAX];
+  uint64_t heartbeats_sent;
   uint32_t peer_offset;
   BurdockMessage outgoing;
   uint32_t agent_count;
@@ -163,6 +168,8 @@
  * @id: burdock_member_id() of the name of the gateway
  * @incarnation: distinguishes starts of the same gateway
  * @published_table: &BurdockRouteTable from the control to the traffic thread
+ * @peer_config_version: highest version of the configuration that another gateway has
+ *   reported, from the traffic to the control thread
  * @published_upstreams: &BurdockUpstreamList from the control to the traffic thread
  */
 typedef struct {
@@ -173,6 +180,7 @@
   BurdockGatewayTraffic traffic;
   BurdockSlot published_table;
   BurdockSlot published_upstreams;
+  _Atomic uint64_t peer_config_version;
 } BurdockGateway;
 
 /**
@@ -197,6 +205,10 @@
  * the control thread has published; runs on the traffic thread */
 void burdock_gateway_traffic_apply_updates (void *ctx);
 
+/** burdock_gateway_control_wake() - lets the control thread compare its configuration
+ * with that of the other gateways; runs on the control thread */
+void burdock_gateway_control_wake (void *ctx);
+
 /** burdock_gateway_traffic_drain() - starts a graceful shutdown; runs on the traffic
  * thread */
 void burdock_gateway_traffic_drain (void *ctx);
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -13,6 +13,12 @@
 #define HEARTBEAT_INTERVAL_MIN_MS 100
 #define HEARTBEATS_MAX_PER_S 160
 
+/* Peers that a heartbeat lists. The first heartbeats of a process list more, as many
+ * gateways may start together; later a joining gateway hears from every peer that it
+ * learns of, so that a few addresses in each heartbeat are enough. */
+#define LISTED_PEERS 4
+#define FULL_HEARTBEATS 30
+
 /* A peer is considered unreachable without a heartbeat for this time and for
  * PEER_INTERVALS_MAX of its intervals. */
 #define PEER_TIMEOUT_MIN_US UINT64_C (1000000)
@@ -91,6 +97,11 @@
   peer->leaving = load->leaving;
   for (uint32_t i = 0; i < load->peer_count; i++)
     add_peer (gateway, load->peers[i].address);
+  if (load->generation > gateway->peer_config_version) {
+    gateway->peer_config_version = load->generation;
+    burdock_loop_post (gateway->control.runtime.loop, burdock_gateway_control_wake,
+                       gateway);
+  }
   burdock_balancer_set_peer_load (traffic->balancer, peer->id,
                                   load->interval_ms * US_PER_MS, load->items,
                                   load->item_count, now_us);
@@ -114,16 +125,18 @@
                  uint64_t now_us)
 {
   BurdockGatewayTraffic *traffic = &gateway->traffic;
+  uint32_t limit = traffic->heartbeats_sent < FULL_HEARTBEATS ? BURDOCK_GATEWAY_ITEMS_MAX
+                                                              : LISTED_PEERS;
 
-  for (uint32_t i = 0;
-       i < traffic->peer_count && load->peer_count < BURDOCK_GATEWAY_ITEMS_MAX; i++) {
+  for (uint32_t i = 0; i < traffic->peer_count && load->peer_count < limit; i++) {
     const BurdockGatewayPeer *peer =
         &traffic->peers[(traffic->peer_offset + i) % traffic->peer_count];
 
     if (burdock_gateway_peer_is_alive (peer, now_us))
       load->peers[load->peer_count++].address = peer->address;
   }
-  traffic->peer_offset++;
+  traffic->peer_offset += limit;
+  traffic->heartbeats_sent++;
 }
 
 /* Time between messages of which each of @senders sends one, so that a receiver gets at
--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -52,7 +52,7 @@
 /* Otherwise the limit follows the ratio of gaps that exceed their target. One late gap
  * out of about twenty makes a stream late. Long steps come in bursts, when the demand for
  * experts has jumped, and hardly affect the mean. */
-#define LATE_GAP_RATIO_GOAL 0.015        /* one stream in four, with twenty gaps each */
+#define LATE_GAP_RATIO_GOAL 0.03         /* one stream in four, with twenty gaps each */
 #define LATE_GAP_RATIO_MAX 0.05          /* bounds the recovery time after a burst */
 #define LATE_GAP_GAIN 0.1                /* averages over about ten adjustments */
 #define GROUP_UTILIZATION_RECOVERY 0.015 /* step while below the initial value */
