--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -66,7 +66,7 @@
 bool
 burdock_gateway_peer_is_alive (const BurdockGatewayPeer *peer, uint64_t now_us)
 {
-  uint64_t timeout_us = peer->interval_ms * PEER_INTERVALS_MAX * US_PER_MS;
+  uint64_t timeout_us = US_PER_MS * PEER_INTERVALS_MAX * peer->interval_ms;
 
   if (timeout_us < PEER_TIMEOUT_MIN_US)
     timeout_us = PEER_TIMEOUT_MIN_US;
--- a/libburdock/copy-plan.c
+++ b/libburdock/copy-plan.c
@@ -197,6 +197,7 @@
 changed_hosts (const Layer *layer, const Change *change, BurdockBitSet *expert,
                BurdockBitSet *victim)
 {
+  *victim = (BurdockBitSet){ 0 };
   *expert = layer->hosts[change->expert];
   burdock_bit_set_add (expert, change->to);
   if (change->kind == CHANGE_MOVE)
--- a/libburdock/replica-map.c
+++ b/libburdock/replica-map.c
@@ -191,8 +191,8 @@
 
     for (uint32_t r = burdock_bit_set_next (&changed, 0); r < BURDOCK_BIT_SET_BITS;
          r = burdock_bit_set_next (&changed, r + 1)) {
-      out[CHANGE_BYTES * count] = (uint8_t)e;
-      out[CHANGE_BYTES * count + 1] = (uint8_t)r;
+      *out++ = (uint8_t)e;
+      *out++ = (uint8_t)r;
       count++;
     }
   }
@@ -205,7 +205,7 @@
                                     uint32_t *length_bytes)
 {
   uint32_t total = count_changes (before, after);
-  uint32_t at = 0;
+  size_t at = 0;
   uint8_t *out;
 
   if (total > UINT16_MAX)
@@ -220,7 +220,7 @@
 
     out[at] = (uint8_t)(count >> 8);
     out[at + 1] = (uint8_t)count;
-    at += CHANGE_COUNT_BYTES + count * CHANGE_BYTES;
+    at += CHANGE_COUNT_BYTES + (size_t)count * CHANGE_BYTES;
   }
   *bytes = out;
   return 0;
--- a/libburdock/upstream-registry.c
+++ b/libburdock/upstream-registry.c
@@ -152,7 +152,7 @@
   snprintf (detail, sizeof detail, "pool %s slots %u%s", upstream->pool, upstream->slots,
             upstream->leaving ? " leaving" : "");
   registry->log (registry->ctx, "upstream found", upstream->id, detail);
-  return entry; // NOLINT(clang-analyzer-unix.Malloc): registry->entries owns the entry
+  return entry;
 }
 
 void
@@ -173,7 +173,7 @@
   entry->remove_at_us = 0;
   entry->listed = true;
   keep_latest_at_address (registry, entry);
-}
+} // NOLINT(clang-analyzer-unix.Malloc): registry->entries owns the entry
 
 void
 burdock_upstream_registry_remove (BurdockUpstreamRegistry *registry, const char *id,
--- a/tests/test-endless.c
+++ b/tests/test-endless.c
@@ -209,7 +209,7 @@
     int status =
         burdock_event_stream_feed (&stream, "id: 1\ndata: a\n\n", 15, ignore_event, NULL);
 
-    for (; status == 0 && fed_bytes < 4 * BURDOCK_STREAM_EVENT_MAX_BYTES;
+    for (; status == 0 && fed_bytes < (size_t)4 * BURDOCK_STREAM_EVENT_MAX_BYTES;
          fed_bytes += strlen (block))
       status = burdock_event_stream_feed (&stream, block, (uint32_t)strlen (block),
                                           ignore_event, NULL);
--- a/tests/test-upstream-registry.c
+++ b/tests/test-upstream-registry.c
@@ -77,18 +77,18 @@
 
 typedef struct {
   const char *name;
-  bool outage; /* the store was regained 1 s before the row is removed */
-  bool leaving;
   uint64_t rewrite_us; /* time from the removal until the row is written again, or 0 */
-  bool kept_at_once;   /* right after the removal */
-  bool kept_finally;   /* 3 s after the removal */
+  bool outage;         /* the store was regained 1 s before the row is removed */
+  bool leaving;
+  bool kept_at_once; /* right after the removal */
+  bool kept_finally; /* 3 s after the removal */
 } RemovalCase;
 
 static const RemovalCase removal_cases[] = {
-  { "removed in calm times", false, false, 0, false, false },
-  { "expired during an outage, upstream gone", true, false, 0, true, false },
-  { "expired during an outage, upstream back", true, false, US_PER_S, true, true },
-  { "left during an outage", true, true, 0, false, false },
+  { "removed in calm times", 0, false, false, false, false },
+  { "expired during an outage, upstream gone", 0, true, false, true, false },
+  { "expired during an outage, upstream back", US_PER_S, true, false, true, true },
+  { "left during an outage", 0, true, true, false, false },
 };
 
 /* Guards against upstreams that vanish with the rows that expired while the store was
