Log the shared parts of the prompt of a failed attempt

The record "attempt failed" now has the field prompt with the last eight shared parts, so that a part common to the requests whose upstreams ended shows. The header is parsed in platform/ only; the part of the request itself is left out.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -26,6 +26,9 @@
 /* Idle connections are not reused in the last second before the upstream closes them. */
 #define KEEP_ALIVE_MARGIN_S 1
 
+/* The last eight shared parts of a prompt. */
+#define LOGGED_PROMPT_BYTES 140
+
 static int
 buffer_body (BurdockForward *forward, const char *data, size_t length_bytes)
 {
@@ -181,6 +184,24 @@
   }
 }
 
+static void
+log_failed_attempt (const BurdockForward *forward, BurdockAttemptResult attempt_result,
+                    const BurdockHttpResult *result)
+{
+  char prompt[LOGGED_PROMPT_BYTES];
+
+  burdock_prompt_parts_format (&forward->caller.prompt, prompt, sizeof prompt);
+  burdock_log_subject (BURDOCK_LOG_INFO, "attempt failed", forward->caller.request_id,
+                       forward->upstream.id,
+                       "result %d status %d http %d form %d sent %d new %d after_ms %u "
+                       "events %u prompt %s",
+                       attempt_result, result->status, result->http_status,
+                       forward->answer_kind, result->sent, result->new_connection,
+                       (uint32_t)((burdock_loop_now_us () - forward->sent_us) /
+                                  US_PER_MS),
+                       forward->attempt_event_count, prompt);
+}
+
 static void
 answer_done (void *ctx, const BurdockHttpResult *result)
 {
@@ -193,15 +214,7 @@
   if (result->new_connection)
     forward->gateway->traffic.counters.connections++;
   if (attempt_result != BURDOCK_ATTEMPT_COMPLETE)
-    burdock_log_subject (BURDOCK_LOG_INFO, "attempt failed", forward->caller.request_id,
-                         forward->upstream.id,
-                         "result %d status %d http %d form %d sent %d new %d after_ms %u "
-                         "events %u",
-                         attempt_result, result->status, result->http_status,
-                         forward->answer_kind, result->sent, result->new_connection,
-                         (uint32_t)((burdock_loop_now_us () - forward->sent_us) /
-                                    US_PER_MS),
-                         forward->attempt_event_count);
+    log_failed_attempt (forward, attempt_result, result);
   burdock_forward_attempt_ended (forward, attempt_result,
                                  upstream_outcome (attempt_result, result->sent));
 }
--- a/tests/test-platform-decode.c
+++ b/tests/test-platform-decode.c
@@ -1,3 +1,4 @@
+#include "exchange.h"
 #include "row-decoder.h"
 #include "test.h"
 
@@ -165,10 +166,44 @@
   }
 }
 
+typedef struct {
+  const char *list;
+  uint32_t count;
+  uint64_t first;
+} PromptCase;
+
+static const PromptCase prompt_cases[] = {
+  { "5c1e07a2:800,91bd3f06:410,e4402b7d:250", 2, 0x5c1e07a2 },
+  { " 5C1E07A2:800, 91bd3f06:410,1:2", 2, 0x5c1e07a2 },
+  { "ffffffffffffffff:1,2:3", 1, UINT64_MAX },
+  { "7:1", 0, 0 },
+  { "", 0, 0 },
+  { NULL, 0, 0 },
+};
+
+/* Guards against a part that is taken for the request's own one, and the reverse. */
+static void
+shared_parts_of_a_prompt_are_parsed (void)
+{
+  BurdockPromptParts other;
+  BurdockPromptParts parts;
+
+  for (size_t i = 0; i < TEST_COUNT (prompt_cases); i++) {
+    burdock_exchange_parse_prompt (prompt_cases[i].list, &parts);
+    CU_ASSERT_EQUAL (parts.count, prompt_cases[i].count);
+    if (parts.count > 0)
+      CU_ASSERT_EQUAL (parts.ids[0], prompt_cases[i].first);
+  }
+  burdock_exchange_parse_prompt ("0123456789abcdef01:1,x:2", &parts);
+  burdock_exchange_parse_prompt ("0123456789abcdef02:1,x:2", &other);
+  CU_ASSERT_NOT_EQUAL (parts.ids[0], other.ids[0]);
+}
+
 static const Test tests[] = {
   { "an invalid row is used as an upstream", invalid_upstream_rows_are_rejected },
   { "a field of a configuration is lost or altered", configurations_are_decoded },
   { "an invalid configuration is accepted", invalid_configurations_are_rejected },
+  { "a shared part of a prompt is not recognized", shared_parts_of_a_prompt_are_parsed },
 };
 
 int
