Add a failing scenario of a prompt part that crashes upstreams

The scenario runs nine gateways against stand-ins whose runners crash when they begin to answer a prompt with that part, and kills all gateways once. It checks the users' bounds: at most three such requests reach upstreams later than 3 s after the fifth crash (BUDGET), and sound requests are served at least half as often as before from 6 s after it on (LOST).

--- /dev/null
+++ b/tests/soak/scenarios.py
@@ -0,0 +1,149 @@
+#!/usr/bin/env python3
+"""Incidents played against real gateways and rank agents, with a check of what upstreams get.
+
+prompt-part: requests with one part in their prompts crash each upstream that runs them.
+"""
+import argparse
+import asyncio
+import os
+import signal
+import sys
+import time
+
+import soak
+from standin import CRASHING_PART
+
+# Bounds of the users' pages.
+STABILITY_S = 3.0
+CRASHES_MAX = 5
+LATE_ARRIVALS_MAX = 3
+
+GATEWAYS, RANKS, GROUPS = 9, 4, 2
+CRASHING_SHARE = 0.15
+
+
+class PromptPartScenario(soak.Soak):
+    """All gateways are killed once in the middle, so that a successor knows only what lasts."""
+
+    def __init__(self, options):
+        super().__init__(options)
+        self.crashing = False
+        # Start and whether the caller got a complete answer, of requests without the part.
+        self.sound_requests = []
+
+    def prompt(self):
+        own = f"{self.random.getrandbits(64):016x}:674"
+        if self.crashing and self.random.random() < CRASHING_SHARE:
+            return f"5c1e07a2:40,{CRASHING_PART}:300,{own}"
+        return f"5c1e07a2:40,{own}"
+
+    async def exchange_stream(self, connection):
+        prompt, started = self.prompt(), time.monotonic()
+        attempt = f"{self.random.getrandbits(64):016x}"
+        status = "cut"
+        try:
+            status, connection = await asyncio.wait_for(
+                self.exchange("stream", attempt, connection,
+                              f"Burdockwind-Prompt-Prefix: {prompt}\r\n"), 9)
+        except (OSError, asyncio.IncompleteReadError, ValueError, asyncio.TimeoutError):
+            connection = None
+        if CRASHING_PART not in prompt:
+            self.sound_requests.append((started, status == "200"))
+        key = f"stream {status}"
+        self.outcome_counts[key] = self.outcome_counts.get(key, 0) + 1
+        return connection
+
+    async def stream_caller(self, end_time):
+        connection = None
+        while time.monotonic() < end_time:
+            k = self.random.randrange(GATEWAYS)
+            try:
+                reader, writer = await asyncio.open_connection(self.gateway_ip(k), 8080)
+            except OSError:
+                await asyncio.sleep(0.2)
+                continue
+            connection = await self.exchange_stream((reader, writer, ""))
+            writer.close()
+            await asyncio.sleep(self.random.random() * 0.3)
+        return connection
+
+    async def kill_all_gateways(self):
+        await asyncio.gather(*(gateway.restart(signal.SIGKILL, 0.3)
+                               for gateway in self.gateways))
+
+    async def run(self):
+        self.began = time.monotonic()
+        callers = [asyncio.create_task(self.stream_caller(self.began + self.options.seconds))
+                   for _ in range(self.options.callers)]
+        await asyncio.sleep(5)
+        self.crashing = True
+        await asyncio.sleep((self.options.seconds - 5) * 0.6)
+        await self.kill_all_gateways()
+        await asyncio.gather(*callers)
+        self.check_arrivals()
+        self.check_sound_requests()
+
+    def crash_times(self):
+        return sorted(runner_crash for runner in self.runners
+                      for runner_crash in runner.crash_times)
+
+    def check_arrivals(self):
+        crashes = self.crash_times()
+        print(f"crashes: {' '.join(f'{t - self.began:.2f}' for t in crashes)}")
+        if len(crashes) < CRASHES_MAX:
+            return
+        bound = crashes[CRASHES_MAX - 1] + STABILITY_S
+        late = [t for runner in self.runners for t in runner.crashing_arrivals if t > bound]
+        if len(late) > LATE_ARRIVALS_MAX:
+            self.check.add_violation(
+                "BUDGET", f"{len(late)} requests with the part reached upstreams later than "
+                          f"{STABILITY_S} s after the fifth crash; {len(crashes)} crashes in all")
+
+    def check_sound_requests(self):
+        crashes = self.crash_times()
+        if not crashes:
+            self.check.add_violation("SETUP", "no upstream crashed")
+            return
+        since = crashes[min(len(crashes), CRASHES_MAX) - 1] + 2 * STABILITY_S
+        before = [served for t, served in self.sound_requests if t < self.began + 5]
+        after = [served for t, served in self.sound_requests if t > since]
+        if len(after) < 20 or sum(after) * len(before) * 2 < sum(before) * len(after):
+            self.check.add_violation("LOST", f"{sum(after)} of {len(after)} sound requests were "
+                                             f"served after the crashes, before {sum(before)} of "
+                                             f"{len(before)}")
+
+
+SCENARIOS = {"prompt-part": PromptPartScenario}
+
+
+async def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("scenario", choices=sorted(SCENARIOS))
+    parser.add_argument("--build", default="build")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=35)
+    parser.add_argument("--callers", type=int, default=12)
+    parser.add_argument("--logs", default="/tmp/burdock-scenario")
+    parser.add_argument("--net", type=int, default=0,
+                        help="second number of the loopback addresses, for runs side by side")
+    options = parser.parse_args()
+    options.gateways, options.sabotage, options.verbose = GATEWAYS, None, False
+    scenario = SCENARIOS[options.scenario](options)
+    await scenario.start()
+    try:
+        await scenario.run()
+    finally:
+        await scenario.stop()
+    for violation in scenario.check.violations[:20]:
+        print(violation)
+    counts = " ".join(f"{k.replace(' ', '=')}:{v}"
+                      for k, v in sorted(scenario.outcome_counts.items()))
+    print(f"{options.scenario} seed {options.seed}: "
+          f"problems={len(scenario.check.violations)} {counts}")
+    sys.stdout.flush()
+    # Exits without waiting for requests that the simulated platform still handles.
+    os._exit(1 if scenario.check.violations else 0)
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,7 +17,7 @@
 from standin import (EXPERTS, LAYERS, EXPERT_SLOTS, LOADS_MAX, Group, HttpServer, Proxy, Runner,
                      Store, body_of, event_count, read_body, read_head)
 
-GATEWAY_COUNT, GROUP_COUNT, RANK_COUNT, PLAIN_RUNNER_COUNT = 3, 2, 4, 2
+GROUP_COUNT, RANK_COUNT, PLAIN_RUNNER_COUNT = 2, 4, 2
 # API key: name of its workspace.
 WORKSPACES_BY_KEY = {"key-a": "depot", "key-b": "press"}
 
@@ -127,16 +127,17 @@
         self.plain_runners = [Runner(self.check, "plain", f"{self.net}.3.{k + 1}")
                               for k in range(PLAIN_RUNNER_COUNT)]
         self.proxies = [Proxy(self.gateway_ip(k), 8600, (f"{self.net}.9.1", 8000))
-                        for k in range(GATEWAY_COUNT)]
+                        for k in range(self.options.gateways)]
         await self.store.http.start()
         for item in self.runners + self.plain_runners:
+            item.store = self.store
             await item.http.start()
             await self.store.put("servers", item.id, item.store_row())
         for proxy in self.proxies:
             await proxy.start()
         await self.store.put("op", "config", self.configuration())
         self.tasks = [asyncio.create_task(group.run()) for group in self.groups]
-        self.gateways = [self.gateway_process(k) for k in range(GATEWAY_COUNT)]
+        self.gateways = [self.gateway_process(k) for k in range(self.options.gateways)]
         self.agents = [self.agent_process(k) for k in range(GROUP_COUNT * RANK_COUNT)]
         for process in self.gateways + self.agents:
             await process.start()
@@ -144,7 +145,7 @@
 
     def gateway_process(self, k):
         ip = self.gateway_ip(k)
-        seeds = ",".join(f"{self.gateway_ip(i)}:1" for i in range(GATEWAY_COUNT))
+        seeds = ",".join(f"{self.gateway_ip(i)}:1" for i in range(self.options.gateways))
         return Process(self, f"gateway-{k}", [
             f"{self.options.build}/gateway/burdock-gateway", f"--name=gateway-{k}",
             "--failure-domain=z", f"--control={ip}:7000", f"--http={ip}:8080",
@@ -177,7 +178,7 @@
     # Simulated callers.
 
     async def resolve(self):
-        for k in self.random.sample(range(GATEWAY_COUNT), GATEWAY_COUNT):
+        for k in self.random.sample(range(self.options.gateways), self.options.gateways):
             try:
                 reader, writer = await asyncio.wait_for(
                     asyncio.open_connection(self.gateway_ip(k), 8082), 1)
@@ -229,7 +230,7 @@
             self.late_requests[1] += 1
         return reusable
 
-    async def exchange(self, kind, attempt, connection):
+    async def exchange(self, kind, attempt, connection, header_lines=""):
         reader, writer, _ = connection
         prefix, method, limit = REQUEST_KINDS[kind]
         key = self.random.choice(list(WORKSPACES_BY_KEY))
@@ -237,7 +238,7 @@
         writer.write((f"{method} {prefix}p?q=1 HTTP/1.1\r\nHost: h\r\n"
                       f"Burdockwind-Attempt-Id: {attempt}\r\n"
                       f"Burdockwind-Deadline-Ms: {limit}\r\nAuthorization: Bearer {key}\r\n"
-                      f"Content-Length: {len(body)}\r\n\r\n{body}").encode())
+                      f"{header_lines}Content-Length: {len(body)}\r\n\r\n{body}").encode())
         await writer.drain()
         head = await read_head(reader)
         if head is None:
@@ -387,6 +388,7 @@
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--gap", type=float, default=0.8, help="mean time between faults")
     parser.add_argument("--callers", type=int, default=16)
+    parser.add_argument("--gateways", type=int, default=3)
     parser.add_argument("--logs", default="/tmp/burdock-soak")
     parser.add_argument("--net", type=int, default=0,
                         help="second number of the loopback addresses, for runs side by side")
--- a/tests/soak/standin.py
+++ b/tests/soak/standin.py
@@ -16,6 +16,11 @@
 # Shape of the expert maps; the wire names are layerSets, experts, placements, spares.
 LAYERS, EXPERTS, EXPERT_SLOTS, LOADS_MAX = 2, 16, 6, 4
 
+# Part of a prompt that crashes each runner that begins to answer it, and the time in s until
+# another runner has started in its place.
+CRASHING_PART = "bad0bad0"
+CRASH_S = 2.0
+
 
 async def read_head(reader):
     """Returns (first line, headers) of a message, or None at the end of the connection."""
@@ -81,6 +86,10 @@
             self.writers.discard(writer)
             writer.close()
 
+    async def stop(self):
+        self.server.close()
+        self.reset_all()
+
     def reset_all(self):
         for writer in list(self.writers):
             writer.transport.abort()
@@ -242,6 +251,8 @@
         self.slots, self.running, self.sequence = slots, 0, 0
         self.state, self.error_rate, self.hung = "available", 0.0, False
         self.left_at = None
+        self.crash_times, self.crashing_arrivals = [], []
+        self.store, self.down = None, False
         self.http = HttpServer(ip, 9000, self.handle)
         self.assign_new_id()
 
@@ -264,6 +275,9 @@
             await writer.drain()
             return True
         attempt = headers.get("burdockwind-attempt-id", "")
+        crashing = CRASHING_PART in headers.get("burdockwind-prompt-prefix", "")
+        if crashing:
+            self.crashing_arrivals.append(time.monotonic())
         if headers.get("burdockwind-expect-instance") != self.id:
             writer.write(answer(421, headers=[("Burdockwind-Instance-Id", self.id)]))
             return True
@@ -295,10 +309,43 @@
         return [("Burdockwind-Attempt-Id", attempt),
                 ("Burdockwind-Instance-Signature", self.id)]
 
-    async def stream(self, attempt, headers, writer):
+    def stream_head(self, attempt):
         headers_text = "".join(f"{n}: {v}\r\n" for n, v in self.answer_headers(attempt))
-        writer.write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
-                      f"Content-Type: text/event-stream\r\n{headers_text}\r\n").encode())
+        return ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                f"Content-Type: text/event-stream\r\n{headers_text}\r\n").encode()
+
+    async def crash(self, attempt, writer):
+        """Ends the runner as it begins an answer; another one starts at its address later."""
+        step = self.group.step
+        while self.group.open and self.group.step == step:
+            await asyncio.sleep(STEP_S / 4)
+        if not self.group.open:
+            return False
+        writer.write(self.stream_head(attempt))
+        await writer.drain()
+        await asyncio.sleep(0.01)
+        if not self.down:
+            self.crash_times.append(time.monotonic())
+            asyncio.create_task(self.restart())
+        return False
+
+    async def restart(self):
+        self.down = True
+        await self.http.stop()
+        if self.group.open:
+            asyncio.create_task(self.group.crash(CRASH_S + 0.3))
+        await asyncio.sleep(CRASH_S / 2)
+        await self.store.remove("servers", self.id)
+        await asyncio.sleep(CRASH_S / 2)
+        self.assign_new_id()
+        await self.http.start()
+        self.down = False
+        await self.store.put("servers", self.id, self.store_row())
+
+    async def stream(self, attempt, headers, writer):
+        if CRASHING_PART in headers.get("burdockwind-prompt-prefix", ""):
+            return await self.crash(attempt, writer)
+        writer.write(self.stream_head(attempt))
         epoch = self.group.epoch
         for number in range(int(headers.get("last-event-id", 0)) + 1,
                             event_count(attempt) + 1):
