--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -110,6 +110,9 @@
     burdock_http_stream_start (forward->http_request, forward->final_status);
     record_first_event (forward, now_us);
   }
+  if (forward->attempt_event_count == 0)
+    burdock_part_quarantine_record_answer (traffic->quarantine, &forward->caller.prompt,
+                                           now_us);
   if (gap_us > forward->longest_gap_us)
     forward->longest_gap_us = gap_us;
   burdock_balancer_record_event (traffic->balancer, forward->upstream.key, gap_us,
@@ -202,6 +205,21 @@
                        forward->attempt_event_count, prompt);
 }
 
+/* Tells the quarantine how an attempt ended that passed no event on. */
+static void
+record_outcome (const BurdockForward *forward, BurdockAttemptResult attempt_result,
+                const BurdockHttpResult *result)
+{
+  BurdockPartQuarantine *quarantine = forward->gateway->traffic.quarantine;
+  uint64_t now_us = burdock_loop_now_us ();
+
+  if (attempt_result == BURDOCK_ATTEMPT_COMPLETE)
+    burdock_part_quarantine_record_answer (quarantine, &forward->caller.prompt, now_us);
+  else if (result->sent && result->status < 0 && result->status != -ETIMEDOUT)
+    burdock_part_quarantine_record_break (quarantine, &forward->caller.prompt,
+                                          forward->upstream.key, now_us);
+}
+
 static void
 answer_done (void *ctx, const BurdockHttpResult *result)
 {
@@ -215,6 +233,8 @@
     forward->gateway->traffic.counters.connections++;
   if (attempt_result != BURDOCK_ATTEMPT_COMPLETE)
     log_failed_attempt (forward, attempt_result, result);
+  if (forward->attempt_event_count == 0)
+    record_outcome (forward, attempt_result, result);
   burdock_forward_attempt_ended (forward, attempt_result,
                                  upstream_outcome (attempt_result, result->sent));
 }
--- a/gateway/control.c
+++ b/gateway/control.c
@@ -1,6 +1,7 @@
 #include "gateway.h"
 
 #include "log.h"
+#include "quarantine.h"
 
 #include <apr_hash.h>
 #include <errno.h>
@@ -77,7 +78,7 @@
 }
 
 static void
-config_begin (void *ctx)
+ignore_begin (void *ctx)
 {
 }
 
@@ -210,6 +211,29 @@
   return now_us + CONFIG_LAG_US;
 }
 
+static void
+quarantine_reachable (void *ctx, bool reachable, uint64_t since_us, const char *reason)
+{
+  if (!reachable)
+    burdock_log (BURDOCK_LOG_WARNING, "store lost", "-", "quarantine: %s", reason);
+}
+
+/* The table is read once: later changes come from the other gateways. */
+static uint64_t
+tick_quarantine (BurdockGatewayControl *control, uint64_t now_us)
+{
+  uint64_t next_us = burdock_row_writer_tick (control->quarantine_writer, now_us);
+  uint64_t watch_us;
+
+  if (control->quarantine_listed) {
+    burdock_table_watch_free (control->quarantine_watch);
+    control->quarantine_watch = NULL;
+    return next_us;
+  }
+  watch_us = burdock_table_watch_tick (control->quarantine_watch, now_us);
+  return watch_us < next_us ? watch_us : next_us;
+}
+
 static uint64_t
 control_hook (void *ctx, uint64_t now_us)
 {
@@ -220,7 +244,10 @@
   uint64_t upstream_us =
       burdock_table_watch_tick (gateway->control.upstream_watch, now_us);
 
+  uint64_t quarantine_us = tick_quarantine (&gateway->control, now_us);
+
   next_us = expire_us < next_us ? expire_us : next_us;
+  next_us = quarantine_us < next_us ? quarantine_us : next_us;
   next_us = config_us < next_us ? config_us : next_us;
   return upstream_us < next_us ? upstream_us : next_us;
 }
@@ -230,7 +257,7 @@
 {
   BurdockGatewayControl *control = &gateway->control;
   BurdockTableHandler config = { .ctx = gateway,
-                                 .begin = config_begin,
+                                 .begin = ignore_begin,
                                  .row = config_row,
                                  .end = config_end,
                                  .reachable = config_reachable };
@@ -239,6 +266,11 @@
                                     .row = upstream_row,
                                     .end = upstream_end,
                                     .reachable = upstream_reachable };
+  BurdockTableHandler quarantine = { .ctx = gateway,
+                                     .begin = ignore_begin,
+                                     .row = burdock_gateway_quarantine_row,
+                                     .end = burdock_gateway_quarantine_listed,
+                                     .reachable = quarantine_reachable };
   int status = burdock_runtime_init (&control->runtime);
 
   if (status < 0)
@@ -258,6 +290,12 @@
       burdock_table_watch_new (&control->store, BURDOCK_PLATFORM_UPSTREAM_TABLE,
                                changes_delay_ms (gateway->settings.drain_limit_ms),
                                &upstreams);
+  control->quarantine_watch =
+      burdock_table_watch_new (&control->store, BURDOCK_QUARANTINE_TABLE, 0, &quarantine);
+  control->quarantine_writer =
+      burdock_row_writer_new (&control->store, BURDOCK_QUARANTINE_TABLE);
+  if (control->quarantine_watch == NULL || control->quarantine_writer == NULL)
+    return -ENOMEM;
   burdock_loop_add_hook (control->runtime.loop, control_hook, gateway);
   return 0;
 }
@@ -269,6 +307,8 @@
 
   burdock_table_watch_free (control->config_watch);
   burdock_table_watch_free (control->upstream_watch);
+  burdock_table_watch_free (control->quarantine_watch);
+  burdock_row_writer_free (control->quarantine_writer);
   burdock_upstream_registry_free (control->upstreams);
   burdock_runtime_clear (&control->runtime);
 }
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -123,6 +123,25 @@
   answer_error (forward->http_request, status, "{\"error\":\"outcome unknown\"}\n", 0);
 }
 
+/* Ends a request whose prompt crashes upstreams and that no upstream runs. */
+static void
+refuse_quarantined (BurdockForward *forward, uint32_t retry_after_ms)
+{
+  forward->gateway->traffic.counters.quarantined++;
+  forward->reason = BURDOCK_REASON_QUARANTINED;
+  if (forward->run_count > 0)
+    fail_forward (forward, 502);
+  else
+    refuse_forward (forward, retry_after_ms);
+}
+
+static bool
+is_quarantined (const BurdockForward *forward)
+{
+  return burdock_part_quarantine_blocks (forward->gateway->traffic.quarantine,
+                                         &forward->caller.prompt, burdock_loop_now_us ());
+}
+
 static void
 abort_forward (BurdockForward *forward)
 {
@@ -213,6 +232,11 @@
   action = burdock_attempt_next_action (&state);
   /* An attempt that did not reach its upstream may be retried without using the retry
    * budget. */
+  if ((action == BURDOCK_ACTION_RETRY || action == BURDOCK_ACTION_RESUME) &&
+      outcome == BURDOCK_UPSTREAM_FAILED && forward->attempt_event_count == 0 &&
+      burdock_part_quarantine_is_suspect (traffic->quarantine, &forward->caller.prompt,
+                                          forward->upstream.key))
+    action = burdock_attempt_final_action (&state);
   if ((action == BURDOCK_ACTION_RETRY || action == BURDOCK_ACTION_RESUME) &&
       forward->attempt_sent &&
       !burdock_balancer_take_retry (traffic->balancer, forward->pool->name))
@@ -248,6 +272,14 @@
                              BURDOCK_UPSTREAM_ABANDONED, burdock_loop_now_us ());
     return;
   }
+  /* A part may have been quarantined while the request waited. An answer that has begun
+   * shows that it crashes nothing. */
+  if (!forward->answer_started && is_quarantined (forward)) {
+    burdock_balancer_finish (gateway->traffic.balancer, upstream->key,
+                             BURDOCK_UPSTREAM_ABANDONED, burdock_loop_now_us ());
+    refuse_quarantined (forward, RETRY_AFTER_DEFAULT_MS);
+    return;
+  }
   forward->upstream = *upstream;
   burdock_forward_send (forward);
 }
@@ -349,6 +381,7 @@
 {
   BurdockGateway *gateway = forward->gateway;
   BurdockGatewayTraffic *traffic = &gateway->traffic;
+  uint32_t retry_after_ms;
 
   forward->pool = burdock_route_pick_pool (forward->route,
                                            burdock_runtime_random (&traffic->runtime));
@@ -359,6 +392,11 @@
   set_times (forward);
   add_forward (traffic, forward);
   burdock_http_set_data (forward->http_request, forward);
+  if (!burdock_part_quarantine_admit (traffic->quarantine, &forward->caller.prompt,
+                                      forward->received_us, &retry_after_ms)) {
+    refuse_quarantined (forward, retry_after_ms);
+    return;
+  }
   burdock_balancer_submit (traffic->balancer, &forward->placement, forward->received_us);
 }
 
@@ -374,7 +412,7 @@
 
   traffic->counters.requests++;
   burdock_exchange_parse_request (request, &caller);
-  if (traffic->table == NULL || !traffic->upstreams_received) {
+  if (!burdock_gateway_has_state (gateway)) {
     reject (gateway, request, &caller, 503, "no configuration yet");
     return;
   }
@@ -513,16 +551,32 @@
   apply_action (forward, action);
 }
 
+/* Takes a request back whose prompt was quarantined after it was sent, before its
+ * upstream begins to answer it. */
+static void
+withdraw_quarantined (BurdockForward *forward)
+{
+  burdock_log_subject (BURDOCK_LOG_INFO, "attempt withdrawn", forward->caller.request_id,
+                       forward->upstream.id, "a part of the prompt was quarantined");
+  forward->run_count++;
+  burdock_forward_cancel (forward, BURDOCK_UPSTREAM_ABANDONED);
+  refuse_quarantined (forward, RETRY_AFTER_DEFAULT_MS);
+}
+
 uint64_t
 burdock_forward_tick (BurdockGateway *gateway, uint64_t now_us)
 {
   BurdockGatewayTraffic *traffic = &gateway->traffic;
+  bool quarantines = burdock_part_quarantine_count (traffic->quarantine) > 0;
   BurdockForward *next;
 
   for (BurdockForward *forward = traffic->forwards; forward != NULL; forward = next) {
     next = forward->next;
     if (forward->phase != BURDOCK_FORWARD_DONE && now_us >= forward->deadline_us)
       time_out (forward);
+    else if (quarantines && forward->phase == BURDOCK_FORWARD_SENT &&
+             !forward->answer_started && is_quarantined (forward))
+      withdraw_quarantined (forward);
     else if (is_stalled (forward, now_us)) {
       report_silence (forward, now_us);
       retry_stalled (forward, now_us);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -11,7 +11,9 @@
 #include "balancer.h"
 #include "datagram.h"
 #include "http-server.h"
+#include "part-quarantine.h"
 #include "row-decoder.h"
+#include "row-writer.h"
 #include "route-table.h"
 #include "runtime.h"
 #include "settings.h"
@@ -80,6 +82,7 @@
  * @resumed: streams that were resumed at another upstream
  * @events: stream events delivered
  * @connections: connections opened to upstreams
+ * @quarantined: requests refused because a part of their prompt crashes upstreams
  * @first_event_ms: histogram of the time from a request to its first event
  */
 typedef struct {
@@ -93,6 +96,7 @@
   uint64_t resumed;
   uint64_t events;
   uint64_t connections;
+  uint64_t quarantined;
   uint64_t first_event_ms[BURDOCK_HISTOGRAM_BUCKETS];
 } BurdockGatewayCounters;
 
@@ -102,6 +106,8 @@
  * @config_lag_since_us: time since which another gateway has a newer configuration, 0 if
  *   none has
  * @upstreams_listed: the table of upstreams was read at least once
+ * @quarantine_watch: reads the stored quarantine once, then NULL
+ * @quarantine_listed: the stored quarantine was read
  */
 typedef struct {
   BurdockRuntime runtime;
@@ -112,6 +118,9 @@
   BurdockUpstreamRegistry *upstreams;
   uint64_t config_lag_since_us;
   bool upstreams_listed;
+  BurdockTableWatch *quarantine_watch;
+  BurdockRowWriter *quarantine_writer;
+  bool quarantine_listed;
 } BurdockGatewayControl;
 
 /**
@@ -122,6 +131,8 @@
  * @buffered_bytes: memory of the answers that are buffered until they are complete
  * @mean_first_event_us: moving average of the time from sending a request to its first
  *   event, 0 before the first one
+ * @quarantine: prompt parts that crash upstreams
+ * @quarantine_loaded: the stored quarantine was received from the control thread
  * @upstreams_received: a list of upstreams was received from the control thread
  * @keep_alive_max_s: idle time after which a connection to an upstream is not reused, 0
  *   before an upstream has sent a keep-alive timeout
@@ -140,12 +151,14 @@
   BurdockHttpServer *metrics_server;
   BurdockDatagramSocket *datagrams;
   BurdockBalancer *balancer;
+  BurdockPartQuarantine *quarantine;
   BurdockRouteTable *table;
   BurdockForward *forwards;
   uint32_t forward_count;
   uint64_t next_handle;
   size_t buffered_bytes;
   uint64_t mean_first_event_us;
+  bool quarantine_loaded;
   bool upstreams_received;
   uint32_t keep_alive_max_s;
   bool leaving;
@@ -221,6 +234,10 @@
 void burdock_gateway_handle_datagram (void *ctx, BurdockAddress from,
                                       const BurdockMessage *message);
 
+/** burdock_gateway_has_state() - whether configuration, upstreams and quarantine have
+ * been read since the start */
+bool burdock_gateway_has_state (const BurdockGateway *gateway);
+
 /** burdock_gateway_peer_is_alive() - whether a heartbeat was received within the last
  * few heartbeat intervals of the peer */
 bool burdock_gateway_peer_is_alive (const BurdockGatewayPeer *peer, uint64_t now_us);
--- a/gateway/local-endpoints.c
+++ b/gateway/local-endpoints.c
@@ -13,11 +13,18 @@
 #define DIRECTORY_TTL_S 1
 
 bool
-burdock_gateway_is_ready (const BurdockGateway *gateway)
+burdock_gateway_has_state (const BurdockGateway *gateway)
 {
   const BurdockGatewayTraffic *traffic = &gateway->traffic;
 
-  return !traffic->leaving && traffic->table != NULL && traffic->upstreams_received;
+  return traffic->table != NULL && traffic->upstreams_received &&
+         traffic->quarantine_loaded;
+}
+
+bool
+burdock_gateway_is_ready (const BurdockGateway *gateway)
+{
+  return !gateway->traffic.leaving && burdock_gateway_has_state (gateway);
 }
 
 static void
@@ -67,6 +74,8 @@
     { "burdock_streams_resumed_total", counters->resumed },
     { "burdock_events_total", counters->events },
     { "burdock_upstream_connections_total", counters->connections },
+    { "burdock_requests_quarantined_total", counters->quarantined },
+    { "burdock_parts_quarantined", burdock_part_quarantine_count (traffic->quarantine) },
     { "burdock_requests_waiting", stats.waiting },
     { "burdock_upstreams", stats.upstreams },
     { "burdock_outstanding_own", stats.outstanding_own },
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -1,6 +1,7 @@
 #include "gateway.h"
 
 #include "log.h"
+#include "quarantine.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -115,6 +116,11 @@
 
   if (message->header.type == BURDOCK_MSG_GATEWAY_LOAD)
     handle_heartbeat (gateway, from, message);
+  else if (message->header.type == BURDOCK_MSG_PROMPT_PARTS)
+    burdock_part_quarantine_merge (gateway->traffic.quarantine,
+                                   message->prompt_parts.items,
+                                   message->prompt_parts.item_count,
+                                   burdock_loop_now_us ());
   else if (message->header.type == BURDOCK_MSG_RANK_STATE)
     burdock_balancer_set_rank_state (gateway->traffic.balancer, &message->rank_state,
                                      burdock_loop_now_us ());
@@ -277,7 +283,9 @@
   BurdockGatewayTraffic *traffic = &gateway->traffic;
   const BurdockSettings *library = &gateway->settings.library;
 
-  if (now_us >= traffic->next_heartbeat_us) {
+  bool due = now_us >= traffic->next_heartbeat_us;
+
+  if (due) {
     traffic->next_heartbeat_us = now_us + heartbeat_interval_ms (traffic) * US_PER_MS;
     remove_silent_peers (gateway, now_us);
     /* All gateways of a deployment use the same control port; the ports of the seeds are
@@ -287,6 +295,7 @@
                                            library->control_address.port });
     send_heartbeat (gateway, now_us);
   }
+  burdock_gateway_quarantine_share (gateway, due, now_us);
   if (traffic->table != NULL)
     send_rosters (gateway, now_us);
   return traffic->next_heartbeat_us < traffic->next_roster_us ? traffic->next_heartbeat_us
--- /dev/null
+++ b/gateway/quarantine.c
@@ -0,0 +1,257 @@
+#include "quarantine.h"
+
+#include "hash.h"
+#include "json-fields.h"
+#include "log.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define US_PER_MS UINT64_C (1000)
+#define MS_PER_S 1000
+#define NS_PER_MS 1000000
+
+/* The gateway that saw the last crash stores the evidence. A few others do the same
+ * later, in case it ended first. */
+#define BACKUP_WRITERS 3
+#define BACKUP_DELAY_MS 2000
+
+/* Evidence on its way to the other thread. */
+typedef struct {
+  BurdockGateway *gateway;
+  uint64_t part;
+  uint64_t due_us;
+  uint32_t count;
+  BurdockPartItem items[BURDOCK_PART_CRASHES_MAX];
+} Evidence;
+
+static uint64_t
+wall_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  return (uint64_t)now.tv_sec * MS_PER_S + (uint64_t)now.tv_nsec / NS_PER_MS;
+}
+
+static Evidence *
+new_evidence (BurdockGateway *gateway, uint64_t part)
+{
+  Evidence *evidence = calloc (1, sizeof *evidence);
+
+  if (evidence == NULL)
+    abort ();
+  evidence->gateway = gateway;
+  evidence->part = part;
+  return evidence;
+}
+
+/* {"crashes":[{"upstream":"00f1…","depth":1,"atMs":1764860000000}]} */
+static char *
+encode_row (const Evidence *evidence)
+{
+  json_t *crashes = json_array ();
+  json_t *row = json_pack ("{s:o}", "crashes", crashes);
+  uint64_t now_ms = wall_ms ();
+  char *text = NULL;
+
+  for (uint32_t i = 0; i < evidence->count; i++) {
+    const BurdockPartItem *item = &evidence->items[i];
+    char upstream[20];
+
+    snprintf (upstream, sizeof upstream, "%016" PRIx64, item->upstream_id);
+    json_array_append_new (crashes, json_pack ("{s:s,s:I,s:I}", "upstream", upstream,
+                                               "depth", (json_int_t)item->depth, "atMs",
+                                               (json_int_t)(now_ms - item->age_ms)));
+  }
+  if (row != NULL)
+    text = json_dumps (row, JSON_COMPACT);
+  json_decref (row);
+  return text;
+}
+
+static int
+decode_row (const BurdockTableRow *row, Evidence *evidence)
+{
+  json_error_t error;
+  json_t *value =
+      burdock_json_load ((const char *)row->value.data, row->value.length_bytes, &error);
+  const json_t *crashes = json_object_get (value, "crashes");
+  uint64_t now_ms = wall_ms ();
+  size_t index;
+  const json_t *crash;
+
+  json_array_foreach (crashes, index, crash)
+  {
+    const char *upstream = json_string_value (json_object_get (crash, "upstream"));
+    uint64_t at_ms = burdock_json_u64 (crash, "atMs");
+    uint64_t age_ms = now_ms > at_ms ? now_ms - at_ms : 0;
+
+    if (upstream == NULL || at_ms == 0 || evidence->count == BURDOCK_PART_CRASHES_MAX)
+      continue;
+    evidence->items[evidence->count++] =
+        (BurdockPartItem){ .part = evidence->part,
+                           .kind = BURDOCK_PART_CRASHED,
+                           .upstream_id = strtoull (upstream, NULL, 16),
+                           .depth = burdock_json_u32 (crash, "depth", 0),
+                           .age_ms =
+                               age_ms < UINT32_MAX ? (uint32_t)age_ms : UINT32_MAX };
+  }
+  json_decref (value);
+  return evidence->count > 0 ? 0 : -EINVAL;
+}
+
+/* Runs on the control thread. */
+static void
+store_evidence (void *ctx)
+{
+  Evidence *evidence = ctx;
+  BurdockRowWriter *writer = evidence->gateway->control.quarantine_writer;
+  char *text = evidence->count > 0 ? encode_row (evidence) : NULL;
+  BurdockBytes value = { (const uint8_t *)text,
+                         text != NULL ? (uint32_t)strlen (text) : 0 };
+  char key[20];
+
+  snprintf (key, sizeof key, "%" PRIx64, evidence->part);
+  if (burdock_row_writer_put (writer, key, value, evidence->due_us) < 0)
+    burdock_log (BURDOCK_LOG_WARNING, "write row", "-",
+                 "too many rows are waiting, part %s is not stored", key);
+  free (text);
+  free (evidence);
+}
+
+/* Runs on the traffic thread. */
+static void
+merge_evidence (void *ctx)
+{
+  Evidence *evidence = ctx;
+
+  burdock_part_quarantine_merge (evidence->gateway->traffic.quarantine, evidence->items,
+                                 evidence->count, burdock_loop_now_us ());
+  free (evidence);
+}
+
+static void
+mark_loaded (void *ctx)
+{
+  BurdockGateway *gateway = ctx;
+
+  gateway->traffic.quarantine_loaded = true;
+}
+
+void
+burdock_gateway_quarantine_row (void *ctx, const BurdockTableRow *row)
+{
+  BurdockGateway *gateway = ctx;
+  Evidence *evidence = new_evidence (gateway, strtoull (row->key, NULL, 16));
+
+  if (row->value.data == NULL || decode_row (row, evidence) < 0) {
+    burdock_log (BURDOCK_LOG_WARNING, "read quarantine", row->key,
+                 "the row is invalid and ignored");
+    free (evidence);
+    return;
+  }
+  if (burdock_part_quarantine_is_outdated (evidence->items, evidence->count)) {
+    evidence->count = 0;
+    evidence->due_us = burdock_loop_now_us ();
+    store_evidence (evidence);
+    return;
+  }
+  burdock_loop_post (gateway->traffic.runtime.loop, merge_evidence, evidence);
+}
+
+void
+burdock_gateway_quarantine_listed (void *ctx, bool listing)
+{
+  BurdockGateway *gateway = ctx;
+
+  if (!listing || gateway->control.quarantine_listed)
+    return;
+  gateway->control.quarantine_listed = true;
+  burdock_loop_post (gateway->traffic.runtime.loop, mark_loaded, gateway);
+}
+
+/* Delay after which this gateway stores the evidence, false if others do. */
+static bool
+store_delay_us (const BurdockGateway *gateway, const BurdockPartStatus *status,
+                uint64_t *delay_us)
+{
+  uint64_t rank = burdock_hash_pair (status->part, gateway->id);
+  uint32_t gateways = gateway->traffic.peer_count + 1;
+
+  *delay_us = 0;
+  if (status->local)
+    return true;
+  *delay_us = (BACKUP_DELAY_MS + rank % BACKUP_DELAY_MS) * US_PER_MS;
+  return status->quarantined &&
+         burdock_hash_unit (burdock_hash_mix (rank)) * gateways < BACKUP_WRITERS;
+}
+
+static void
+part_changed (void *ctx, const BurdockPartStatus *status)
+{
+  BurdockGateway *gateway = ctx;
+  uint64_t now_us = burdock_loop_now_us ();
+  uint64_t delay_us;
+  Evidence *evidence;
+
+  burdock_log (BURDOCK_LOG_WARNING,
+               status->quarantined ? "part quarantined" : "part released", "-",
+               "part %" PRIx64 " crashes %u local %d", status->part, status->crashes,
+               status->local);
+  if (!store_delay_us (gateway, status, &delay_us))
+    return;
+  evidence = new_evidence (gateway, status->part);
+  evidence->due_us = now_us + delay_us;
+  evidence->count =
+      burdock_part_quarantine_evidence (gateway->traffic.quarantine, status->part, now_us,
+                                        evidence->items);
+  burdock_loop_post (gateway->control.runtime.loop, store_evidence, evidence);
+}
+
+static bool
+upstream_has_ended (void *ctx, uint64_t upstream, uint64_t since_us)
+{
+  const BurdockGateway *gateway = ctx;
+
+  return burdock_balancer_has_ended (gateway->traffic.balancer, upstream, since_us);
+}
+
+int
+burdock_gateway_quarantine_init (BurdockGateway *gateway)
+{
+  BurdockPartQuarantineHandler handler = { .ctx = gateway,
+                                           .has_ended = upstream_has_ended,
+                                           .changed = part_changed };
+
+  gateway->traffic.quarantine = burdock_part_quarantine_new (gateway->id, &handler);
+  return gateway->traffic.quarantine != NULL ? 0 : -ENOMEM;
+}
+
+void
+burdock_gateway_quarantine_share (BurdockGateway *gateway, bool due, uint64_t now_us)
+{
+  BurdockGatewayTraffic *traffic = &gateway->traffic;
+  BurdockPromptPartsMessage *message = &traffic->outgoing.prompt_parts;
+  BurdockAddress to[BURDOCK_GATEWAY_PEERS_MAX];
+
+  if (!due && !burdock_part_quarantine_has_news (traffic->quarantine))
+    return;
+  message->item_count =
+      burdock_part_quarantine_share (traffic->quarantine, traffic->peer_count + 1, now_us,
+                                     message->items, BURDOCK_PART_ITEMS_MAX);
+  if (message->item_count == 0)
+    return;
+  traffic->outgoing.header =
+      (BurdockMessageHeader){ .type = BURDOCK_MSG_PROMPT_PARTS,
+                              .sender_id = gateway->id,
+                              .sender_incarnation = gateway->incarnation };
+  for (uint32_t i = 0; i < traffic->peer_count; i++)
+    to[i] = traffic->peers[i].address;
+  burdock_datagram_socket_send (traffic->datagrams, &traffic->outgoing, to,
+                                traffic->peer_count);
+}
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -1,6 +1,7 @@
 #include "gateway.h"
 
 #include "log.h"
+#include "quarantine.h"
 #include "stop.h"
 
 #include <errno.h>
@@ -121,12 +122,14 @@
   BurdockGateway *gateway = ctx;
   BurdockGatewayTraffic *traffic = &gateway->traffic;
   uint64_t next_us = burdock_balancer_tick (traffic->balancer, now_us);
+  uint64_t quarantine_us = burdock_part_quarantine_tick (traffic->quarantine, now_us);
   uint64_t forward_us = burdock_forward_tick (gateway, now_us);
   uint64_t peers_us = burdock_gateway_peers_tick (gateway, now_us);
 
   if (traffic->leaving && burdock_http_server_open_count (traffic->caller_server) == 0 &&
       now_us >= traffic->drain_started_us + DRAIN_MIN_US)
     burdock_stop_notify_drained ();
+  next_us = quarantine_us < next_us ? quarantine_us : next_us;
   next_us = forward_us < next_us ? forward_us : next_us;
   return peers_us < next_us ? peers_us : next_us;
 }
@@ -205,7 +208,7 @@
   memcpy (settings.failure_domain, gateway->settings.library.failure_domain,
           sizeof settings.failure_domain);
   traffic->balancer = burdock_balancer_new (&settings, &handler);
-  if (traffic->balancer == NULL)
+  if (traffic->balancer == NULL || burdock_gateway_quarantine_init (gateway) < 0)
     return -ENOMEM;
   burdock_loop_add_hook (traffic->runtime.loop, traffic_hook, gateway);
   return listen_on_all (gateway);
@@ -222,6 +225,7 @@
   burdock_http_server_free (traffic->metrics_server);
   burdock_datagram_socket_free (traffic->datagrams);
   burdock_balancer_free (traffic->balancer);
+  burdock_part_quarantine_free (traffic->quarantine);
   burdock_route_table_unref (traffic->table);
   burdock_runtime_clear (&traffic->runtime);
 }
--- a/libburdock/balancer-private.h
+++ b/libburdock/balancer-private.h
@@ -24,6 +24,7 @@
   char name[BURDOCK_NAME_BYTES];
   uint64_t epoch;
   bool open;
+  uint64_t broken_us;       /* when it was last reported as broken */
   uint64_t last_report_us;  /* from any of its agents */
   double utilization_limit; /* share of the slots that may be in use */
   uint32_t slots;
@@ -68,6 +69,7 @@
   uint32_t peer_outstanding; /* reported by other gateways */
   double failure_rate;
   uint64_t ejected_until_us;
+  uint64_t unreachable_us; /* when it last refused a connection */
   Liveness liveness;
 } Node;
 
--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -32,6 +32,10 @@
 /* A request without data for a shorter time may just be slow. */
 #define SILENCE_MIN_US UINT64_C (700000)
 
+/* The agents of a group report that it is broken at about the time at which connections
+ * to the rank that ended break. Those of the other ranks break 1.5 s later. */
+#define BROKEN_LEAD_US UINT64_C (500000)
+
 /* Weight of one response in the failure rate of an upstream, which thus covers about
  * twenty responses. */
 #define FAILURE_GAIN 0.08
@@ -393,6 +397,8 @@
     return;
   group->epoch = state->epoch;
   group->open = state->open;
+  if (!group->open)
+    group->broken_us = now_us;
   if (group->open)
     burdock_balancer_dispatch (balancer);
 }
@@ -424,6 +430,18 @@
   return count;
 }
 
+bool
+burdock_balancer_has_ended (const BurdockBalancer *balancer, uint64_t upstream,
+                            uint64_t since_us)
+{
+  const Node *node = burdock_balancer_node (balancer, upstream);
+
+  if (node == NULL || !node->listed || node->unreachable_us >= since_us)
+    return true;
+  return node->group != NULL && node->group->broken_us + BROKEN_LEAD_US >= since_us &&
+         node->group->broken_us != 0;
+}
+
 uint32_t
 burdock_balancer_own_load (const BurdockBalancer *balancer, BurdockLoadItem *items,
                            uint32_t limit)
@@ -472,6 +490,7 @@
     return;
   case BURDOCK_UPSTREAM_UNREACHABLE:
     node->ejected_until_us = now_us + UNREACHABLE_EJECTION_US;
+    node->unreachable_us = now_us;
     return;
   case BURDOCK_UPSTREAM_REPLACED:
     node->ejected_until_us = now_us + REPLACED_EJECTION_US;
--- a/libburdock/balancer.h
+++ b/libburdock/balancer.h
@@ -165,6 +165,15 @@
                                        BurdockAddress address, BurdockRosterRank *ranks,
                                        uint32_t limit);
 
+/**
+ * burdock_balancer_has_ended() - whether the process of an upstream ended at about
+ * @since_us or later
+ *
+ * Its connections were refused, its group broke, or it is no longer listed.
+ */
+bool burdock_balancer_has_ended (const BurdockBalancer *balancer, uint64_t upstream,
+                                 uint64_t since_us);
+
 /**
  * burdock_balancer_own_load() - outstanding requests of this gateway, for its heartbeat
  * Returns the number of entries written to @items, at most @limit.
--- a/libburdock/message-fields.c
+++ b/libburdock/message-fields.c
@@ -218,6 +218,21 @@
               load_item_table),
 };
 
+static const BurdockField part_item_fields[] = {
+  FIELD (BURDOCK_FIELD_U64, BurdockPartItem, part),
+  FIELD (BURDOCK_FIELD_U32, BurdockPartItem, kind),
+  FIELD (BURDOCK_FIELD_U64, BurdockPartItem, upstream_id),
+  FIELD (BURDOCK_FIELD_U32, BurdockPartItem, depth),
+  FIELD (BURDOCK_FIELD_U32, BurdockPartItem, age_ms),
+};
+static const BurdockFieldTable part_item_table =
+    FIELD_TABLE (BurdockPartItem, part_item_fields);
+
+static const BurdockField prompt_parts_fields[] = {
+  LIST_FIELD (BurdockPromptPartsMessage, items, item_count, BURDOCK_PART_ITEMS_MAX,
+              part_item_table),
+};
+
 static const BurdockField roster_rank_fields[] = {
   FIELD (BURDOCK_FIELD_ADDRESS, BurdockRosterRank, address),
   FIELD (BURDOCK_FIELD_U32, BurdockRosterRank, rank),
@@ -328,6 +343,8 @@
                                FIELD_TABLE (BurdockRankStateMessage, rank_state_fields) },
   [BURDOCK_MSG_MAP_COMMAND] = { "MAP_COMMAND", FIELD_TABLE (BurdockMapCommandMessage,
                                                             map_command_fields) },
+  [BURDOCK_MSG_PROMPT_PARTS] = { "PROMPT_PARTS", FIELD_TABLE (BurdockPromptPartsMessage,
+                                                              prompt_parts_fields) },
 };
 
 const BurdockMessageSchema *
--- a/libburdock/message.h
+++ b/libburdock/message.h
@@ -31,6 +31,7 @@
 /* A larger group learns of its ranks from several rosters. */
 #define BURDOCK_ROSTER_RANKS_MAX 256
 #define BURDOCK_GATEWAY_ITEMS_MAX 16
+#define BURDOCK_PART_ITEMS_MAX 32
 
 typedef enum {
   BURDOCK_MSG_ATTEMPT = 1,
@@ -61,6 +62,7 @@
   BURDOCK_MSG_RANK_ROSTER,
   BURDOCK_MSG_RANK_STATE,
   BURDOCK_MSG_MAP_COMMAND,
+  BURDOCK_MSG_PROMPT_PARTS,
   BURDOCK_MSG_TYPE_COUNT,
 } BurdockMessageType;
 
@@ -390,6 +392,34 @@
   BurdockLoadItem items[BURDOCK_LOAD_ITEMS_MAX];
 } BurdockGatewayLoadMessage;
 
+/** enum BurdockPartEvidence - what a gateway saw of a prompt part */
+typedef enum {
+  BURDOCK_PART_CRASHED = 1, /* an upstream ended as it began to answer */
+  BURDOCK_PART_ANSWERED,    /* an upstream answered; older crashes do not count */
+} BurdockPartEvidence;
+
+/**
+ * struct BurdockPartItem - evidence about a part of prompts
+ * @kind: &enum BurdockPartEvidence
+ * @upstream_id: burdock_member_id() of the id of the upstream that ended
+ * @depth: index of the part in the prompt
+ * @age_ms: time since the crash or the answer
+ */
+typedef struct {
+  uint64_t part;
+  uint32_t kind;
+  uint64_t upstream_id;
+  uint32_t depth;
+  uint32_t age_ms;
+} BurdockPartItem;
+
+/** struct BurdockPromptPartsMessage - evidence about prompt parts that crash upstreams,
+ * from one gateway to the others */
+typedef struct {
+  uint32_t item_count;
+  BurdockPartItem items[BURDOCK_PART_ITEMS_MAX];
+} BurdockPromptPartsMessage;
+
 /** struct BurdockRosterRank - model runner (engine process) of a rank, at @address */
 typedef struct {
   BurdockAddress address;
@@ -515,6 +545,7 @@
     BurdockRosterMessage roster;
     BurdockRankStateMessage rank_state;
     BurdockMapCommandMessage map_command;
+    BurdockPromptPartsMessage prompt_parts;
   };
 } BurdockMessage;
 
--- /dev/null
+++ b/libburdock/part-quarantine.c
@@ -0,0 +1,633 @@
+#include "part-quarantine.h"
+
+#include "hash.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define US_PER_MS UINT64_C (1000)
+#define US_PER_S (1000 * US_PER_MS)
+#define US_PER_MIN (60 * US_PER_S)
+
+#define RECORDS_MAX 256
+#define BREAKS_MAX 64
+
+/* A part is quarantined after this many crashes. Upstreams may also end for another
+ * reason while they answer a sound part, and several of them at once: hence the minimum
+ * time between the first and the last crash. A sound part is answered in between. */
+#define QUARANTINE_CRASHES 3
+#define QUARANTINE_SPAN_US US_PER_S
+
+/* A part that stands deeper in the same prompts explains the crashes of the parts before
+ * it if it has at least this many itself. */
+#define EXPLAINING_CRASHES 2
+
+/* Duration of a quarantine after the last crash. It doubles with each further crash. */
+#define QUARANTINE_MIN_US (5 * US_PER_MIN)
+
+/* Share of the duration by which gateways try a part at different times. */
+#define QUARANTINE_JITTER_RATIO 0.25
+
+/* Interval at which a gateway tries a part whose quarantine is over. */
+#define TRIAL_INTERVAL_US (10 * US_PER_S)
+
+/* Time for which evidence is kept without another crash. */
+#define SUSPECT_US (10 * US_PER_MIN)
+#define TRIAL_US (60 * US_PER_MIN)
+
+/* An upstream that ends is noticed by refused connections or by its group within a
+ * fraction of a second, or by its entry, which expires after three heartbeats. */
+#define BREAK_CONFIRM_US (8 * US_PER_S)
+
+/* Gateways report the crash of one upstream at slightly different times. An upstream that
+ * starts again under its id takes longer to begin an answer. */
+#define SAME_CRASH_US (10 * US_PER_S)
+
+/* Datagrams may be lost, so evidence is sent in several heartbeats. */
+#define SHARE_REPEATS 5
+
+/* Time between heartbeats of any gateway that repeat a quarantined part. */
+#define REPEAT_INTERVAL_US (500 * US_PER_MS)
+
+#define TICK_US (50 * US_PER_MS)
+
+typedef struct {
+  uint64_t upstream;
+  uint64_t at_us;
+} Crash;
+
+/* Evidence about one part. */
+typedef struct {
+  uint64_t part;
+  uint32_t depth; /* highest index at which the part stood in a prompt */
+  uint32_t crash_count;
+  Crash crashes[BURDOCK_PART_CRASHES_MAX]; /* since the last answer */
+  uint64_t answered_us;                    /* last answer, 0 if none is known */
+  uint64_t changed_us;
+  uint64_t next_trial_us;
+  uint32_t shares_left;
+  bool quarantined;
+} Record;
+
+/* A connection that ended before the first event. */
+typedef struct {
+  uint64_t upstream;
+  uint64_t at_us;
+  BurdockPromptParts parts;
+} Break;
+
+struct BurdockPartQuarantine {
+  uint64_t seed;
+  BurdockPartQuarantineHandler handler;
+  uint32_t record_count;
+  Record records[RECORDS_MAX];
+  uint32_t break_count;
+  Break breaks[BREAKS_MAX];
+  uint64_t next_repeat_us;
+  uint32_t repeat_at;
+};
+
+BurdockPartQuarantine *
+burdock_part_quarantine_new (uint64_t seed, const BurdockPartQuarantineHandler *handler)
+{
+  BurdockPartQuarantine *quarantine = calloc (1, sizeof *quarantine);
+
+  if (quarantine == NULL)
+    return NULL;
+  quarantine->seed = seed;
+  quarantine->handler = *handler;
+  return quarantine;
+}
+
+void
+burdock_part_quarantine_free (BurdockPartQuarantine *quarantine)
+{
+  free (quarantine);
+}
+
+static uint32_t
+find_record (const BurdockPartQuarantine *quarantine, uint64_t part)
+{
+  uint32_t i = 0;
+
+  while (i < quarantine->record_count && quarantine->records[i].part != part)
+    i++;
+  return i;
+}
+
+static Record *
+known_record (BurdockPartQuarantine *quarantine, uint64_t part)
+{
+  uint32_t i = find_record (quarantine, part);
+
+  return i < quarantine->record_count ? &quarantine->records[i] : NULL;
+}
+
+/* Whether @a is forgotten before @b when the table is full. */
+static bool
+is_less_important (const Record *a, const Record *b)
+{
+  if (a->quarantined != b->quarantined)
+    return b->quarantined;
+  if (a->crash_count != b->crash_count)
+    return a->crash_count < b->crash_count;
+  return a->changed_us < b->changed_us;
+}
+
+static Record *
+record_for (BurdockPartQuarantine *quarantine, uint64_t part)
+{
+  Record *record = known_record (quarantine, part);
+
+  if (record != NULL)
+    return record;
+  if (quarantine->record_count < RECORDS_MAX) {
+    record = &quarantine->records[quarantine->record_count++];
+  } else {
+    record = &quarantine->records[0];
+    for (uint32_t i = 1; i < RECORDS_MAX; i++) {
+      if (is_less_important (&quarantine->records[i], record))
+        record = &quarantine->records[i];
+    }
+  }
+  *record = (Record){ .part = part };
+  return record;
+}
+
+static uint64_t
+last_crash_us (const Record *record)
+{
+  uint64_t last_us = 0;
+
+  for (uint32_t i = 0; i < record->crash_count; i++)
+    last_us = record->crashes[i].at_us > last_us ? record->crashes[i].at_us : last_us;
+  return last_us;
+}
+
+static uint64_t
+first_crash_us (const Record *record)
+{
+  uint64_t first_us = UINT64_MAX;
+
+  for (uint32_t i = 0; i < record->crash_count; i++)
+    first_us = record->crashes[i].at_us < first_us ? record->crashes[i].at_us : first_us;
+  return first_us;
+}
+
+static uint64_t
+duration_us (uint32_t crash_count)
+{
+  uint32_t doublings =
+      crash_count > QUARANTINE_CRASHES ? crash_count - QUARANTINE_CRASHES : 0;
+
+  return QUARANTINE_MIN_US << doublings;
+}
+
+/* End of the quarantine of a part at this gateway. */
+static uint64_t
+quarantine_end_us (const BurdockPartQuarantine *quarantine, const Record *record)
+{
+  uint64_t time_us = duration_us (record->crash_count);
+  double unit = burdock_hash_unit (burdock_hash_pair (record->part, quarantine->seed));
+
+  return last_crash_us (record) + time_us +
+         (uint64_t)((double)time_us * QUARANTINE_JITTER_RATIO * unit);
+}
+
+static bool
+is_same_crash (const Crash *crash, uint64_t upstream, uint64_t at_us)
+{
+  uint64_t distance_us =
+      crash->at_us > at_us ? crash->at_us - at_us : at_us - crash->at_us;
+
+  return crash->upstream == upstream && distance_us < SAME_CRASH_US;
+}
+
+static bool
+has_crash (const Record *record, uint64_t upstream, uint64_t at_us)
+{
+  for (uint32_t i = 0; i < record->crash_count; i++) {
+    if (is_same_crash (&record->crashes[i], upstream, at_us))
+      return true;
+  }
+  return false;
+}
+
+/* Returns whether the crash was not known. */
+static bool
+add_crash (Record *record, uint64_t upstream, uint32_t depth, uint64_t at_us)
+{
+  Crash *slot = &record->crashes[0];
+
+  if (depth > record->depth)
+    record->depth = depth;
+  if (at_us <= record->answered_us || has_crash (record, upstream, at_us))
+    return false;
+  if (record->crash_count < BURDOCK_PART_CRASHES_MAX) {
+    slot = &record->crashes[record->crash_count++];
+  } else {
+    for (uint32_t i = 1; i < BURDOCK_PART_CRASHES_MAX; i++)
+      slot = record->crashes[i].at_us < slot->at_us ? &record->crashes[i] : slot;
+  }
+  *slot = (Crash){ .upstream = upstream, .at_us = at_us };
+  return true;
+}
+
+static uint32_t
+common_crashes (const Record *a, const Record *b)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < a->crash_count; i++)
+    count += has_crash (b, a->crashes[i].upstream, a->crashes[i].at_us);
+  return count;
+}
+
+/* Crashes of a part that no deeper part explains. */
+static uint32_t
+unexplained_crashes (const BurdockPartQuarantine *quarantine, const Record *record)
+{
+  uint32_t explained = 0;
+
+  for (uint32_t i = 0; i < quarantine->record_count; i++) {
+    const Record *other = &quarantine->records[i];
+    uint32_t common;
+
+    if (other->depth <= record->depth || other->crash_count < EXPLAINING_CRASHES)
+      continue;
+    common = common_crashes (record, other);
+    explained = common > explained ? common : explained;
+  }
+  return record->crash_count - explained;
+}
+
+static bool
+should_be_quarantined (const BurdockPartQuarantine *quarantine, const Record *record)
+{
+  return record->crash_count >= QUARANTINE_CRASHES &&
+         last_crash_us (record) >= first_crash_us (record) + QUARANTINE_SPAN_US &&
+         unexplained_crashes (quarantine, record) >= QUARANTINE_CRASHES;
+}
+
+/* Evidence about one part may explain that about others, so all are compared. */
+static void
+update_quarantines (BurdockPartQuarantine *quarantine, bool local)
+{
+  const BurdockPartQuarantineHandler *handler = &quarantine->handler;
+
+  for (uint32_t i = 0; i < quarantine->record_count; i++) {
+    Record *record = &quarantine->records[i];
+    bool quarantined = should_be_quarantined (quarantine, record);
+    BurdockPartStatus status = { .part = record->part,
+                                 .quarantined = quarantined,
+                                 .crashes = record->crash_count,
+                                 .local = local };
+
+    if (quarantined == record->quarantined)
+      continue;
+    record->quarantined = quarantined;
+    handler->changed (handler->ctx, &status);
+  }
+}
+
+static bool
+is_blocked (const BurdockPartQuarantine *quarantine, const Record *record,
+            uint64_t now_us)
+{
+  return record->quarantined && now_us < quarantine_end_us (quarantine, record);
+}
+
+bool
+burdock_part_quarantine_blocks (const BurdockPartQuarantine *quarantine,
+                                const BurdockPromptParts *parts, uint64_t now_us)
+{
+  for (uint32_t i = 0; i < parts->count && quarantine->record_count > 0; i++) {
+    uint32_t at = find_record (quarantine, parts->ids[i]);
+
+    if (at < quarantine->record_count &&
+        is_blocked (quarantine, &quarantine->records[at], now_us))
+      return true;
+  }
+  return false;
+}
+
+/* Time until a part may be sent, 0 for now. */
+static uint64_t
+wait_us (const BurdockPartQuarantine *quarantine, const Record *record, uint64_t now_us)
+{
+  uint64_t until_us;
+
+  if (!record->quarantined)
+    return 0;
+  until_us = quarantine_end_us (quarantine, record);
+  if (record->next_trial_us > until_us)
+    until_us = record->next_trial_us;
+  return until_us > now_us ? until_us - now_us : 0;
+}
+
+bool
+burdock_part_quarantine_admit (BurdockPartQuarantine *quarantine,
+                               const BurdockPromptParts *parts, uint64_t now_us,
+                               uint32_t *retry_after_ms)
+{
+  uint64_t longest_us = 0;
+
+  for (uint32_t i = 0; i < parts->count && quarantine->record_count > 0; i++) {
+    const Record *record = known_record (quarantine, parts->ids[i]);
+    uint64_t us = record != NULL ? wait_us (quarantine, record, now_us) : 0;
+
+    longest_us = us > longest_us ? us : longest_us;
+  }
+  if (longest_us > 0) {
+    *retry_after_ms = (uint32_t)(longest_us / US_PER_MS) + 1;
+    return false;
+  }
+  for (uint32_t i = 0; i < parts->count && quarantine->record_count > 0; i++) {
+    Record *record = known_record (quarantine, parts->ids[i]);
+
+    if (record != NULL && record->quarantined)
+      record->next_trial_us = now_us + TRIAL_INTERVAL_US;
+  }
+  return true;
+}
+
+bool
+burdock_part_quarantine_is_suspect (const BurdockPartQuarantine *quarantine,
+                                    const BurdockPromptParts *parts, uint64_t upstream)
+{
+  for (uint32_t i = 0; i < parts->count && quarantine->record_count > 0; i++) {
+    uint32_t at = find_record (quarantine, parts->ids[i]);
+    const Record *record = &quarantine->records[at];
+
+    if (at == quarantine->record_count)
+      continue;
+    for (uint32_t k = 0; k < record->crash_count; k++) {
+      if (record->crashes[k].upstream != upstream)
+        return true;
+    }
+  }
+  return false;
+}
+
+void
+burdock_part_quarantine_record_break (BurdockPartQuarantine *quarantine,
+                                      const BurdockPromptParts *parts, uint64_t upstream,
+                                      uint64_t now_us)
+{
+  if (parts->count == 0 || quarantine->break_count == BREAKS_MAX)
+    return;
+  quarantine->breaks[quarantine->break_count++] =
+      (Break){ .upstream = upstream, .at_us = now_us, .parts = *parts };
+}
+
+static void
+record_crash (BurdockPartQuarantine *quarantine, const Break *broken)
+{
+  for (uint32_t i = 0; i < broken->parts.count; i++) {
+    Record *record = record_for (quarantine, broken->parts.ids[i]);
+
+    if (!add_crash (record, broken->upstream, i, broken->at_us))
+      continue;
+    record->changed_us = broken->at_us;
+    record->shares_left = SHARE_REPEATS;
+  }
+}
+
+void
+burdock_part_quarantine_record_answer (BurdockPartQuarantine *quarantine,
+                                       const BurdockPromptParts *parts, uint64_t now_us)
+{
+  bool changed = false;
+
+  for (uint32_t i = 0; i < parts->count && quarantine->record_count > 0; i++) {
+    Record *record = known_record (quarantine, parts->ids[i]);
+
+    if (record == NULL || record->crash_count == 0)
+      continue;
+    record->crash_count = 0;
+    record->answered_us = record->changed_us = now_us;
+    record->shares_left = SHARE_REPEATS;
+    changed = true;
+  }
+  if (changed)
+    update_quarantines (quarantine, true);
+}
+
+static uint32_t
+age_ms (uint64_t at_us, uint64_t now_us)
+{
+  uint64_t age = now_us > at_us ? (now_us - at_us) / US_PER_MS : 0;
+
+  return age < UINT32_MAX ? (uint32_t)age : UINT32_MAX;
+}
+
+static uint32_t
+write_items (const Record *record, uint64_t now_us, BurdockPartItem *items)
+{
+  for (uint32_t i = 0; i < record->crash_count; i++)
+    items[i] = (BurdockPartItem){ .part = record->part,
+                                  .kind = BURDOCK_PART_CRASHED,
+                                  .upstream_id = record->crashes[i].upstream,
+                                  .depth = record->depth,
+                                  .age_ms = age_ms (record->crashes[i].at_us, now_us) };
+  if (record->crash_count > 0 || record->answered_us == 0)
+    return record->crash_count;
+  items[0] = (BurdockPartItem){ .part = record->part,
+                                .kind = BURDOCK_PART_ANSWERED,
+                                .age_ms = age_ms (record->answered_us, now_us) };
+  return 1;
+}
+
+/* Index of the quarantined part to repeat now, record_count for none. */
+static uint32_t
+repeated_record (BurdockPartQuarantine *quarantine, uint32_t gateways, uint64_t now_us)
+{
+  if (now_us < quarantine->next_repeat_us)
+    return quarantine->record_count;
+  quarantine->next_repeat_us = now_us + REPEAT_INTERVAL_US * gateways;
+  for (uint32_t i = 0; i < quarantine->record_count; i++) {
+    uint32_t at = (quarantine->repeat_at + 1 + i) % quarantine->record_count;
+
+    if (!quarantine->records[at].quarantined)
+      continue;
+    quarantine->repeat_at = at;
+    return at;
+  }
+  return quarantine->record_count;
+}
+
+uint32_t
+burdock_part_quarantine_share (BurdockPartQuarantine *quarantine, uint32_t gateways,
+                               uint64_t now_us, BurdockPartItem *items, uint32_t limit)
+{
+  uint32_t repeated = repeated_record (quarantine, gateways, now_us);
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < quarantine->record_count; i++) {
+    Record *record = &quarantine->records[i];
+
+    if (record->shares_left == 0 && i != repeated)
+      continue;
+    if (count + BURDOCK_PART_CRASHES_MAX > limit)
+      break;
+    if (record->shares_left > 0)
+      record->shares_left--;
+    count += write_items (record, now_us, items + count);
+  }
+  return count;
+}
+
+bool
+burdock_part_quarantine_has_news (const BurdockPartQuarantine *quarantine)
+{
+  for (uint32_t i = 0; i < quarantine->record_count; i++) {
+    if (quarantine->records[i].shares_left == SHARE_REPEATS)
+      return true;
+  }
+  return false;
+}
+
+static bool
+merge_answer (BurdockPartQuarantine *quarantine, const BurdockPartItem *item,
+              uint64_t at_us)
+{
+  Record *record = known_record (quarantine, item->part);
+  uint32_t kept = 0;
+
+  if (record == NULL || at_us <= record->answered_us)
+    return false;
+  record->answered_us = at_us;
+  for (uint32_t i = 0; i < record->crash_count; i++) {
+    if (record->crashes[i].at_us > at_us)
+      record->crashes[kept++] = record->crashes[i];
+  }
+  record->crash_count = kept;
+  return true;
+}
+
+static bool
+merge_item (BurdockPartQuarantine *quarantine, const BurdockPartItem *item,
+            uint64_t now_us)
+{
+  uint64_t since_us = item->age_ms * US_PER_MS;
+  uint64_t at_us = now_us > since_us ? now_us - since_us : 0;
+  Record *record;
+
+  if (item->kind == BURDOCK_PART_ANSWERED)
+    return merge_answer (quarantine, item, at_us);
+  if (item->kind != BURDOCK_PART_CRASHED)
+    return false;
+  record = record_for (quarantine, item->part);
+  if (at_us > record->changed_us)
+    record->changed_us = at_us;
+  return add_crash (record, item->upstream_id, item->depth, at_us);
+}
+
+void
+burdock_part_quarantine_merge (BurdockPartQuarantine *quarantine,
+                               const BurdockPartItem *items, uint32_t count,
+                               uint64_t now_us)
+{
+  bool changed = false;
+
+  for (uint32_t i = 0; i < count; i++)
+    changed = merge_item (quarantine, &items[i], now_us) || changed;
+  if (changed)
+    update_quarantines (quarantine, false);
+}
+
+uint32_t
+burdock_part_quarantine_evidence (const BurdockPartQuarantine *quarantine, uint64_t part,
+                                  uint64_t now_us, BurdockPartItem *items)
+{
+  uint32_t at = find_record (quarantine, part);
+
+  if (at == quarantine->record_count || !quarantine->records[at].quarantined)
+    return 0;
+  return write_items (&quarantine->records[at], now_us, items);
+}
+
+bool
+burdock_part_quarantine_is_outdated (const BurdockPartItem *items, uint32_t count)
+{
+  uint64_t youngest_us = UINT64_MAX;
+
+  for (uint32_t i = 0; i < count; i++) {
+    uint64_t us = items[i].age_ms * US_PER_MS;
+
+    youngest_us = us < youngest_us ? us : youngest_us;
+  }
+  return youngest_us > duration_us (count) + TRIAL_US;
+}
+
+uint32_t
+burdock_part_quarantine_count (const BurdockPartQuarantine *quarantine)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < quarantine->record_count; i++)
+    count += quarantine->records[i].quarantined;
+  return count;
+}
+
+static void
+confirm_breaks (BurdockPartQuarantine *quarantine, uint64_t now_us)
+{
+  const BurdockPartQuarantineHandler *handler = &quarantine->handler;
+  uint32_t kept = 0;
+  bool crashed = false;
+
+  for (uint32_t i = 0; i < quarantine->break_count; i++) {
+    Break *broken = &quarantine->breaks[i];
+
+    if (handler->has_ended (handler->ctx, broken->upstream, broken->at_us)) {
+      record_crash (quarantine, broken);
+      crashed = true;
+    } else if (now_us < broken->at_us + BREAK_CONFIRM_US) {
+      if (kept != i)
+        quarantine->breaks[kept] = *broken;
+      kept++;
+    }
+  }
+  quarantine->break_count = kept;
+  if (crashed)
+    update_quarantines (quarantine, true);
+}
+
+static bool
+is_outdated (const Record *record, uint64_t now_us)
+{
+  uint64_t kept_us =
+      record->quarantined ? duration_us (record->crash_count) + TRIAL_US : SUSPECT_US;
+
+  return now_us > record->changed_us + kept_us;
+}
+
+static void
+forget_outdated (BurdockPartQuarantine *quarantine, uint64_t now_us)
+{
+  const BurdockPartQuarantineHandler *handler = &quarantine->handler;
+  uint32_t kept = 0;
+
+  for (uint32_t i = 0; i < quarantine->record_count; i++) {
+    const Record *record = &quarantine->records[i];
+    BurdockPartStatus status = { .part = record->part, .crashes = record->crash_count };
+
+    if (!is_outdated (record, now_us)) {
+      if (kept != i)
+        quarantine->records[kept] = *record;
+      kept++;
+    } else if (record->quarantined) {
+      handler->changed (handler->ctx, &status);
+    }
+  }
+  quarantine->record_count = kept;
+}
+
+uint64_t
+burdock_part_quarantine_tick (BurdockPartQuarantine *quarantine, uint64_t now_us)
+{
+  confirm_breaks (quarantine, now_us);
+  forget_outdated (quarantine, now_us);
+  return now_us + TICK_US;
+}
--- a/tests/soak/standin.py
+++ b/tests/soak/standin.py
@@ -164,6 +164,14 @@
         body = {"rows": rows, "hasMore": False, "schemaVersion": self.version}
         return answer(200, json.dumps(body).encode())
 
+    async def transact(self, call):
+        for row in call["write"] + call["remove"]:
+            if row["tableName"] in ("op", "servers"):
+                return answer(403, b"{}")
+            if row.get("data") or (row["tableName"], row["key"]) in self.rows:
+                await self.write(row["tableName"], row["key"], row.get("data"))
+        return answer(200, json.dumps({"schemaVersion": self.version}).encode())
+
     async def handle(self, method, target, headers, body, writer):
         parts = urlsplit(target)
         query = parse_qs(parts.query)
@@ -175,6 +183,8 @@
             writer.write(answer(503, b"{}"))
         elif parts.path == "/rows-feed":
             writer.write(await self.feed(query))
+        elif parts.path == "/rows-tx":
+            writer.write(await self.transact(json.loads(body)))
         else:
             writer.write(self.get(query))
         await writer.drain()
--- a/tests/test-balancer.c
+++ b/tests/test-balancer.c
@@ -844,7 +844,43 @@
   burdock_balancer_free (fixture.balancer);
 }
 
+/* A connection may break although its upstream runs on; a rank that ends breaks its
+ * group, and the connections to the other ranks break later. */
+static void
+end_of_an_upstream_is_noticed (void)
+{
+  BurdockUpstream items[] = { upstream (1, "a", 2), upstream (2, "a", 2) };
+  BurdockRankStateMessage state = {
+    .group = "g", .upstream = items[0].address, .epoch = 1, .open = true
+  };
+  uint64_t broken_us;
+  Fixture fixture;
+
+  set_up (&fixture, items, 2);
+  burdock_balancer_set_rank_state (fixture.balancer, &state, fixture.now_us);
+  submit (&fixture, 0);
+  submit (&fixture, 0);
+  CU_ASSERT_FALSE (burdock_balancer_has_ended (fixture.balancer, 1, fixture.now_us));
+  broken_us = fixture.now_us;
+  advance_time (&fixture, 100 * US_PER_MS);
+  state.open = false;
+  burdock_balancer_set_rank_state (fixture.balancer, &state, fixture.now_us);
+  CU_ASSERT_TRUE (burdock_balancer_has_ended (fixture.balancer, 1, broken_us));
+  CU_ASSERT_FALSE (burdock_balancer_has_ended (fixture.balancer, 2, broken_us));
+  advance_time (&fixture, 1500 * US_PER_MS);
+  CU_ASSERT_FALSE (burdock_balancer_has_ended (fixture.balancer, 1, fixture.now_us));
+  burdock_balancer_finish (fixture.balancer, 2, BURDOCK_UPSTREAM_UNREACHABLE,
+                           fixture.now_us);
+  CU_ASSERT_TRUE (burdock_balancer_has_ended (fixture.balancer, 2, broken_us));
+  burdock_balancer_set_upstreams (fixture.balancer, items, 1, fixture.now_us);
+  CU_ASSERT_TRUE (
+      burdock_balancer_has_ended (fixture.balancer, 2, fixture.now_us + US_PER_S));
+  burdock_balancer_free (fixture.balancer);
+}
+
 static const Test tests[] = {
+  { "a broken connection is taken for the end of its upstream, or the reverse",
+    end_of_an_upstream_is_noticed },
   { "an upstream gets more requests than it has slots", slots_are_not_exceeded },
   { "slots of a dead gateway stay in use", load_of_a_dead_gateway_expires },
   { "an upstream that is leaving or removed gets requests",
--- a/tests/test-platform-client.c
+++ b/tests/test-platform-client.c
@@ -1,4 +1,5 @@
 #include "exchange.h"
+#include "row-writer.h"
 #include "runner.h"
 #include "script-server.h"
 #include "table-watch.h"
@@ -18,6 +19,7 @@
   BurdockHttpClient *client;
   ScriptServer *server;
   BurdockTableWatch *watch;
+  BurdockRowWriter *writer;
   BurdockStoreClient store;
   char url[64];
   uint64_t timeout_at_us;
@@ -38,6 +40,10 @@
 
   if (fixture->watch != NULL)
     burdock_table_watch_tick (fixture->watch, now_us);
+  if (fixture->writer != NULL) {
+    burdock_row_writer_tick (fixture->writer, now_us);
+    fixture->finished = burdock_row_writer_is_idle (fixture->writer);
+  }
   if (fixture->expected_text != NULL &&
       strstr (fixture->seen, fixture->expected_text) != NULL)
     fixture->finished = true;
@@ -63,6 +69,7 @@
 close_fixture (Fixture *fixture)
 {
   burdock_table_watch_free (fixture->watch);
+  burdock_row_writer_free (fixture->writer);
   script_server_stop (fixture->server);
   CU_ASSERT_FALSE (fixture->timed_out);
   burdock_http_client_free (fixture->client);
@@ -438,7 +445,55 @@
   close_fixture (&fixture);
 }
 
+typedef struct {
+  const char *value; /* NULL to remove the row */
+  const char *answers[2];
+  uint32_t count;
+  const char *body;
+} WriteCase;
+
+static const WriteCase write_cases[] = {
+  { "a",
+    { "200 {\"schemaVersion\":5}" },
+    1,
+    "{\"expectedRevision\":[],\"write\":[{\"tableName\":\"t\",\"part\":\"\","
+    "\"key\":\"k\",\"data\":\"YQ==\"}],\"remove\":[]}" },
+  { "b",
+    { "503 {}", "200 {\"schemaVersion\":6}" },
+    2,
+    "\"key\":\"k\",\"data\":\"Yg==\"}" },
+  { NULL,
+    { "429 {}", "200 {\"schemaVersion\":7}" },
+    2,
+    "\"write\":[],\"remove\":[{\"tableName\":\"t\",\"part\":\"\",\"key\":\"k\"}]}" },
+};
+
+static void
+rows_are_written_once_the_store_answers (void)
+{
+  for (size_t i = 0; i < TEST_COUNT (write_cases); i++) {
+    const WriteCase *item = &write_cases[i];
+    BurdockBytes value = { (const uint8_t *)item->value, item->value != NULL ? 1 : 0 };
+    BurdockBytes older = { (const uint8_t *)"z", 1 };
+    Fixture fixture;
+
+    open_fixture (&fixture, item->answers, item->count);
+    fixture.store = (BurdockStoreClient){ .loop = fixture.loop,
+                                          .client = fixture.client,
+                                          .url = fixture.url,
+                                          .random = no_jitter };
+    fixture.writer = burdock_row_writer_new (&fixture.store, "t");
+    CU_ASSERT_EQUAL (burdock_row_writer_put (fixture.writer, "k", older, 0), 0);
+    CU_ASSERT_EQUAL (burdock_row_writer_put (fixture.writer, "k", value, 0), 0);
+    burdock_loop_run (fixture.loop);
+    CU_ASSERT_EQUAL (fixture.store.calls, item->count);
+    close_fixture (&fixture);
+    CU_ASSERT_PTR_NOT_NULL (strstr (script_server_last_request (), item->body));
+  }
+}
+
 static const Test tests[] = {
+  { "a row is lost when a write fails", rows_are_written_once_the_store_answers },
   { "a change is missed for as long as a long poll lasts",
     a_call_without_an_answer_can_be_repeated },
   { "a row removed long after an outage is taken for an expired one",
