Log the rate limits that upstreams name

The logs could not show which upstream names a limit of requests per second, nor whether such an upstream gets more or fewer requests than the others. Nothing acts on the limit yet.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -54,6 +54,23 @@
   return 0;
 }
 
+static void
+record_limit (const BurdockForward *forward, BurdockHttpTransfer *transfer)
+{
+  BurdockBalancer *balancer = forward->gateway->traffic.balancer;
+  double per_s = burdock_exchange_rate_limit (transfer);
+
+  if (!burdock_balancer_record_limit (balancer, forward->upstream.key, per_s,
+                                      burdock_loop_now_us ()))
+    return;
+  if (per_s >= 0)
+    burdock_log (BURDOCK_LOG_INFO, "upstream limited", forward->upstream.id,
+                 "%.3f requests per second from all gateways", per_s);
+  else
+    burdock_log (BURDOCK_LOG_INFO, "upstream limited", forward->upstream.id,
+                 "names no limit any more");
+}
+
 static int
 answer_head (void *ctx, BurdockHttpTransfer *transfer, int32_t http_status)
 {
@@ -67,7 +84,11 @@
   if (keep_alive_s > KEEP_ALIVE_MARGIN_S &&
       (*keep_alive_max_s == 0 || keep_alive_s - KEEP_ALIVE_MARGIN_S < *keep_alive_max_s))
     *keep_alive_max_s = keep_alive_s - KEEP_ALIVE_MARGIN_S;
-  return forward->answer_kind == BURDOCK_ANSWER_INVALID ? -EPROTO : 0;
+  if (forward->answer_kind == BURDOCK_ANSWER_INVALID)
+    return -EPROTO;
+  if (forward->answer_kind != BURDOCK_ANSWER_MISDIRECTED)
+    record_limit (forward, transfer);
+  return 0;
 }
 
 static void
--- a/libburdock/balancer-private.h
+++ b/libburdock/balancer-private.h
@@ -69,6 +69,8 @@
   uint32_t peer_outstanding; /* reported by other gateways */
   double failure_rate;
   uint64_t ejected_until_us;
+  bool limited;
+  double limit_per_s;      /* if limited; from all gateways together */
   uint64_t unreachable_us; /* when it last refused a connection */
   Liveness liveness;
 } Node;
--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -534,6 +534,21 @@
     node->group->late_gap_count++;
 }
 
+bool
+burdock_balancer_record_limit (BurdockBalancer *balancer, uint64_t upstream, double per_s,
+                               uint64_t now_us)
+{
+  Node *node = burdock_balancer_node (balancer, upstream);
+  bool limited = per_s >= 0;
+
+  if (node == NULL ||
+      (node->limited == limited && (!limited || node->limit_per_s == per_s)))
+    return false;
+  node->limited = limited;
+  node->limit_per_s = per_s;
+  return true;
+}
+
 static bool
 mark_silent (Liveness *liveness, uint64_t now_us)
 {
--- a/libburdock/balancer.h
+++ b/libburdock/balancer.h
@@ -20,6 +20,9 @@
 
 #define BURDOCK_EXCLUDED_MAX 4
 
+/** Rate limit of an upstream that names none. */
+#define BURDOCK_RATE_UNLIMITED (-1.0)
+
 /**
  * struct BurdockUpstream - upstream of a pool
  * @key: burdock_member_id() of @id
@@ -207,6 +210,15 @@
 void burdock_balancer_record_event (BurdockBalancer *balancer, uint64_t upstream,
                                     uint64_t gap_us, uint32_t target_ms, uint64_t now_us);
 
+/**
+ * burdock_balancer_record_limit() - records the rate limit in an answer of an upstream
+ * @per_s: requests per second from all gateways together, or BURDOCK_RATE_UNLIMITED
+ *
+ * Returns whether it differs from the limit known so far.
+ */
+bool burdock_balancer_record_limit (BurdockBalancer *balancer, uint64_t upstream,
+                                    double per_s, uint64_t now_us);
+
 /**
  * burdock_balancer_report_silence() - reports a request that receives no data
  * @silent_us: time since the last data, or since the request was sent
