Add a failing scenario of upstreams that name a rate limit

Six of eight stand-ins name a limit of 2 requests a second; half of the callers use one of nine gateways, and a gateway is restarted. Checks the users' bound (at most 1.5 times the limit plus 5 requests in 4 s, from 3 s after the limit was named on) and that upstreams get at least 0.7 of what they take.

--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -2,6 +2,7 @@
 """Incidents played against real gateways and rank agents, with a check of what upstreams get.
 
 prompt-part: requests with one part in their prompts crash each upstream that runs them.
+limit: most upstreams name a limit of requests a second, and a gateway is started meanwhile.
 """
 import argparse
 import asyncio
@@ -22,8 +23,15 @@
 CRASHING_SHARE = 0.15
 
 
-class PromptPartScenario(soak.Soak):
-    """All gateways are killed once in the middle, so that a successor knows only what lasts."""
+# Limit that upstreams name, in requests a second, and the window of the users' check.
+LIMIT_PER_S, LIMITED_SHARE = 2.0, 0.75
+WINDOW_S, WINDOW_FACTOR, WINDOW_ALLOWANCE = 4.0, 1.5, 5
+# Share of its limit that an upstream has to get while requests are refused or wait.
+LIMIT_USE_MIN = 0.7
+
+
+class Scenario(soak.Soak):
+    """Callers that send streams to any gateway, each over a connection of its own."""
 
     def __init__(self, options):
         super().__init__(options)
@@ -53,10 +61,13 @@
         self.outcome_counts[key] = self.outcome_counts.get(key, 0) + 1
         return connection
 
+    def pick_gateway(self):
+        return self.random.randrange(GATEWAYS)
+
     async def stream_caller(self, end_time):
         connection = None
         while time.monotonic() < end_time:
-            k = self.random.randrange(GATEWAYS)
+            k = self.pick_gateway()
             try:
                 reader, writer = await asyncio.open_connection(self.gateway_ip(k), 8080)
             except OSError:
@@ -67,6 +78,10 @@
             await asyncio.sleep(self.random.random() * 0.3)
         return connection
 
+
+class PromptPartScenario(Scenario):
+    """All gateways are killed once in the middle, so that a successor knows only what lasts."""
+
     async def kill_all_gateways(self):
         await asyncio.gather(*(gateway.restart(signal.SIGKILL, 0.3)
                                for gateway in self.gateways))
@@ -113,7 +128,44 @@
                                              f"{len(before)}")
 
 
-SCENARIOS = {"prompt-part": PromptPartScenario}
+class LimitScenario(Scenario):
+    """More requests than the upstreams take; half of the callers use one gateway only."""
+
+    def pick_gateway(self):
+        return 0 if self.random.random() < 0.5 else self.random.randrange(GATEWAYS)
+
+    async def run(self):
+        self.began = time.monotonic()
+        end_time = self.began + self.options.seconds
+        callers = [asyncio.create_task(self.stream_caller(end_time))
+                   for _ in range(self.options.callers)]
+        await asyncio.sleep(3)
+        limited = self.runners[:int(len(self.runners) * LIMITED_SHARE)]
+        for runner in limited:
+            runner.limit = LIMIT_PER_S
+        self.limited_at = time.monotonic()
+        await asyncio.sleep((self.options.seconds - 3) / 2)
+        await self.gateways[1].restart(signal.SIGTERM, 0.3)
+        await asyncio.gather(*callers)
+        for runner in limited:
+            self.check_limit(runner, end_time)
+
+    def check_limit(self, runner, end_time):
+        since = self.limited_at + STABILITY_S
+        times = [t for t in runner.arrivals if since < t < end_time]
+        most = max((sum(1 for u in times if t <= u < t + WINDOW_S) for t in times), default=0)
+        allowed = WINDOW_FACTOR * LIMIT_PER_S * WINDOW_S + WINDOW_ALLOWANCE
+        rate = len(times) / (end_time - since)
+        print(f"{runner.id}: at most {most} requests in {WINDOW_S} s, {rate:.2f} a second")
+        if most > allowed:
+            self.check.add_violation("LIMIT", f"{runner.id} got {most} requests in {WINDOW_S} s, "
+                                              f"allowed {allowed}")
+        if rate < LIMIT_USE_MIN * LIMIT_PER_S:
+            self.check.add_violation("USE", f"{runner.id} got {rate:.2f} requests a second of the "
+                                            f"{LIMIT_PER_S} that it takes")
+
+
+SCENARIOS = {"limit": LimitScenario, "prompt-part": PromptPartScenario}
 
 
 async def main():
--- a/tests/soak/standin.py
+++ b/tests/soak/standin.py
@@ -263,6 +263,8 @@
         self.left_at = None
         self.crash_times, self.crashing_arrivals = [], []
         self.store, self.down = None, False
+        # Requests a second from all gateways that it names in its answers; None for no limit.
+        self.limit, self.arrivals = None, []
         self.http = HttpServer(ip, 9000, self.handle)
         self.assign_new_id()
 
@@ -285,6 +287,7 @@
             await writer.drain()
             return True
         attempt = headers.get("burdockwind-attempt-id", "")
+        self.arrivals.append(time.monotonic())
         crashing = CRASHING_PART in headers.get("burdockwind-prompt-prefix", "")
         if crashing:
             self.crashing_arrivals.append(time.monotonic())
@@ -316,8 +319,9 @@
             self.running -= 1
 
     def answer_headers(self, attempt):
+        limit = [("Server-Limit", str(self.limit))] if self.limit is not None else []
         return [("Burdockwind-Attempt-Id", attempt),
-                ("Burdockwind-Instance-Signature", self.id)]
+                ("Burdockwind-Instance-Signature", self.id)] + limit
 
     def stream_head(self, attempt):
         headers_text = "".join(f"{n}: {v}\r\n" for n, v in self.answer_headers(attempt))
