Share the rate limits of upstreams between the gateways

Cause: no gateway read the limit, so limited runners got as many requests as the others (4.5 and 4.9 streams a second against 4.4 to 5.3).

Change: gateways report the limits, and the requests that they sent to such upstreams, with their heartbeats. Each keeps a leaky bucket per limited upstream; its room becomes credit according to the part of the demand that a gateway has, fractions at random.

--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -242,6 +242,10 @@
  * few heartbeat intervals of the peer */
 bool burdock_gateway_peer_is_alive (const BurdockGatewayPeer *peer, uint64_t now_us);
 
+/** burdock_gateway_send_to_peers() - sends the message of @type in @outgoing of the
+ * traffic state to all gateways */
+void burdock_gateway_send_to_peers (BurdockGateway *gateway, BurdockMessageType type);
+
 /** burdock_gateway_peers_tick() - sends heartbeats and rosters when due; returns the time
  * of the next call */
 uint64_t burdock_gateway_peers_tick (BurdockGateway *gateway, uint64_t now_us);
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -116,6 +116,12 @@
 
   if (message->header.type == BURDOCK_MSG_GATEWAY_LOAD)
     handle_heartbeat (gateway, from, message);
+  else if (message->header.type == BURDOCK_MSG_UPSTREAM_RATES)
+    burdock_balancer_merge_rates (gateway->traffic.balancer, message->header.sender_id,
+                                  message->upstream_rates.demand_per_1000s,
+                                  message->upstream_rates.items,
+                                  message->upstream_rates.item_count,
+                                  burdock_loop_now_us ());
   else if (message->header.type == BURDOCK_MSG_PROMPT_PARTS)
     burdock_part_quarantine_merge (gateway->traffic.quarantine,
                                    message->prompt_parts.items,
@@ -169,17 +175,27 @@
                               ROSTER_INTERVAL_MIN_MS);
 }
 
+void
+burdock_gateway_send_to_peers (BurdockGateway *gateway, BurdockMessageType type)
+{
+  BurdockGatewayTraffic *traffic = &gateway->traffic;
+  BurdockAddress to[BURDOCK_GATEWAY_PEERS_MAX];
+
+  traffic->outgoing.header = (BurdockMessageHeader){
+    .type = type, .sender_id = gateway->id, .sender_incarnation = gateway->incarnation
+  };
+  for (uint32_t i = 0; i < traffic->peer_count; i++)
+    to[i] = traffic->peers[i].address;
+  burdock_datagram_socket_send (traffic->datagrams, &traffic->outgoing, to,
+                                traffic->peer_count);
+}
+
 static void
 send_heartbeat (BurdockGateway *gateway, uint64_t now_us)
 {
   BurdockGatewayTraffic *traffic = &gateway->traffic;
   BurdockGatewayLoadMessage *load = &traffic->outgoing.gateway_load;
-  BurdockAddress to[BURDOCK_GATEWAY_PEERS_MAX];
 
-  traffic->outgoing.header =
-      (BurdockMessageHeader){ .type = BURDOCK_MSG_GATEWAY_LOAD,
-                              .sender_id = gateway->id,
-                              .sender_incarnation = gateway->incarnation };
   load->http_address = gateway->settings.library.http_address;
   load->ready = burdock_gateway_is_ready (gateway);
   load->leaving = traffic->leaving;
@@ -191,10 +207,20 @@
   add_alive_peers (gateway, load, now_us);
   load->item_count =
       burdock_balancer_own_load (traffic->balancer, load->items, BURDOCK_LOAD_ITEMS_MAX);
-  for (uint32_t i = 0; i < traffic->peer_count; i++)
-    to[i] = traffic->peers[i].address;
-  burdock_datagram_socket_send (traffic->datagrams, &traffic->outgoing, to,
-                                traffic->peer_count);
+  burdock_gateway_send_to_peers (gateway, BURDOCK_MSG_GATEWAY_LOAD);
+}
+
+static void
+send_upstream_rates (BurdockGateway *gateway, uint64_t now_us)
+{
+  BurdockGatewayTraffic *traffic = &gateway->traffic;
+  BurdockUpstreamRatesMessage *rates = &traffic->outgoing.upstream_rates;
+
+  rates->item_count =
+      burdock_balancer_own_rates (traffic->balancer, now_us, &rates->demand_per_1000s,
+                                  rates->items, BURDOCK_RATE_ITEMS_MAX);
+  if (rates->item_count > 0)
+    burdock_gateway_send_to_peers (gateway, BURDOCK_MSG_UPSTREAM_RATES);
 }
 
 static bool
@@ -294,6 +320,7 @@
       add_peer (gateway, (BurdockAddress){ library->seeds[i].ipv4,
                                            library->control_address.port });
     send_heartbeat (gateway, now_us);
+    send_upstream_rates (gateway, now_us);
   }
   burdock_gateway_quarantine_share (gateway, due, now_us);
   if (traffic->table != NULL)
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -237,7 +237,6 @@
 {
   BurdockGatewayTraffic *traffic = &gateway->traffic;
   BurdockPromptPartsMessage *message = &traffic->outgoing.prompt_parts;
-  BurdockAddress to[BURDOCK_GATEWAY_PEERS_MAX];
 
   if (!due && !burdock_part_quarantine_has_news (traffic->quarantine))
     return;
@@ -246,12 +245,5 @@
                                      message->items, BURDOCK_PART_ITEMS_MAX);
   if (message->item_count == 0)
     return;
-  traffic->outgoing.header =
-      (BurdockMessageHeader){ .type = BURDOCK_MSG_PROMPT_PARTS,
-                              .sender_id = gateway->id,
-                              .sender_incarnation = gateway->incarnation };
-  for (uint32_t i = 0; i < traffic->peer_count; i++)
-    to[i] = traffic->peers[i].address;
-  burdock_datagram_socket_send (traffic->datagrams, &traffic->outgoing, to,
-                                traffic->peer_count);
+  burdock_gateway_send_to_peers (gateway, BURDOCK_MSG_PROMPT_PARTS);
 }
--- a/libburdock/balancer-private.h
+++ b/libburdock/balancer-private.h
@@ -8,6 +8,7 @@
 #define BURDOCK_BALANCER_PRIVATE_H
 
 #include "balancer.h"
+#include "rate-share.h"
 
 #include <apr_hash.h>
 #include <apr_pools.h>
@@ -69,9 +70,9 @@
   uint32_t peer_outstanding; /* reported by other gateways */
   double failure_rate;
   uint64_t ejected_until_us;
-  bool limited;
-  double limit_per_s;      /* if limited; from all gateways together */
-  uint64_t unreachable_us; /* when it last refused a connection */
+  BurdockRateShare rate;
+  uint32_t rate_reports_left; /* reports of a new statement of the upstream */
+  uint64_t unreachable_us;    /* when it last refused a connection */
   Liveness liveness;
 } Node;
 
@@ -80,6 +81,7 @@
   uint64_t id;
   uint64_t last_heartbeat_us;
   uint64_t interval_us; /* time between its heartbeats */
+  double demand_per_s;  /* requests that it receives, 0 if it has not reported any */
   uint32_t count;
   BurdockLoadItem items[BURDOCK_LOAD_ITEMS_MAX];
 } Peer;
@@ -102,6 +104,9 @@
   uint64_t last_tick_us;
   uint64_t next_adjust_us;
   uint64_t next_rate_us;
+  uint32_t submitted; /* new requests in the current rate interval */
+  double demand_per_s;
+  uint32_t rate_offset;           /* node at which the next report of rates starts */
   uint64_t heartbeat_interval_us; /* of the gateway heard last, 0 before the first one */
   BurdockBalancerStats stats;
 };
--- a/libburdock/balancer-queue.c
+++ b/libburdock/balancer-queue.c
@@ -58,6 +58,9 @@
 #define RATE_INTERVAL_US UINT64_C (500000)
 #define RATE_GAIN 0.4
 
+/* A gateway without requests keeps a small part of the rate limits of upstreams. */
+#define DEMAND_MIN_PER_S 0.2
+
 /* Part of the allowance of all gateways that this gateway may use. A gateway that
  * receives no heartbeats has just started or is partitioned, and there may be many
  * others; hence the minimum number of gateways. */
@@ -71,6 +74,9 @@
   return balancer->settings.retry_allowance * RETRY_BUDGET_RATIO / gateways;
 }
 
+/* Number of values that next_random() returns. */
+#define RANDOM_RANGE 2147483648.0
+
 static uint32_t
 next_random (BurdockBalancer *balancer)
 {
@@ -146,12 +152,20 @@
           node->group->liveness.silent_until_us > balancer->now_us);
 }
 
+static uint64_t
+report_interval_us (const BurdockBalancer *balancer)
+{
+  return balancer->heartbeat_interval_us > TICK_US ? balancer->heartbeat_interval_us
+                                                   : TICK_US;
+}
+
 static bool
 is_eligible (const BurdockBalancer *balancer, const Node *node, const Pool *pool,
              const BurdockPlacement *placement)
 {
   return is_usable (node, pool) && node->ejected_until_us <= balancer->now_us &&
          !is_silent (balancer, node) && outstanding (node) < node->info.slots &&
+         burdock_rate_share_allows (&node->rate, report_interval_us (balancer)) &&
          !is_excluded (placement, node->info.key) &&
          group_has_capacity (balancer, node, is_late (balancer, placement));
 }
@@ -252,6 +266,7 @@
 
   burdock_balancer_subtract_from_group (node);
   node->own_outstanding++;
+  burdock_rate_share_sent (&node->rate);
   burdock_balancer_add_to_group (node);
   pool->placed++;
   balancer->stats.placed++;
@@ -362,6 +377,7 @@
   QueuedRequest *queued;
 
   balancer->now_us = now_us;
+  balancer->submitted += placement->excluded_count == 0;
   if (placement->excluded_count == 0 && pool->retries_left < retry_allowance (balancer))
     pool->retries_left += balancer->settings.retry_ratio * RETRY_BUDGET_RATIO;
   if (!has_upstream (balancer, pool)) {
@@ -454,6 +470,9 @@
 static void
 update_placement_rates (BurdockBalancer *balancer)
 {
+  balancer->demand_per_s +=
+      (balancer->submitted * 1e6 / RATE_INTERVAL_US - balancer->demand_per_s) * RATE_GAIN;
+  balancer->submitted = 0;
   for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next) {
     double per_s = pool->placed * 1e6 / RATE_INTERVAL_US;
 
@@ -482,9 +501,7 @@
 refill_late_credit (const BurdockBalancer *balancer, uint64_t elapsed_us)
 {
   double gateways = apr_hash_count (balancer->peers) + 1;
-  uint64_t interval_us = balancer->heartbeat_interval_us > TICK_US
-                             ? balancer->heartbeat_interval_us
-                             : TICK_US;
+  uint64_t interval_us = report_interval_us (balancer);
 
   for (apr_hash_index_t *at = apr_hash_first (NULL, balancer->groups); at != NULL;
        at = apr_hash_next (at)) {
@@ -500,11 +517,44 @@
   }
 }
 
+/* Demand of this gateway as a part of the demand of all. A gateway that has reported none
+ * counts like this one. */
+static double
+demand_weight (const BurdockBalancer *balancer)
+{
+  double own = balancer->demand_per_s > DEMAND_MIN_PER_S ? balancer->demand_per_s
+                                                         : DEMAND_MIN_PER_S;
+  double all = own;
+
+  for (apr_hash_index_t *at = apr_hash_first (NULL, balancer->peers); at != NULL;
+       at = apr_hash_next (at)) {
+    const Peer *peer = apr_hash_this_val (at);
+
+    all += peer->demand_per_s > 0 ? peer->demand_per_s : own;
+  }
+  return own / all;
+}
+
+static void
+refill_rate_credit (BurdockBalancer *balancer, uint64_t elapsed_us)
+{
+  double weight = demand_weight (balancer);
+
+  for (uint32_t i = 0; i < balancer->node_count; i++) {
+    if (balancer->nodes[i]->rate.limited)
+      burdock_rate_share_advance (&balancer->nodes[i]->rate, weight,
+                                  report_interval_us (balancer), elapsed_us,
+                                  next_random (balancer) / RANDOM_RANGE);
+  }
+}
+
 void
 burdock_balancer_tick_queue (BurdockBalancer *balancer)
 {
-  if (balancer->last_tick_us != 0)
+  if (balancer->last_tick_us != 0) {
     refill_late_credit (balancer, balancer->now_us - balancer->last_tick_us);
+    refill_rate_credit (balancer, balancer->now_us - balancer->last_tick_us);
+  }
   refill_retry_budget (balancer);
   for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next)
     expire_queued (balancer, pool);
--- a/libburdock/balancer.h
+++ b/libburdock/balancer.h
@@ -219,6 +219,24 @@
 bool burdock_balancer_record_limit (BurdockBalancer *balancer, uint64_t upstream,
                                     double per_s, uint64_t now_us);
 
+/**
+ * burdock_balancer_own_rates() - rate limits of upstreams for the other gateways
+ * @demand_per_1000s: receives the demand of this gateway
+ *
+ * Returns the number of entries written to @items, at most @limit; the next call goes on
+ * with the others.
+ */
+uint32_t burdock_balancer_own_rates (BurdockBalancer *balancer, uint64_t now_us,
+                                     uint32_t *demand_per_1000s, BurdockRateItem *items,
+                                     uint32_t limit);
+
+/** burdock_balancer_merge_rates() - applies the report of another gateway, see
+ * &struct BurdockUpstreamRatesMessage */
+void burdock_balancer_merge_rates (BurdockBalancer *balancer, uint64_t peer,
+                                   uint32_t demand_per_1000s,
+                                   const BurdockRateItem *items, uint32_t count,
+                                   uint64_t now_us);
+
 /**
  * burdock_balancer_report_silence() - reports a request that receives no data
  * @silent_us: time since the last data, or since the request was sent
--- a/libburdock/message-fields.c
+++ b/libburdock/message-fields.c
@@ -228,6 +228,21 @@
 static const BurdockFieldTable part_item_table =
     FIELD_TABLE (BurdockPartItem, part_item_fields);
 
+static const BurdockField rate_item_fields[] = {
+  FIELD (BURDOCK_FIELD_U64, BurdockRateItem, upstream_id),
+  FIELD (BURDOCK_FIELD_U32, BurdockRateItem, limit_per_1000s),
+  FIELD (BURDOCK_FIELD_U32, BurdockRateItem, age_ms),
+  FIELD (BURDOCK_FIELD_U32, BurdockRateItem, sent),
+};
+static const BurdockFieldTable rate_item_table =
+    FIELD_TABLE (BurdockRateItem, rate_item_fields);
+
+static const BurdockField upstream_rates_fields[] = {
+  FIELD (BURDOCK_FIELD_U32, BurdockUpstreamRatesMessage, demand_per_1000s),
+  LIST_FIELD (BurdockUpstreamRatesMessage, items, item_count, BURDOCK_RATE_ITEMS_MAX,
+              rate_item_table),
+};
+
 static const BurdockField prompt_parts_fields[] = {
   LIST_FIELD (BurdockPromptPartsMessage, items, item_count, BURDOCK_PART_ITEMS_MAX,
               part_item_table),
@@ -345,6 +360,9 @@
                                                             map_command_fields) },
   [BURDOCK_MSG_PROMPT_PARTS] = { "PROMPT_PARTS", FIELD_TABLE (BurdockPromptPartsMessage,
                                                               prompt_parts_fields) },
+  [BURDOCK_MSG_UPSTREAM_RATES] = { "UPSTREAM_RATES",
+                                   FIELD_TABLE (BurdockUpstreamRatesMessage,
+                                                upstream_rates_fields) },
 };
 
 const BurdockMessageSchema *
--- a/libburdock/message.h
+++ b/libburdock/message.h
@@ -32,6 +32,7 @@
 #define BURDOCK_ROSTER_RANKS_MAX 256
 #define BURDOCK_GATEWAY_ITEMS_MAX 16
 #define BURDOCK_PART_ITEMS_MAX 32
+#define BURDOCK_RATE_ITEMS_MAX 32
 
 typedef enum {
   BURDOCK_MSG_ATTEMPT = 1,
@@ -63,6 +64,7 @@
   BURDOCK_MSG_RANK_STATE,
   BURDOCK_MSG_MAP_COMMAND,
   BURDOCK_MSG_PROMPT_PARTS,
+  BURDOCK_MSG_UPSTREAM_RATES,
   BURDOCK_MSG_TYPE_COUNT,
 } BurdockMessageType;
 
@@ -420,6 +422,34 @@
   BurdockPartItem items[BURDOCK_PART_ITEMS_MAX];
 } BurdockPromptPartsMessage;
 
+/** Limit in a &BurdockRateItem of an upstream that names none any more. */
+#define BURDOCK_RATE_ITEM_UNLIMITED UINT32_MAX
+
+/**
+ * struct BurdockRateItem - rate limit of an upstream
+ * @upstream_id: burdock_member_id() of the id of the upstream
+ * @limit_per_1000s: requests per 1000 s from all gateways together
+ * @age_ms: time since the upstream stated it to a gateway
+ * @sent: requests that the sender sent to it since its last report about it
+ */
+typedef struct {
+  uint64_t upstream_id;
+  uint32_t limit_per_1000s;
+  uint32_t age_ms;
+  uint32_t sent;
+} BurdockRateItem;
+
+/**
+ * struct BurdockUpstreamRatesMessage - rate limits of upstreams, from one gateway to the
+ * others
+ * @demand_per_1000s: requests that the sender receives per 1000 s
+ */
+typedef struct {
+  uint32_t demand_per_1000s;
+  uint32_t item_count;
+  BurdockRateItem items[BURDOCK_RATE_ITEMS_MAX];
+} BurdockUpstreamRatesMessage;
+
 /** struct BurdockRosterRank - model runner (engine process) of a rank, at @address */
 typedef struct {
   BurdockAddress address;
@@ -546,6 +576,7 @@
     BurdockRankStateMessage rank_state;
     BurdockMapCommandMessage map_command;
     BurdockPromptPartsMessage prompt_parts;
+    BurdockUpstreamRatesMessage upstream_rates;
   };
 } BurdockMessage;
 
