Treat a stream that ends before its first event as broken off

A stream is complete only between events and after at least one; a resumed one already has had some.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -185,7 +185,7 @@
     /* An answer that is not a stream cannot resume one. */
     return forward->answer_started ? BURDOCK_ATTEMPT_TRUNCATED : BURDOCK_ATTEMPT_COMPLETE;
   case BURDOCK_ANSWER_STREAM:
-    if (burdock_event_stream_has_partial (&forward->event_stream))
+    if (!burdock_event_stream_is_complete (&forward->event_stream))
       return forward->answer_started ? BURDOCK_ATTEMPT_TRUNCATED : BURDOCK_ATTEMPT_LOST;
     return BURDOCK_ATTEMPT_COMPLETE;
   default:
@@ -226,6 +226,15 @@
                        forward->attempt_event_count, prompt);
 }
 
+/* Whether the connection of an attempt ended before its answer, after it was sent. */
+static bool
+has_broken_off (BurdockAttemptResult attempt_result, const BurdockHttpResult *result)
+{
+  if (result->status == 0)
+    return attempt_result == BURDOCK_ATTEMPT_LOST;
+  return result->sent && result->status != -ETIMEDOUT;
+}
+
 /* Tells the quarantine how an attempt ended that passed no event on. */
 static void
 record_outcome (const BurdockForward *forward, BurdockAttemptResult attempt_result,
@@ -236,7 +245,7 @@
 
   if (attempt_result == BURDOCK_ATTEMPT_COMPLETE)
     burdock_part_quarantine_record_answer (quarantine, &forward->caller.prompt, now_us);
-  else if (result->sent && result->status < 0 && result->status != -ETIMEDOUT)
+  else if (has_broken_off (attempt_result, result))
     burdock_part_quarantine_record_break (quarantine, &forward->caller.prompt,
                                           forward->upstream.key, now_us);
 }
--- a/libburdock/event-stream.c
+++ b/libburdock/event-stream.c
@@ -26,6 +26,12 @@
   return stream->length_bytes > 0;
 }
 
+bool
+burdock_event_stream_is_complete (const BurdockEventStream *stream)
+{
+  return stream->length_bytes == 0 && stream->last_id > 0;
+}
+
 /* Length of the first event at @offset of the buffer, including its terminating empty
  * line; 0 if it is incomplete. Lines end in LF or CR LF. Each byte is read once. */
 static uint32_t
--- a/libburdock/event-stream.h
+++ b/libburdock/event-stream.h
@@ -58,4 +58,12 @@
 /** burdock_event_stream_has_partial() - whether an incomplete event is buffered */
 bool burdock_event_stream_has_partial (const BurdockEventStream *stream);
 
+/**
+ * burdock_event_stream_is_complete() - whether a stream may end here
+ *
+ * An answer without a length ends with its connection, also when its upstream has ended.
+ * A stream that ends within an event, or before any event, was broken off.
+ */
+bool burdock_event_stream_is_complete (const BurdockEventStream *stream);
+
 #endif
--- a/tests/soak/standin.py
+++ b/tests/soak/standin.py
@@ -323,9 +323,10 @@
         return [("Burdockwind-Attempt-Id", attempt),
                 ("Burdockwind-Instance-Signature", self.id)] + limit
 
-    def stream_head(self, attempt):
+    def stream_head(self, attempt, unframed=False):
         headers_text = "".join(f"{n}: {v}\r\n" for n, v in self.answer_headers(attempt))
-        return ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+        framing = "Connection: close" if unframed else "Transfer-Encoding: chunked"
+        return (f"HTTP/1.1 200 OK\r\n{framing}\r\n"
                 f"Content-Type: text/event-stream\r\n{headers_text}\r\n").encode()
 
     async def crash(self, attempt, writer):
@@ -335,8 +336,12 @@
             await asyncio.sleep(STEP_S / 4)
         if not self.group.open:
             return False
-        writer.write(self.stream_head(attempt))
-        await writer.drain()
+        if random.random() < 0.5:
+            writer.write(self.stream_head(attempt))
+        else:
+            # Without a length or chunks: the answer ends like a complete one.
+            writer.write(self.stream_head(attempt, unframed=True))
+            writer.close()
         await asyncio.sleep(0.01)
         if not self.down:
             self.crash_times.append(time.monotonic())
--- a/tests/test-event-stream.c
+++ b/tests/test-event-stream.c
@@ -104,11 +104,49 @@
   burdock_event_stream_clear (&stream);
 }
 
+static void
+ignore_event (void *ctx, const char *event, uint32_t length_bytes)
+{
+}
+
+typedef struct {
+  uint64_t resumed_after; /* id of the last event of an earlier run */
+  const char *text;
+  bool complete;
+} EndCase;
+
+static const EndCase end_cases[] = {
+  { 0, "", false },
+  { 0, ": comment\n\n", false },
+  { 0, "id: 1\ndata: a\n\n", true },
+  { 0, "id: 1\ndata: a\n\nid: 2\nda", false },
+  { 7, "", true },
+  { 7, "id: 8\n", false },
+};
+
+/* An upstream that ends while it begins an answer without a length leaves an empty one.
+ */
+static void
+stream_that_broke_off_is_not_complete (void)
+{
+  for (size_t i = 0; i < TEST_COUNT (end_cases); i++) {
+    BurdockEventStream stream = { .last_id = end_cases[i].resumed_after };
+    const char *text = end_cases[i].text;
+
+    CU_ASSERT_EQUAL (burdock_event_stream_feed (&stream, text, (uint32_t)strlen (text),
+                                                ignore_event, NULL),
+                     0);
+    CU_ASSERT_EQUAL (burdock_event_stream_is_complete (&stream), end_cases[i].complete);
+    burdock_event_stream_clear (&stream);
+  }
+}
+
 static const Test tests[] = {
   { "an event is truncated, joined, lost or repeated",
     events_stay_complete_at_every_split },
   { "parts of events of two runs are joined", restart_drops_the_incomplete_event },
   { "an endless event uses all memory", oversized_event_is_an_error },
+  { "a stream that broke off looks complete", stream_that_broke_off_is_not_complete },
 };
 
 int
