Grant no credit for the time of a pause

A gateway that is paused for seconds (the operators' case of a process that acts on a permission that has run out) granted itself credit for the whole time at its first tick, before it had read what the others sent meanwhile: 16 requests at once to an upstream that takes 2 a second. Credit is now granted for one report interval at most. The new case of test-rate-share failed before (credit above 1 after a pause of 20 s) and passes now.

--- a/libburdock/rate-share.c
+++ b/libburdock/rate-share.c
@@ -103,7 +103,9 @@
                             uint64_t elapsed_us, double random)
 {
   double elapsed_s = (double)elapsed_us / US_PER_S;
-  double interval_s = (double)interval_us / US_PER_S;
+  /* The reports of a longer time have not been read yet. */
+  double intervals =
+      elapsed_us < interval_us ? (double)elapsed_us / (double)interval_us : 1;
   double room;
 
   if (!share->limited)
@@ -117,7 +119,7 @@
     share->credit = 0;
   room = depth (share, interval_us) - share->level;
   if (room > 0)
-    grant_credit (share, room * weight * elapsed_s / interval_s,
+    grant_credit (share, room * weight * intervals,
                   interval_us > CREDIT_LIFE_MIN_US ? interval_us : CREDIT_LIFE_MIN_US,
                   random);
 }
--- a/tests/test-rate-share.c
+++ b/tests/test-rate-share.c
@@ -219,7 +219,21 @@
   CU_ASSERT_TRUE (burdock_rate_share_allows (&share, US_PER_S));
 }
 
+/* A gateway that was paused has not counted the requests of the others. */
+static void
+paused_gateway_gets_no_more_credit (void)
+{
+  BurdockRateShare share = { 0 };
+
+  burdock_rate_share_state (&share, 2, 1);
+  for (uint32_t i = 0; i < 100; i++)
+    burdock_rate_share_advance (&share, 1.0 / 9, 100 * US_PER_MS, STEP_US, 0.99);
+  burdock_rate_share_advance (&share, 1.0 / 9, 100 * US_PER_MS, 20 * US_PER_S, 0.5);
+  CU_ASSERT_TRUE (share.credit <= 1);
+}
+
 static const Test tests[] = {
+  { "a gateway that was paused sends a burst", paused_gateway_gets_no_more_credit },
   { "an upstream gets more requests than the limit that it named, or far fewer",
     limit_is_kept_and_used },
   { "an old statement replaces a newer one", statement_is_replaced_by_a_newer_one_only },
