Store every crash under a quarantined part

The row of a quarantined part was written when the quarantine began only, so after a loss of all gateways a part that had crashed further upstreams was tried again too early: the length of a quarantine follows from its crashes. A local crash under a quarantined part is now reported too. The extended case of test-part-quarantine failed before (one change instead of two) and passes now.

--- a/libburdock/part-quarantine.c
+++ b/libburdock/part-quarantine.c
@@ -269,24 +269,30 @@
          unexplained_crashes (quarantine, record) >= QUARANTINE_CRASHES;
 }
 
-/* Evidence about one part may explain that about others, so all are compared. */
 static void
-update_quarantines (BurdockPartQuarantine *quarantine, bool local)
+report_change (const BurdockPartQuarantine *quarantine, const Record *record, bool local)
 {
   const BurdockPartQuarantineHandler *handler = &quarantine->handler;
+  BurdockPartStatus status = { .part = record->part,
+                               .quarantined = record->quarantined,
+                               .crashes = record->crash_count,
+                               .local = local };
 
+  handler->changed (handler->ctx, &status);
+}
+
+/* Evidence about one part may explain that about others, so all are compared. */
+static void
+update_quarantines (BurdockPartQuarantine *quarantine, bool local)
+{
   for (uint32_t i = 0; i < quarantine->record_count; i++) {
     Record *record = &quarantine->records[i];
     bool quarantined = should_be_quarantined (quarantine, record);
-    BurdockPartStatus status = { .part = record->part,
-                                 .quarantined = quarantined,
-                                 .crashes = record->crash_count,
-                                 .local = local };
 
     if (quarantined == record->quarantined)
       continue;
     record->quarantined = quarantined;
-    handler->changed (handler->ctx, &status);
+    report_change (quarantine, record, local);
   }
 }
 
@@ -390,6 +396,9 @@
       continue;
     record->changed_us = broken->at_us;
     record->shares_left = SHARE_REPEATS;
+    /* The crash makes the quarantine longer. */
+    if (record->quarantined)
+      report_change (quarantine, record, true);
   }
 }
 
@@ -606,19 +615,18 @@
 static void
 forget_outdated (BurdockPartQuarantine *quarantine, uint64_t now_us)
 {
-  const BurdockPartQuarantineHandler *handler = &quarantine->handler;
   uint32_t kept = 0;
 
   for (uint32_t i = 0; i < quarantine->record_count; i++) {
-    const Record *record = &quarantine->records[i];
-    BurdockPartStatus status = { .part = record->part, .crashes = record->crash_count };
+    Record *record = &quarantine->records[i];
 
     if (!is_outdated (record, now_us)) {
       if (kept != i)
         quarantine->records[kept] = *record;
       kept++;
     } else if (record->quarantined) {
-      handler->changed (handler->ctx, &status);
+      record->quarantined = false;
+      report_change (quarantine, record, false);
     }
   }
   quarantine->record_count = kept;
--- a/libburdock/part-quarantine.h
+++ b/libburdock/part-quarantine.h
@@ -23,7 +23,8 @@
 #define BURDOCK_PART_CRASHES_MAX 8
 
 /**
- * struct BurdockPartStatus - a part that was quarantined or released
+ * struct BurdockPartStatus - a part that was quarantined or released, or under which
+ * another upstream ended
  * @crashes: upstreams that ended under the part since its last answer
  * @local: evidence of this gateway caused the change
  */
@@ -37,7 +38,7 @@
 /**
  * struct BurdockPartQuarantineHandler - callbacks
  * @has_ended: whether the process of @upstream has ended since @since_us
- * @changed: a part was quarantined or released
+ * @changed: a part was quarantined or released, or the evidence to be stored has changed
  */
 typedef struct {
   void *ctx;
--- a/tests/test-part-quarantine.c
+++ b/tests/test-part-quarantine.c
@@ -273,6 +273,8 @@
   CU_ASSERT_TRUE (admits (&gateway, CRASHING, 0));
   CU_ASSERT_FALSE (admits (&gateway, CRASHING, 0));
   crash (&gateway, 4, CRASHING, 0);
+  CU_ASSERT_EQUAL (gateway.changes, 2);
+  CU_ASSERT_TRUE (gateway.last.quarantined && gateway.last.crashes == 4);
   advance (&gateway, 9 * US_PER_MIN);
   CU_ASSERT_FALSE (admits (&gateway, CRASHING, 0));
   advance (&gateway, 4 * US_PER_MIN);
