--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -430,6 +430,47 @@
   return bytes;
 }
 
+/* Size of the evidence about prompt parts under which @crashes upstreams ended. */
+static double
+prompt_parts_bytes (uint32_t crashes)
+{
+  BurdockMessage *message = calloc (1, sizeof *message);
+  BurdockPromptPartsMessage *parts = &message->prompt_parts;
+  double bytes;
+
+  message->header.type = BURDOCK_MSG_PROMPT_PARTS;
+  parts->item_count = crashes;
+  for (uint32_t i = 0; i < crashes; i++)
+    parts->items[i] = (BurdockPartItem){ .part = UINT32_MAX,
+                                         .kind = BURDOCK_PART_CRASHED,
+                                         .upstream_id = UINT64_MAX - i,
+                                         .depth = 1,
+                                         .age_ms = 100000 };
+  bytes = encoded_bytes (message);
+  free (message);
+  return bytes;
+}
+
+/* Size of a report about @upstreams that name a rate limit. */
+static double
+upstream_rates_bytes (uint32_t upstreams)
+{
+  BurdockMessage *message = calloc (1, sizeof *message);
+  BurdockUpstreamRatesMessage *rates = &message->upstream_rates;
+  double bytes;
+
+  message->header.type = BURDOCK_MSG_UPSTREAM_RATES;
+  rates->demand_per_1000s = 10600;
+  rates->item_count = upstreams;
+  for (uint32_t i = 0; i < upstreams; i++)
+    rates->items[i] = (BurdockRateItem){
+      .upstream_id = UINT64_MAX - i, .limit_per_1000s = 2200, .age_ms = 1000, .sent = 1
+    };
+  bytes = encoded_bytes (message);
+  free (message);
+  return bytes;
+}
+
 static void
 print_gateways (void)
 {
@@ -443,6 +484,16 @@
                    .unit = "B",
                    .per = "expert of all layers",
                    .target = 12 * 128 };
+  Series parts = { .role = "gateway",
+                   .quantity = "evidence about prompt parts",
+                   .unit = "B",
+                   .per = "crash",
+                   .target = BURDOCK_PART_ITEMS_MAX };
+  Series rates = { .role = "gateway",
+                   .quantity = "report of rate limits",
+                   .unit = "B",
+                   .per = "limited upstream",
+                   .target = BURDOCK_RATE_ITEMS_MAX };
   Series command = { .role = "rank agent that coordinates",
                      .quantity = "map for one rank",
                      .unit = "B",
@@ -451,10 +502,14 @@
 
   for (uint32_t i = 1; i <= SIZES; i++) {
     add_point (&heartbeat, i * 10, heartbeat_bytes (i * 10));
+    add_point (&parts, i * 8, prompt_parts_bytes (i * 8));
+    add_point (&rates, i * 8, upstream_rates_bytes (i * 8));
     add_point (&state, i * 384, rank_state_bytes (i * 384));
     add_point (&command, i * 576, map_command_bytes (i * 576));
   }
   print_series (&heartbeat);
+  print_series (&parts);
+  print_series (&rates);
   print_series (&state);
   print_series (&command);
 }
