--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED ?= 1
 SECONDS ?= 10
 
-.PHONY: all setup build check run run-platform soak replay explore faults load fuzz bench capacity format lint clean
+.PHONY: all setup build check run run-platform scenarios soak replay explore faults load fuzz bench capacity format lint clean
 
 all: build
 
@@ -35,6 +35,11 @@
 run-platform: build
 	python3 tests/soak/soak.py --build $(BUILD) --seed $(SEED) --seconds $(SECONDS)
 
+# Incidents of the users' platform, played against gateways and rank agents as processes.
+scenarios: build
+	python3 tests/soak/scenarios.py prompt-part --build $(BUILD) --seed $(SEED) --seconds 30
+	python3 tests/soak/scenarios.py limit --build $(BUILD) --seed $(SEED) --seconds 25 --callers 40
+
 load: build
 	python3 tests/system/load.py --build $(BUILD)
 
