Keep the rate limit of an upstream that rejects a request

A rejection or an error without the header was taken for the end of the limit, so that every rejection opened the upstream for all gateways until the next answer named the limit again.

Evidence: the stand-ins of the scenario limit now reject a fifth of their requests without naming the limit. Only answers end a limit now.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -54,12 +54,17 @@
   return 0;
 }
 
+/* A refusal or an error without a limit does not show that there is none. */
 static void
 record_limit (const BurdockForward *forward, BurdockHttpTransfer *transfer)
 {
   BurdockBalancer *balancer = forward->gateway->traffic.balancer;
   double per_s = burdock_exchange_rate_limit (transfer);
+  bool answered = forward->answer_kind == BURDOCK_ANSWER_STREAM ||
+                  forward->answer_kind == BURDOCK_ANSWER_COMPLETE;
 
+  if (per_s < 0 && !answered)
+    return;
   if (!burdock_balancer_record_limit (balancer, forward->upstream.key, per_s,
                                       burdock_loop_now_us ()))
     return;
--- a/tests/soak/standin.py
+++ b/tests/soak/standin.py
@@ -21,6 +21,9 @@
 CRASHING_PART = "bad0bad0"
 CRASH_S = 2.0
 
+# Share of the requests that a runner with a limit rejects, without naming the limit.
+LIMITED_REJECT_RATE = 0.2
+
 
 async def read_head(reader):
     """Returns (first line, headers) of a message, or None at the end of the connection."""
@@ -294,7 +297,8 @@
         if headers.get("burdockwind-expect-instance") != self.id:
             writer.write(answer(421, headers=[("Burdockwind-Instance-Id", self.id)]))
             return True
-        if self.running >= self.slots or (self.group and not self.group.open):
+        if (self.running >= self.slots or (self.group and not self.group.open)
+                or (self.limit is not None and random.random() < LIMITED_REJECT_RATE)):
             writer.write(answer(503, headers=[("Burdockwind-Not-Executed", "1")]))
             return True
         return await self.run(path, attempt, headers, writer)
