Log the era of the store and configurations that are not applied

A gateway that met the store after a restore logged only that it was lost or regained, so a configuration that was refused by the watch could not be told from one that was read and not applied.

--- a/gateway/control.c
+++ b/gateway/control.c
@@ -67,13 +67,19 @@
     return;
   }
   if (table->version <= gateway->control.config_version) {
+    burdock_log (BURDOCK_LOG_INFO, "configuration not applied", "-",
+                 "version %" PRIu64 " era %" PRIu64 " row version %" PRIu64
+                 ", in force %" PRIu64,
+                 table->version, row->era, row->version, gateway->control.config_version);
     burdock_route_table_unref (table);
     return;
   }
   gateway->control.config_version = table->version;
   burdock_log (BURDOCK_LOG_INFO, "configuration read", "-",
-               "version %" PRIu64 " routes %u keys %u", table->version,
-               apr_hash_count (table->routes), apr_hash_count (table->api_keys));
+               "version %" PRIu64 " era %" PRIu64 " row version %" PRIu64
+               " routes %u keys %u",
+               table->version, row->era, row->version, apr_hash_count (table->routes),
+               apr_hash_count (table->api_keys));
   publish_table (gateway, table);
 }
 
--- a/gateway/local-endpoints.c
+++ b/gateway/local-endpoints.c
@@ -86,6 +86,7 @@
     { "burdock_peers", traffic->peer_count },
     { "burdock_store_calls_total", gateway->control.store.calls },
     { "burdock_store_failures_total", gateway->control.store.failures },
+    { "burdock_store_era", gateway->control.store.era },
   };
   char *process_metrics = burdock_runtime_metrics ();
 
