--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -3,6 +3,7 @@
 
 prompt-part: requests with one part in their prompts crash each upstream that runs them.
 limit: most upstreams name a limit of requests a second, and a gateway is started meanwhile.
+restored: the store returns from a copy some seconds old, twice.
 """
 import argparse
 import asyncio
@@ -12,6 +13,7 @@
 import time
 
 import soak
+from restored import RestoredScenario
 from standin import CRASHING_PART
 
 # Bounds of the users' pages.
@@ -165,7 +167,8 @@
                                             f"{LIMIT_PER_S} that it takes")
 
 
-SCENARIOS = {"limit": LimitScenario, "prompt-part": PromptPartScenario}
+SCENARIOS = {"limit": LimitScenario, "prompt-part": PromptPartScenario,
+             "restored": RestoredScenario}
 
 
 async def main():
--- a/tests/soak/standin.py
+++ b/tests/soak/standin.py
@@ -101,13 +101,15 @@
 class Store:
     """Store with versioned tables; mode is up, busy (answers 503) or silent (no answer).
 
-    Changes up to the version oldest_known are discarded; reading from before it gives 410.
+    Changes up to the version oldest_known are discarded; reading from before it gives 410, as
+    does reading from a version that the store does not have.
     """
 
     def __init__(self, ip, port):
         self.rows = {}
         self.change_log = []
         self.version = 1
+        self.era = 1
         self.oldest_known = 0
         self.mode = "up"
         self.delay_s = 0.0
@@ -135,6 +137,21 @@
         self.oldest_known = self.version
         self.change_log.clear()
 
+    def copy(self):
+        return dict(self.rows), list(self.change_log), self.version
+
+    async def restore(self, copy, away_s):
+        """Goes away and returns with the rows, the history and the versions of a copy."""
+        await self.http.stop()
+        await asyncio.sleep(away_s)
+        rows, change_log, self.version = copy
+        self.rows, self.change_log = dict(rows), list(change_log)
+        self.era += 1
+        await self.http.start()
+
+    def answer(self, status, body):
+        return answer(status, json.dumps(body).encode(), [("Store-Era", str(self.era))])
+
     def row(self, table, key, data, version):
         item = {"tableName": table, "part": "", "key": key, "schemaVersion": version}
         return {**item, "deleted": True} if data is None else {**item, "data": data}
@@ -146,7 +163,8 @@
         table, after = query["tableName"][0], int(query["after"][0])
         until = time.monotonic() + int(query["waitMs"][0]) / 1000
         async with self.changed:
-            while after >= self.oldest_known and not self.changes_since(table, after):
+            while (self.oldest_known <= after <= self.version
+                   and not self.changes_since(table, after)):
                 left = until - time.monotonic()
                 if left <= 0:
                     break
@@ -154,26 +172,26 @@
                     await asyncio.wait_for(self.changed.wait(), left)
                 except asyncio.TimeoutError:
                     break
-        if after < self.oldest_known:
-            return answer(410, b"{}")
+        if not self.oldest_known <= after <= self.version:
+            return self.answer(410, {})
         body = {"rows": self.changes_since(table, after), "schemaVersion": self.version,
                 "serverTimeMs": 1}
-        return answer(200, json.dumps(body).encode())
+        return self.answer(200, body)
 
     def get(self, query):
         table = query["tableName"][0]
         rows = [self.row(t, k, d, v) for (t, k), (d, v) in sorted(self.rows.items())
                 if t == table]
         body = {"rows": rows, "hasMore": False, "schemaVersion": self.version}
-        return answer(200, json.dumps(body).encode())
+        return self.answer(200, body)
 
     async def transact(self, call):
         for row in call["write"] + call["remove"]:
             if row["tableName"] in ("op", "servers"):
-                return answer(403, b"{}")
+                return self.answer(403, {})
             if row.get("data") or (row["tableName"], row["key"]) in self.rows:
                 await self.write(row["tableName"], row["key"], row.get("data"))
-        return answer(200, json.dumps({"schemaVersion": self.version}).encode())
+        return self.answer(200, {"schemaVersion": self.version})
 
     async def handle(self, method, target, headers, body, writer):
         parts = urlsplit(target)
@@ -183,7 +201,7 @@
             return False
         await asyncio.sleep(self.delay_s)
         if self.mode == "busy":
-            writer.write(answer(503, b"{}"))
+            writer.write(self.answer(503, {}))
         elif parts.path == "/rows-feed":
             writer.write(await self.feed(query))
         elif parts.path == "/rows-tx":
