Compare versions of the store within one era only

Callers got 404 on routes that had been confirmed 2 s and more before, or were served by the service of an older configuration, after the store had returned from a copy. Cause: the watch of a table took the lower version of the restored table for a stale answer and refused it until the counter had caught up, and a feed that went on at a version given out again missed the changes before it.

--- a/tests/support/script-server.c
+++ b/tests/support/script-server.c
@@ -16,6 +16,9 @@
 #define CONNECTIONS_MAX 16
 #define POLL_MS 10
 
+/* Status code and space at the begin of a response of the script. */
+#define STATUS_BYTES 4
+
 typedef struct {
   int descriptor;
   size_t length_bytes;
@@ -52,6 +55,21 @@
   return strlen (text) >= length ? length : 0;
 }
 
+static void
+format_response (const char *response, char *raw, size_t size_bytes)
+{
+  const char *body = response + STATUS_BYTES;
+  int header_bytes = 0;
+
+  if (*body == '<') {
+    header_bytes = (int)strcspn (body + 1, ">");
+    body += header_bytes + 2;
+  }
+  snprintf (raw, size_bytes, "HTTP/1.1 %.3s x\r\n%.*s%sContent-Length: %zu\r\n\r\n%s",
+            response, header_bytes, response + STATUS_BYTES + 1,
+            header_bytes > 0 ? "\r\n" : "", strlen (body), body);
+}
+
 /* Sends the next response of the script; returns false to close the connection. */
 static bool
 send_response (ScriptServer *server, const Connection *connection)
@@ -65,8 +83,7 @@
   if (strcmp (response, SCRIPT_CUT) == 0)
     return false;
   if (strncmp (response, "HTTP", 4) != 0)
-    snprintf (raw, sizeof raw, "HTTP/1.1 %.3s x\r\nContent-Length: %zu\r\n\r\n%s",
-              response, strlen (response + 4), response + 4);
+    format_response (response, raw, sizeof raw);
   else
     snprintf (raw, sizeof raw, "%s", response);
   return send (connection->descriptor, raw, strlen (raw), MSG_NOSIGNAL) > 0;
--- a/tests/test-platform-client.c
+++ b/tests/test-platform-client.c
@@ -129,6 +129,9 @@
   const char *seen;
 } WatchCase;
 
+#define ERA(era) "<Store-Era: " #era ">"
+#define ROWS_AT(version) "\"hasMore\":false,\"schemaVersion\":" #version "}"
+
 /* "YQ==" and "Yg==" are "a" and "b" in base64. In @seen, "[" is the begin of a listing,
  * "]" its end, ";" the end of changes, "-" a removed row, "+" a reachable and "!" an
  * unreachable store. */
@@ -164,6 +167,35 @@
       "\"schemaVersion\":8}" },
     4,
     "+[]!+[x=a ]" },
+  { "store restored: lower version in a higher era",
+    { "200 " ERA (1) "{\"rows\":[]," ROWS_AT (50), "410 " ERA (2) "{}",
+      "200 " ERA (2) "{\"rows\":[{\"key\":\"x\",\"data\":\"YQ==\"}]," ROWS_AT (4) },
+    3,
+    "+[][x=a ]" },
+  { "store restored: the version is given out again",
+    { "200 " ERA (1) "{\"rows\":[]," ROWS_AT (5),
+      "200 " ERA (2) "{\"rows\":[{\"key\":\"y\",\"data\":\"Yg==\"}]," ROWS_AT (6),
+      "200 " ERA (2) "{\"rows\":[{\"key\":\"x\",\"data\":\"YQ==\"}]," ROWS_AT (6) },
+    3,
+    "+[][x=a ]" },
+  { "store restored between two pages of a listing",
+    { "200 " ERA (1) "{\"rows\":[{\"key\":\"x\",\"data\":\"YQ==\"}],\"hasMore\":true,"
+                     "\"schemaVersion\":5}",
+      "200 " ERA (2) "{\"rows\":[{\"key\":\"z\",\"data\":\"YQ==\"}]," ROWS_AT (4),
+      "200 " ERA (2) "{\"rows\":[{\"key\":\"y\",\"data\":\"Yg==\"}]," ROWS_AT (4) },
+    3,
+    "+[x=a [y=b ]" },
+  { "late answer of the era before",
+    { "200 " ERA (2) "{\"rows\":[]," ROWS_AT (5),
+      "200 " ERA (1) "{\"rows\":[{\"key\":\"y\",\"data\":\"Yg==\"}]," ROWS_AT (9),
+      "200 " ERA (2) "{\"rows\":[{\"key\":\"x\",\"data\":\"YQ==\"}]," ROWS_AT (6) },
+    3,
+    "+[]!+x=a ;" },
+  { "two restores between two answers",
+    { "200 " ERA (1) "{\"rows\":[]," ROWS_AT (50), "503 " ERA (2) "{}",
+      "200 " ERA (3) "{\"rows\":[{\"key\":\"x\",\"data\":\"YQ==\"}]," ROWS_AT (7) },
+    3,
+    "+[]!+[x=a ]" },
   { "truncated JSON, invalid base64",
     { "200 {\"rows\":", "200 {\"rows\":[{\"key\":\"x\",\"data\":\"*\"}],"
                         "\"hasMore\":false,\"schemaVersion\":5}" },
@@ -492,7 +524,43 @@
   }
 }
 
+/* Guards against a process that hears of a restored store last: its long poll of the era
+ * before gets no answer, while another call has met the new era. */
+static void
+a_long_poll_of_an_ended_era_is_replaced (void)
+{
+  static const char *const answers[] = {
+    "200 " ERA (1) "{\"rows\":[]," ROWS_AT (50), SCRIPT_STALL,
+    "200 " ERA (2) "{\"rows\":[{\"key\":\"x\",\"data\":\"YQ==\"}]," ROWS_AT (4)
+  };
+  BurdockTableHandler handler;
+  Fixture fixture;
+
+  open_fixture (&fixture, answers, 3);
+  handler = (BurdockTableHandler){ &fixture, watch_begin, watch_row, watch_end,
+                                   watch_reachable };
+  fixture.store = (BurdockStoreClient){ .loop = fixture.loop,
+                                        .client = fixture.client,
+                                        .url = fixture.url,
+                                        .random = no_jitter };
+  fixture.watch = burdock_table_watch_new (&fixture.store, "t", 0, &handler);
+  fixture.expected_text = "]";
+  burdock_loop_run (fixture.loop);
+  fixture.finished = false;
+  fixture.expected_text = NULL;
+  fixture.timeout_at_us = burdock_loop_now_us () + 200000;
+  burdock_loop_run (fixture.loop);
+  fixture.timeout_at_us = burdock_loop_now_us () + TIMEOUT_US;
+  burdock_store_client_note_era (&fixture.store, 2, "another call");
+  fixture.finished = false;
+  fixture.expected_text = "+[][x=a ]";
+  burdock_loop_run (fixture.loop);
+  close_fixture (&fixture);
+}
+
 static const Test tests[] = {
+  { "a change is missed after the store was restored",
+    a_long_poll_of_an_ended_era_is_replaced },
   { "a row is lost when a write fails", rows_are_written_once_the_store_answers },
   { "a change is missed for as long as a long poll lasts",
     a_call_without_an_answer_can_be_repeated },
