Keep upstreams that a restored store has forgotten or brought back

A store that returned from a copy listed upstreams that had left since, and lacked those that had started since: the first got requests after their drain time, the second were dropped until they had written again. Cause: a listing of a new era was taken for the present state. What is known of a start of an upstream now goes before the copy: a row of one that has gone or left is held for 10 s, in which the platform removes it, unless the upstream writes it in the new era; one that the copy does not know is awaited as after an outage; of two upstreams at one address the one that started last is kept, as versions of two eras say nothing.

--- a/gateway/control.c
+++ b/gateway/control.c
@@ -84,7 +84,7 @@
 }
 
 static void
-ignore_begin (void *ctx)
+ignore_begin (void *ctx, uint64_t era)
 {
 }
 
@@ -128,25 +128,27 @@
   BurdockGateway *gateway = ctx;
   BurdockUpstreamRegistry *registry = gateway->control.upstreams;
   BurdockUpstream upstream;
+  uint64_t now_us = burdock_loop_now_us ();
 
   if (row->removed) {
-    burdock_upstream_registry_remove (registry, row->key, burdock_loop_now_us ());
+    burdock_upstream_registry_remove (registry, row->key, now_us);
   } else if (row->value.data == NULL ||
              burdock_platform_decode_upstream (row->key, row->value, &upstream) < 0) {
     burdock_log (BURDOCK_LOG_WARNING, "read upstream", row->key,
                  "the entry is invalid and ignored");
-    burdock_upstream_registry_reject (registry, row->key);
+    burdock_upstream_registry_reject (registry, row->key, now_us);
   } else {
-    burdock_upstream_registry_put (registry, &upstream, row->version);
+    burdock_upstream_registry_put (registry, &upstream, row->version, now_us);
   }
 }
 
 static void
-upstream_begin (void *ctx)
+upstream_begin (void *ctx, uint64_t era)
 {
   BurdockGateway *gateway = ctx;
 
-  burdock_upstream_registry_begin_listing (gateway->control.upstreams);
+  burdock_upstream_registry_begin_listing (gateway->control.upstreams, era,
+                                           burdock_loop_now_us ());
 }
 
 static void
--- a/libburdock/balancer.h
+++ b/libburdock/balancer.h
@@ -26,12 +26,14 @@
 /**
  * struct BurdockUpstream - upstream of a pool
  * @key: burdock_member_id() of @id
+ * @born_ms: time of day at which it started, 0 if it is not known
  * @leaving: takes no new requests
  * @slots: maximum number of concurrent requests
  */
 typedef struct {
   char id[BURDOCK_NAME_BYTES];
   uint64_t key;
+  uint64_t born_ms;
   char pool[BURDOCK_NAME_BYTES];
   char failure_domain[BURDOCK_NAME_BYTES];
   BurdockAddress address;
--- a/libburdock/upstream-registry.h
+++ b/libburdock/upstream-registry.h
@@ -3,7 +3,10 @@
  *
  * Each upstream writes a row under its id and renews it. Rows expire when their upstream
  * is gone, but also while the store is unreachable; such rows are written again soon
- * after the outage. The registry performs no I/O and belongs to one thread.
+ * after the outage. A store that returns from a copy lacks the rows of upstreams that
+ * have started since, and has those of upstreams that have left; the registry goes by
+ * what it knows until upstreams and platform have written again. The registry performs no
+ * I/O and belongs to one thread.
  */
 #ifndef BURDOCK_UPSTREAM_REGISTRY_H
 #define BURDOCK_UPSTREAM_REGISTRY_H
@@ -22,8 +25,13 @@
                                                         void *ctx);
 void burdock_upstream_registry_free (BurdockUpstreamRegistry *registry);
 
-/** burdock_upstream_registry_begin_listing() - a complete list of the rows follows */
-void burdock_upstream_registry_begin_listing (BurdockUpstreamRegistry *registry);
+/**
+ * burdock_upstream_registry_begin_listing() - a complete list of the rows follows
+ * @era: era of the store in which the list is read; after it has risen, rows that
+ *   contradict what is known are held back for 10 s
+ */
+void burdock_upstream_registry_begin_listing (BurdockUpstreamRegistry *registry,
+                                              uint64_t era, uint64_t now_us);
 
 /**
  * burdock_upstream_registry_end_listing() - removes the upstreams that the list does not
@@ -34,14 +42,15 @@
 
 /**
  * burdock_upstream_registry_put() - handles the row of an upstream
- * @version: version of the row; a row with a higher version was written later
+ * @version: version of the row; a row with a higher version was written later in its era
  *
- * Of several upstreams at one address, only the one whose row was written last is kept:
- * a restarted upstream has a new id, and the row of its previous id remains until it
- * expires.
+ * Of several upstreams at one address, only the one that started last is kept, or else
+ * the one whose row was written last: a restarted upstream has a new id, and the row of
+ * its previous id remains until it expires.
  */
 void burdock_upstream_registry_put (BurdockUpstreamRegistry *registry,
-                                    const BurdockUpstream *upstream, uint64_t version);
+                                    const BurdockUpstream *upstream, uint64_t version,
+                                    uint64_t now_us);
 
 /**
  * burdock_upstream_registry_remove() - handles the removal of a row
@@ -54,7 +63,8 @@
                                        uint64_t now_us);
 
 /** burdock_upstream_registry_reject() - removes an upstream whose row is invalid */
-void burdock_upstream_registry_reject (BurdockUpstreamRegistry *registry, const char *id);
+void burdock_upstream_registry_reject (BurdockUpstreamRegistry *registry, const char *id,
+                                       uint64_t now_us);
 
 /** burdock_upstream_registry_store_regained() - the store answers again since @since_us
  */
@@ -63,9 +73,9 @@
 
 /**
  * burdock_upstream_registry_expire() - removes the upstreams whose rows were not written
- * again in time after an outage
- * @changed: set to whether any was removed
- * Returns the time of the next removal, UINT64_MAX for none.
+ * again in time after an outage, and applies rows that were held back
+ * @changed: set to whether the list has changed
+ * Returns the time of the next change, UINT64_MAX for none.
  */
 uint64_t burdock_upstream_registry_expire (BurdockUpstreamRegistry *registry,
                                            uint64_t now_us, bool *changed);
--- a/tests/test-platform-client.c
+++ b/tests/test-platform-client.c
@@ -85,7 +85,7 @@
 }
 
 static void
-watch_begin (void *ctx)
+watch_begin (void *ctx, uint64_t era)
 {
   append_seen (ctx, "[");
 }
--- a/tests/test-upstream-registry.c
+++ b/tests/test-upstream-registry.c
@@ -20,7 +20,7 @@
   BurdockUpstream item = { .address = { ipv4, 80 }, .leaving = leaving, .slots = 1 };
 
   snprintf (item.id, sizeof item.id, "%s", id);
-  burdock_upstream_registry_put (registry, &item, version);
+  burdock_upstream_registry_put (registry, &item, version, US_PER_S);
 }
 
 static bool
@@ -63,7 +63,7 @@
     const AddressCase *row = &address_cases[i];
     BurdockUpstreamRegistry *registry = burdock_upstream_registry_new (ignore_log, NULL);
 
-    burdock_upstream_registry_begin_listing (registry);
+    burdock_upstream_registry_begin_listing (registry, 0, US_PER_S);
     put (registry, row->first, 7, false, row->first_version);
     put (registry, row->second, 7, false, row->second_version);
     put (registry, "elsewhere", 8, false, 1);
@@ -126,18 +126,152 @@
   put (registry, "a", 1, false, 1);
   put (registry, "b", 2, false, 2);
   put (registry, "c", 3, false, 3);
-  burdock_upstream_registry_begin_listing (registry);
+  burdock_upstream_registry_begin_listing (registry, 0, US_PER_S);
   put (registry, "b", 2, false, 4);
   put (registry, "c", 3, false, 5);
   burdock_upstream_registry_end_listing (registry, US_PER_S);
   CU_ASSERT_FALSE (has (registry, "a"));
-  burdock_upstream_registry_reject (registry, "c");
-  burdock_upstream_registry_reject (registry, "unknown");
+  burdock_upstream_registry_reject (registry, "c", US_PER_S);
+  burdock_upstream_registry_reject (registry, "unknown", US_PER_S);
   CU_ASSERT_TRUE (has (registry, "b"));
   CU_ASSERT_EQUAL (burdock_upstream_registry_count (registry), 1);
   burdock_upstream_registry_free (registry);
 }
 
+/** enum Step - what happens to the row of upstream "a" */
+typedef enum {
+  STEP_NONE,
+  STEP_WRITE, /* it is written, with the state of the case */
+  STEP_LEAVE,
+  STEP_REMOVE,
+  STEP_REPLACE, /* another upstream, "b", writes a row with its address */
+} Step;
+
+typedef struct {
+  const char *name;
+  Step before;           /* in the first era, after it was written */
+  bool in_copy;          /* the listing after the restore has the row */
+  uint64_t copy_born_ms; /* start of the upstream according to the copy */
+  Step after;            /* 1 s after the restore, as a change */
+  bool restored_again;   /* 2 s after the first restore, from the same copy */
+  bool used_at_once;     /* after the listing */
+  bool used_soon;        /* 3 s after it */
+  bool used_late;        /* 13 s after it */
+} RestoreCase;
+
+static const RestoreCase restore_cases[] = {
+  { "sound, in the copy", STEP_NONE, true, 5, STEP_NONE, false, true, true, true },
+  { "started since, writes again", STEP_NONE, false, 5, STEP_WRITE, false, true, true,
+    true },
+  { "started since, gone", STEP_NONE, false, 5, STEP_NONE, false, true, false, false },
+  { "gone since, removed again", STEP_REMOVE, true, 5, STEP_REMOVE, false, false, false,
+    false },
+  { "expired by mistake, writes again", STEP_REMOVE, true, 5, STEP_WRITE, false, false,
+    true, true },
+  { "expired by mistake, only renewed", STEP_REMOVE, true, 5, STEP_NONE, false, false,
+    false, true },
+  { "leaving since, available in the copy", STEP_LEAVE, true, 5, STEP_REMOVE, false,
+    false, false, false },
+  { "leaving since, unknown to the copy", STEP_LEAVE, false, 5, STEP_NONE, false, false,
+    false, false },
+  { "replaced at its address since", STEP_REPLACE, true, 5, STEP_REMOVE, false, false,
+    false, false },
+  { "the copy has its previous start", STEP_NONE, true, 4, STEP_WRITE, false, true, true,
+    true },
+  { "gone since, started again", STEP_REMOVE, true, 6, STEP_NONE, false, true, true,
+    true },
+  { "gone since, two restores", STEP_REMOVE, true, 5, STEP_NONE, true, false, false,
+    true },
+};
+
+static void
+put_start (BurdockUpstreamRegistry *registry, const char *id, bool leaving,
+           uint64_t born_ms, uint64_t version, uint64_t now_us)
+{
+  BurdockUpstream item = {
+    .address = { 7, 80 }, .leaving = leaving, .slots = 1, .born_ms = born_ms
+  };
+
+  snprintf (item.id, sizeof item.id, "%s", id);
+  burdock_upstream_registry_put (registry, &item, version, now_us);
+}
+
+static void
+run_step (BurdockUpstreamRegistry *registry, Step step, uint64_t version, uint64_t now_us)
+{
+  if (step == STEP_WRITE)
+    put_start (registry, "a", false, 5, version, now_us);
+  if (step == STEP_LEAVE)
+    put_start (registry, "a", true, 5, version, now_us);
+  if (step == STEP_REMOVE)
+    burdock_upstream_registry_remove (registry, "a", now_us);
+  if (step == STEP_REPLACE)
+    put_start (registry, "b", false, 6, version, now_us);
+}
+
+static void
+list_copy (BurdockUpstreamRegistry *registry, const RestoreCase *row, uint64_t era,
+           uint64_t now_us)
+{
+  burdock_upstream_registry_begin_listing (registry, era, now_us);
+  if (row->in_copy)
+    put_start (registry, "a", false, row->copy_born_ms, 3, now_us);
+  burdock_upstream_registry_end_listing (registry, now_us);
+}
+
+/* Whether "a" takes new requests. */
+static bool
+is_used (BurdockUpstreamRegistry *registry, uint64_t now_us)
+{
+  BurdockUpstream items[8];
+  uint32_t count;
+  bool changed;
+
+  burdock_upstream_registry_expire (registry, now_us, &changed);
+  count = burdock_upstream_registry_count (registry);
+  CU_ASSERT_TRUE_FATAL (count <= 8);
+  burdock_upstream_registry_copy (registry, items);
+  for (uint32_t i = 0; i < count; i++) {
+    if (strcmp (items[i].id, "a") == 0)
+      return !items[i].leaving;
+  }
+  return false;
+}
+
+static bool
+restore_case_holds (const RestoreCase *row)
+{
+  BurdockUpstreamRegistry *registry = burdock_upstream_registry_new (ignore_log, NULL);
+  uint64_t at_us = 100 * US_PER_S;
+  bool holds;
+
+  burdock_upstream_registry_begin_listing (registry, 1, US_PER_S);
+  put_start (registry, "a", false, 5, 3, US_PER_S);
+  burdock_upstream_registry_end_listing (registry, US_PER_S);
+  run_step (registry, row->before, 40, 90 * US_PER_S);
+  list_copy (registry, row, 2, at_us);
+  holds = is_used (registry, at_us) == row->used_at_once;
+  run_step (registry, row->after, 4, at_us + US_PER_S);
+  if (row->restored_again) {
+    list_copy (registry, row, 3, at_us + 2 * US_PER_S);
+    holds = holds && is_used (registry, at_us + 11 * US_PER_S) == row->used_soon;
+  } else {
+    holds = holds && is_used (registry, at_us + 3 * US_PER_S) == row->used_soon;
+  }
+  holds = holds && is_used (registry, at_us + 13 * US_PER_S) == row->used_late;
+  burdock_upstream_registry_free (registry);
+  return holds;
+}
+
+static void
+what_is_known_goes_before_a_copy (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (restore_cases); i++) {
+    if (!restore_case_holds (&restore_cases[i]))
+      CU_FAIL (restore_cases[i].name);
+  }
+}
+
 #define ORDER_ROWS 32
 
 /* Guards against a list whose order differs between runs: the balancer then makes other
@@ -165,6 +299,8 @@
 }
 
 static const Test tests[] = {
+  { "an upstream that has gone is used again after a restore, or a new one is dropped",
+    what_is_known_goes_before_a_copy },
   { "two upstreams are kept at one address", the_latest_upstream_at_an_address_is_kept },
   { "rows that expired in an outage remove their upstreams at once, or never",
     rows_that_expired_in_an_outage_are_awaited },
