Order configurations across eras of the store by number and content

After a restore the store has an older configuration until the operator has written its last one again, and a number may come with another content. The gateway compared numbers only: an older one was rightly ignored, but a number given out again was ignored as well, for good. config-stamp.c orders them without a network: a higher number is newer in any era; the same number with another content is newer in a later era, unless it is the content that was replaced before. Twelve cases; with numbers alone, 'number given out again after a restore' and the two that follow it have no newer one.

--- /dev/null
+++ b/gateway/configuration.c
@@ -0,0 +1,76 @@
+#include "configuration.h"
+
+#include "log.h"
+
+#include <apr_hash.h>
+#include <inttypes.h>
+
+/* The gateways read a change within this time of each other, unless a call to the store
+ * has no answer. */
+#define CONFIG_LAG_US UINT64_C (800000)
+
+static void
+log_configuration (const char *step, const BurdockRouteTable *table, const char *source,
+                   const char *order)
+{
+  burdock_log (BURDOCK_LOG_INFO, step, "-",
+               "version %" PRIu64 " era %" PRIu64 " from %s %s routes %u keys %u",
+               table->version, table->era, source, order, apr_hash_count (table->routes),
+               apr_hash_count (table->api_keys));
+}
+
+void
+burdock_gateway_configuration_read (BurdockGateway *gateway, BurdockBytes text,
+                                    uint64_t era, const char *source)
+{
+  BurdockConfigStamp *in_force = &gateway->control.config;
+  BurdockRouteTable *table;
+  BurdockError error = { .step = "read configuration", .detail = "out of memory" };
+  BurdockConfigStamp stamp;
+  BurdockConfigOrder order;
+
+  if (burdock_platform_decode_routes (text, &table, &error) < 0) {
+    burdock_log (BURDOCK_LOG_ERROR, error.step, "-", "from %s: %s", source, error.detail);
+    return;
+  }
+  table->era = era;
+  stamp = burdock_config_stamp (table->version, era, text);
+  order = burdock_config_order (in_force, &stamp);
+  if (order != BURDOCK_CONFIG_NEWER) {
+    log_configuration ("configuration not applied", table, source,
+                       burdock_config_order_name (order));
+    burdock_route_table_unref (table);
+    return;
+  }
+  burdock_config_stamp_replace (in_force, &stamp);
+  log_configuration ("configuration read", table, source,
+                     burdock_config_order_name (order));
+  burdock_gateway_publish_table (gateway, table);
+}
+
+/* Another gateway has had a newer configuration for a while, so the answers to the calls
+ * in progress were probably lost. Without this, the gateway would notice when the time
+ * limit of the long poll ends. */
+uint64_t
+burdock_gateway_configuration_check (BurdockGateway *gateway, uint64_t now_us)
+{
+  BurdockGatewayControl *control = &gateway->control;
+  uint64_t peer_version = gateway->peer_config_version;
+
+  if (peer_version <= control->config.version) {
+    control->config_lag_since_us = 0;
+    return BURDOCK_LOOP_NEVER_US;
+  }
+  if (control->config_lag_since_us == 0)
+    control->config_lag_since_us = now_us;
+  if (now_us < control->config_lag_since_us + CONFIG_LAG_US)
+    return control->config_lag_since_us + CONFIG_LAG_US;
+  burdock_log (BURDOCK_LOG_WARNING, "configuration behind", "-",
+               "version %" PRIu64 ", another gateway has %" PRIu64
+               "; calling the store again",
+               control->config.version, peer_version);
+  burdock_table_watch_call_again (control->config_watch, CONFIG_LAG_US, now_us);
+  burdock_table_watch_call_again (control->upstream_watch, CONFIG_LAG_US, now_us);
+  control->config_lag_since_us = now_us;
+  return now_us + CONFIG_LAG_US;
+}
--- a/gateway/control.c
+++ b/gateway/control.c
@@ -1,11 +1,12 @@
 #include "gateway.h"
 
+#include "configuration.h"
 #include "log.h"
 #include "quarantine.h"
 
-#include <apr_hash.h>
 #include <errno.h>
 #include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -29,10 +30,6 @@
   return delay_ms < CHANGES_DELAY_MAX_MS ? (uint32_t)delay_ms : CHANGES_DELAY_MAX_MS;
 }
 
-/* The gateways read a change within this time of each other, unless a call to the store
- * has no answer. */
-#define CONFIG_LAG_US UINT64_C (800000)
-
 static uint64_t
 random_value (void *ctx)
 {
@@ -46,8 +43,8 @@
                      gateway);
 }
 
-static void
-publish_table (BurdockGateway *gateway, BurdockRouteTable *table)
+void
+burdock_gateway_publish_table (BurdockGateway *gateway, BurdockRouteTable *table)
 {
   burdock_route_table_unref (burdock_slot_put (&gateway->published_table, table));
   notify_traffic (gateway);
@@ -57,30 +54,12 @@
 config_row (void *ctx, const BurdockTableRow *row)
 {
   BurdockGateway *gateway = ctx;
-  BurdockRouteTable *table;
-  BurdockError error;
+  char source[48];
 
   if (strcmp (row->key, BURDOCK_PLATFORM_CONFIG_KEY) != 0 || row->value.data == NULL)
     return;
-  if (burdock_platform_decode_routes (row->value, &table, &error) < 0) {
-    burdock_log (BURDOCK_LOG_ERROR, error.step, "-", "%s", error.detail);
-    return;
-  }
-  if (table->version <= gateway->control.config_version) {
-    burdock_log (BURDOCK_LOG_INFO, "configuration not applied", "-",
-                 "version %" PRIu64 " era %" PRIu64 " row version %" PRIu64
-                 ", in force %" PRIu64,
-                 table->version, row->era, row->version, gateway->control.config_version);
-    burdock_route_table_unref (table);
-    return;
-  }
-  gateway->control.config_version = table->version;
-  burdock_log (BURDOCK_LOG_INFO, "configuration read", "-",
-               "version %" PRIu64 " era %" PRIu64 " row version %" PRIu64
-               " routes %u keys %u",
-               table->version, row->era, row->version, apr_hash_count (table->routes),
-               apr_hash_count (table->api_keys));
-  publish_table (gateway, table);
+  snprintf (source, sizeof source, "row version %" PRIu64, row->version);
+  burdock_gateway_configuration_read (gateway, row->value, row->era, source);
 }
 
 static void
@@ -192,33 +171,6 @@
 {
 }
 
-/* Another gateway has had a newer configuration for a while, so the answers to the calls
- * in progress were probably lost. Without this, the gateway would notice when the time
- * limit of the long poll ends. */
-static uint64_t
-check_config_lag (BurdockGateway *gateway, uint64_t now_us)
-{
-  BurdockGatewayControl *control = &gateway->control;
-  uint64_t peer_version = gateway->peer_config_version;
-
-  if (peer_version <= control->config_version) {
-    control->config_lag_since_us = 0;
-    return BURDOCK_LOOP_NEVER_US;
-  }
-  if (control->config_lag_since_us == 0)
-    control->config_lag_since_us = now_us;
-  if (now_us < control->config_lag_since_us + CONFIG_LAG_US)
-    return control->config_lag_since_us + CONFIG_LAG_US;
-  burdock_log (BURDOCK_LOG_WARNING, "configuration behind", "-",
-               "version %" PRIu64 ", another gateway has %" PRIu64
-               "; calling the store again",
-               control->config_version, peer_version);
-  burdock_table_watch_call_again (control->config_watch, CONFIG_LAG_US, now_us);
-  burdock_table_watch_call_again (control->upstream_watch, CONFIG_LAG_US, now_us);
-  control->config_lag_since_us = now_us;
-  return now_us + CONFIG_LAG_US;
-}
-
 static void
 quarantine_reachable (void *ctx, bool reachable, uint64_t since_us, const char *reason)
 {
@@ -247,7 +199,7 @@
 {
   BurdockGateway *gateway = ctx;
   uint64_t expire_us = expire_upstreams (gateway, now_us);
-  uint64_t next_us = check_config_lag (gateway, now_us);
+  uint64_t next_us = burdock_gateway_configuration_check (gateway, now_us);
   uint64_t config_us = burdock_table_watch_tick (gateway->control.config_watch, now_us);
   uint64_t upstream_us =
       burdock_table_watch_tick (gateway->control.upstream_watch, now_us);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -9,6 +9,7 @@
 #define BURDOCK_GATEWAY_H
 
 #include "balancer.h"
+#include "config-stamp.h"
 #include "datagram.h"
 #include "http-server.h"
 #include "part-quarantine.h"
@@ -102,7 +103,7 @@
 
 /**
  * struct BurdockGatewayControl - state of the control thread
- * @config_version: version of the last configuration that was published
+ * @config: the last configuration that was published
  * @config_lag_since_us: time since which another gateway has a newer configuration, 0 if
  *   none has
  * @upstreams_listed: the table of upstreams was read at least once
@@ -114,7 +115,7 @@
   BurdockStoreClient store;
   BurdockTableWatch *config_watch;
   BurdockTableWatch *upstream_watch;
-  uint64_t config_version;
+  BurdockConfigStamp config;
   BurdockUpstreamRegistry *upstreams;
   uint64_t config_lag_since_us;
   bool upstreams_listed;
@@ -222,6 +223,10 @@
  * with that of the other gateways; runs on the control thread */
 void burdock_gateway_control_wake (void *ctx);
 
+/** burdock_gateway_publish_table() - hands a route table over to the traffic thread; runs
+ * on the control thread */
+void burdock_gateway_publish_table (BurdockGateway *gateway, BurdockRouteTable *table);
+
 /** burdock_gateway_traffic_drain() - starts a graceful shutdown; runs on the traffic
  * thread */
 void burdock_gateway_traffic_drain (void *ctx);
--- a/libburdock/route-table.h
+++ b/libburdock/route-table.h
@@ -91,6 +91,9 @@
 /**
  * struct BurdockRouteTable - routes, API keys and pools of one generation
  * @memory: APR pool that holds the table and everything in it
+ * @version: number that the operator gave the configuration
+ * @era: era of the store in which the configuration was read
+ * @text: the configuration as it is stored
  * @has_workspaces: whether workspaces are configured; if not, no API key is required
  * @body_bytes_max: largest request body
  * @routes: &BurdockRoute by host and prefix
@@ -101,6 +104,8 @@
   apr_pool_t *memory;
   uint32_t references;
   uint64_t version;
+  uint64_t era;
+  BurdockBytes text;
   bool has_workspaces;
   uint32_t body_bytes_max;
   uint32_t idle_timeout_ms;
--- /dev/null
+++ b/tests/test-config-stamp.c
@@ -0,0 +1,102 @@
+#include "config-stamp.h"
+#include "test.h"
+
+#include <string.h>
+
+/* A configuration: its number, the era in which it is read, and its content. */
+typedef struct {
+  uint64_t version;
+  uint64_t era;
+  const char *text;
+} Read;
+
+typedef struct {
+  const char *name;
+  Read reads[5];
+  uint32_t count;
+  const char *in_force; /* content after all reads */
+  BurdockConfigOrder last;
+} ReadCase;
+
+static const ReadCase read_cases[] = {
+  { "first", { { 4, 1, "a" } }, 1, "a", BURDOCK_CONFIG_NEWER },
+  { "next one", { { 4, 1, "a" }, { 7, 1, "b" } }, 2, "b", BURDOCK_CONFIG_NEWER },
+  { "read again", { { 7, 1, "b" }, { 7, 1, "b" } }, 2, "b", BURDOCK_CONFIG_SAME },
+  { "late answer", { { 7, 1, "b" }, { 4, 1, "a" } }, 2, "b", BURDOCK_CONFIG_OLDER },
+  { "older one of a restored store",
+    { { 4, 1, "a" }, { 7, 1, "b" }, { 4, 2, "a" } },
+    3,
+    "b",
+    BURDOCK_CONFIG_OLDER },
+  { "written again after a restore",
+    { { 4, 1, "a" }, { 7, 1, "b" }, { 4, 2, "a" }, { 7, 2, "b" } },
+    4,
+    "b",
+    BURDOCK_CONFIG_SAME },
+  { "written again one by one",
+    { { 9, 1, "c" }, { 4, 2, "a" }, { 7, 2, "b" }, { 9, 2, "c" } },
+    4,
+    "c",
+    BURDOCK_CONFIG_SAME },
+  { "number given out again after a restore",
+    { { 4, 1, "a" }, { 7, 1, "b" }, { 4, 2, "a" }, { 7, 2, "c" } },
+    4,
+    "c",
+    BURDOCK_CONFIG_NEWER },
+  { "number given out again, then a copy from before",
+    { { 7, 1, "b" }, { 7, 2, "c" }, { 7, 3, "b" } },
+    3,
+    "c",
+    BURDOCK_CONFIG_OLDER },
+  { "number given out again, late answer",
+    { { 7, 2, "c" }, { 7, 1, "b" } },
+    2,
+    "c",
+    BURDOCK_CONFIG_CONFLICT },
+  { "another content in the same era",
+    { { 7, 1, "b" }, { 7, 1, "x" } },
+    2,
+    "b",
+    BURDOCK_CONFIG_CONFLICT },
+  { "next one of a store without eras",
+    { { 4, 0, "a" }, { 7, 0, "b" } },
+    2,
+    "b",
+    BURDOCK_CONFIG_NEWER },
+};
+
+static void
+a_configuration_never_reverts (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (read_cases); i++) {
+    const ReadCase *row = &read_cases[i];
+    BurdockConfigStamp in_force = { 0 };
+    BurdockConfigOrder order = BURDOCK_CONFIG_SAME;
+    const char *text = "";
+
+    for (uint32_t k = 0; k < row->count; k++) {
+      const Read *read = &row->reads[k];
+      BurdockBytes bytes = { (const uint8_t *)read->text, (uint32_t)strlen (read->text) };
+      BurdockConfigStamp stamp = burdock_config_stamp (read->version, read->era, bytes);
+
+      order = burdock_config_order (&in_force, &stamp);
+      if (order != BURDOCK_CONFIG_NEWER)
+        continue;
+      burdock_config_stamp_replace (&in_force, &stamp);
+      text = read->text;
+    }
+    if (strcmp (text, row->in_force) != 0 || order != row->last)
+      CU_FAIL (row->name);
+  }
+}
+
+static const Test tests[] = {
+  { "a configuration reverts to an older one, or a number given out again is ignored",
+    a_configuration_never_reverts },
+};
+
+int
+main (void)
+{
+  return test_main ("config-stamp", tests, TEST_COUNT (tests));
+}
