Tell the other gateways the era of the store

A gateway whose long poll has no answer, as after channels went silent or a pause of the process, went on in the era before for up to 28 s after a restore. About three gateways now tell a new era at once, and all take turns in repeating it, two messages a second for each receiver whatever the number of gateways; a gateway that hears of a higher era replaces its calls and lists its tables again. era-share.c decides without a network: with 330 gateways and 30 % loss the last one knows within 3 s of hearing anything.

--- a/gateway/control.c
+++ b/gateway/control.c
@@ -199,13 +199,17 @@
 {
   BurdockGateway *gateway = ctx;
   uint64_t expire_us = expire_upstreams (gateway, now_us);
-  uint64_t next_us = burdock_gateway_configuration_check (gateway, now_us);
-  uint64_t config_us = burdock_table_watch_tick (gateway->control.config_watch, now_us);
-  uint64_t upstream_us =
-      burdock_table_watch_tick (gateway->control.upstream_watch, now_us);
-
-  uint64_t quarantine_us = tick_quarantine (&gateway->control, now_us);
-
+  uint64_t next_us;
+  uint64_t config_us;
+  uint64_t upstream_us;
+  uint64_t quarantine_us;
+
+  burdock_store_client_note_era (&gateway->control.store, gateway->peer_store_era,
+                                 "another gateway");
+  next_us = burdock_gateway_configuration_check (gateway, now_us);
+  config_us = burdock_table_watch_tick (gateway->control.config_watch, now_us);
+  upstream_us = burdock_table_watch_tick (gateway->control.upstream_watch, now_us);
+  quarantine_us = tick_quarantine (&gateway->control, now_us);
   next_us = expire_us < next_us ? expire_us : next_us;
   next_us = quarantine_us < next_us ? quarantine_us : next_us;
   next_us = config_us < next_us ? config_us : next_us;
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -11,6 +11,7 @@
 #include "balancer.h"
 #include "config-stamp.h"
 #include "datagram.h"
+#include "era-share.h"
 #include "http-server.h"
 #include "part-quarantine.h"
 #include "row-decoder.h"
@@ -138,6 +139,7 @@
  * @keep_alive_max_s: idle time after which a connection to an upstream is not reused, 0
  *   before an upstream has sent a keep-alive timeout
  * @leaving: the gateway is shutting down
+ * @era_share: when the era of the store is sent to the other gateways
  * @roster_round: number of times that rosters were sent to all agents
  * @heartbeats_sent: number of heartbeats sent since the start
  * @peer_offset: index at which the next list of peers starts, so that all peers are
@@ -166,6 +168,7 @@
   uint64_t drain_started_us;
   uint64_t next_heartbeat_us;
   uint64_t next_roster_us;
+  BurdockEraShare era_share;
   uint64_t roster_round;
   uint32_t peer_count;
   BurdockGatewayPeer peers[BURDOCK_GATEWAY_PEERS_MAX];
@@ -184,6 +187,8 @@
  * @published_table: &BurdockRouteTable from the control to the traffic thread
  * @peer_config_version: highest version of the configuration that another gateway has
  *   reported, from the traffic to the control thread
+ * @peer_store_era: highest era of the store that another gateway has reported, from the
+ *   traffic to the control thread
  * @published_upstreams: &BurdockUpstreamList from the control to the traffic thread
  */
 typedef struct {
@@ -195,6 +200,7 @@
   BurdockSlot published_table;
   BurdockSlot published_upstreams;
   _Atomic uint64_t peer_config_version;
+  _Atomic uint64_t peer_store_era;
 } BurdockGateway;
 
 /**
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -108,6 +108,16 @@
                                   load->item_count, now_us);
 }
 
+static void
+handle_store_state (BurdockGateway *gateway, const BurdockStoreStateMessage *state)
+{
+  if (state->era <= gateway->peer_store_era)
+    return;
+  gateway->peer_store_era = state->era;
+  burdock_loop_post (gateway->control.runtime.loop, burdock_gateway_control_wake,
+                     gateway);
+}
+
 void
 burdock_gateway_handle_datagram (void *ctx, BurdockAddress from,
                                  const BurdockMessage *message)
@@ -127,6 +137,8 @@
                                    message->prompt_parts.items,
                                    message->prompt_parts.item_count,
                                    burdock_loop_now_us ());
+  else if (message->header.type == BURDOCK_MSG_STORE_STATE)
+    handle_store_state (gateway, &message->store_state);
   else if (message->header.type == BURDOCK_MSG_RANK_STATE)
     burdock_balancer_set_rank_state (gateway->traffic.balancer, &message->rank_state,
                                      burdock_loop_now_us ());
@@ -223,6 +235,19 @@
     burdock_gateway_send_to_peers (gateway, BURDOCK_MSG_UPSTREAM_RATES);
 }
 
+static void
+send_store_state (BurdockGateway *gateway, uint64_t now_us)
+{
+  BurdockGatewayTraffic *traffic = &gateway->traffic;
+  uint64_t era = gateway->control.store.era;
+
+  if (!burdock_era_share_is_due (&traffic->era_share, era, traffic->peer_count + 1,
+                                 now_us))
+    return;
+  traffic->outgoing.store_state.era = era;
+  burdock_gateway_send_to_peers (gateway, BURDOCK_MSG_STORE_STATE);
+}
+
 static bool
 sends_rank_list (const BurdockGateway *gateway, const BurdockAgentPeer *agent)
 {
@@ -323,6 +348,7 @@
     send_upstream_rates (gateway, now_us);
   }
   burdock_gateway_quarantine_share (gateway, due, now_us);
+  send_store_state (gateway, now_us);
   if (traffic->table != NULL)
     send_rosters (gateway, now_us);
   return traffic->next_heartbeat_us < traffic->next_roster_us ? traffic->next_heartbeat_us
--- a/libburdock/message-fields.c
+++ b/libburdock/message-fields.c
@@ -243,6 +243,10 @@
               rate_item_table),
 };
 
+static const BurdockField store_state_fields[] = {
+  FIELD (BURDOCK_FIELD_U64, BurdockStoreStateMessage, era),
+};
+
 static const BurdockField prompt_parts_fields[] = {
   LIST_FIELD (BurdockPromptPartsMessage, items, item_count, BURDOCK_PART_ITEMS_MAX,
               part_item_table),
@@ -363,6 +367,8 @@
   [BURDOCK_MSG_UPSTREAM_RATES] = { "UPSTREAM_RATES",
                                    FIELD_TABLE (BurdockUpstreamRatesMessage,
                                                 upstream_rates_fields) },
+  [BURDOCK_MSG_STORE_STATE] = { "STORE_STATE", FIELD_TABLE (BurdockStoreStateMessage,
+                                                            store_state_fields) },
 };
 
 const BurdockMessageSchema *
--- a/libburdock/message.h
+++ b/libburdock/message.h
@@ -65,6 +65,7 @@
   BURDOCK_MSG_MAP_COMMAND,
   BURDOCK_MSG_PROMPT_PARTS,
   BURDOCK_MSG_UPSTREAM_RATES,
+  BURDOCK_MSG_STORE_STATE,
   BURDOCK_MSG_TYPE_COUNT,
 } BurdockMessageType;
 
@@ -450,6 +451,15 @@
   BurdockRateItem items[BURDOCK_RATE_ITEMS_MAX];
 } BurdockUpstreamRatesMessage;
 
+/**
+ * struct BurdockStoreStateMessage - what a gateway has read from the store, for the
+ * others
+ * @era: highest era of the store that it knows
+ */
+typedef struct {
+  uint64_t era;
+} BurdockStoreStateMessage;
+
 /** struct BurdockRosterRank - model runner (engine process) of a rank, at @address */
 typedef struct {
   BurdockAddress address;
@@ -577,6 +587,7 @@
     BurdockMapCommandMessage map_command;
     BurdockPromptPartsMessage prompt_parts;
     BurdockUpstreamRatesMessage upstream_rates;
+    BurdockStoreStateMessage store_state;
   };
 } BurdockMessage;
 
--- /dev/null
+++ b/tests/test-era-share.c
@@ -0,0 +1,76 @@
+#include "era-share.h"
+#include "hash.h"
+#include "test.h"
+
+#define US_PER_S UINT64_C (1000000)
+#define STEP_US UINT64_C (50000)
+#define GATEWAYS_MAX 330
+
+typedef struct {
+  uint32_t gateways;
+  double lost;       /* share of the messages that are lost */
+  double deaf_s;     /* the last gateway receives nothing for this time */
+  double told_max_s; /* until the last gateway knows, after that */
+  double per_s_max;  /* messages that a gateway receives a second, from 5 s on */
+} ShareCase;
+
+static const ShareCase share_cases[] = {
+  { 3, 0, 0, 0.5, 4 },   { 9, 0, 0, 1, 4 },   { 9, 0.3, 0, 2, 4 },
+  { 9, 0, 30, 2, 4 },    { 99, 0, 0, 1, 4 },  { 99, 0.3, 0, 2, 4 },
+  { 99, 0.3, 30, 3, 4 }, { 330, 0, 0, 1, 4 }, { 330, 0.3, 10, 3, 4 },
+};
+
+/* All gateways but the last one meet the era by themselves at 0 s. */
+static void
+run_case (const ShareCase *row)
+{
+  BurdockEraShare shares[GATEWAYS_MAX] = { { 0 } };
+  uint64_t deaf_us = (uint64_t)(row->deaf_s * (double)US_PER_S);
+  uint64_t told_us = 0;
+  uint32_t late = 0;
+
+  for (uint32_t i = 0; i < row->gateways; i++)
+    shares[i].gateway = burdock_hash_mix (i + 1);
+  for (uint64_t now_us = STEP_US; now_us < deaf_us + 20 * US_PER_S; now_us += STEP_US) {
+    for (uint32_t i = 0; i + 1 < row->gateways; i++) {
+      double draw = burdock_hash_unit (burdock_hash_pair (now_us, i));
+
+      if (!burdock_era_share_is_due (&shares[i], 2, row->gateways, now_us))
+        continue;
+      late += now_us > 5 * US_PER_S;
+      if (told_us == 0 && now_us >= deaf_us && draw >= row->lost)
+        told_us = now_us;
+    }
+  }
+  CU_ASSERT_TRUE (told_us != 0);
+  CU_ASSERT_TRUE ((double)(told_us - deaf_us) <= row->told_max_s * (double)US_PER_S);
+  CU_ASSERT_TRUE (late / (row->deaf_s + 15) <= row->per_s_max);
+}
+
+static void
+the_last_gateway_hears_of_a_restore (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (share_cases); i++)
+    run_case (&share_cases[i]);
+}
+
+static void
+nothing_is_told_without_an_era (void)
+{
+  BurdockEraShare share = { .gateway = 1 };
+
+  CU_ASSERT_FALSE (burdock_era_share_is_due (&share, 0, 9, US_PER_S));
+  CU_ASSERT_FALSE (burdock_era_share_is_due (&share, 0, 9, 100 * US_PER_S));
+}
+
+static const Test tests[] = {
+  { "a gateway without answers of the store never hears of a restore",
+    the_last_gateway_hears_of_a_restore },
+  { "gateways send eras that a store does not have", nothing_is_told_without_an_era },
+};
+
+int
+main (void)
+{
+  return test_main ("era-share", tests, TEST_COUNT (tests));
+}
