Let a gateway that starts take over what the others have read

A gateway that started just after the return of the store read the older configuration of the copy and answered 404 on routes that had been confirmed seconds before, and sent requests to upstreams that had left. Cause: a gateway trusted the store alone, while the others knew better. It now asks one that is ready, over HTTP at the control address, for its configuration and for the upstreams that have gone, and serves callers only then; a first heartbeat is answered at once, so that this takes some milliseconds. Without another gateway it waits for 0.3 s. handover-policy.c decides without a network. A gateway whose calls to the store have no answer while others have a newer configuration asks one of them as well. Only addresses that send heartbeats get an answer, as a configuration contains API keys.

--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 scenarios: build
 	python3 tests/soak/scenarios.py prompt-part --build $(BUILD) --seed $(SEED) --seconds 30
 	python3 tests/soak/scenarios.py limit --build $(BUILD) --seed $(SEED) --seconds 25 --callers 40
+	python3 tests/soak/scenarios.py restored --build $(BUILD) --seed $(SEED) --seconds 24
 
 load: build
 	python3 tests/system/load.py --build $(BUILD)
--- a/daemon/http-client.c
+++ b/daemon/http-client.c
@@ -569,6 +569,7 @@
                     (long)(call->connect_timeout_ms > 0 ? call->connect_timeout_ms
                                                         : DEFAULT_CONNECT_TIMEOUT_MS));
   curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, call->target);
+  curl_easy_setopt (easy, CURLOPT_INTERFACE, call->source_ip);
 }
 
 int
--- a/daemon/http-client.h
+++ b/daemon/http-client.h
@@ -48,6 +48,7 @@
  * @headers: header lines that replace the default ones; "Name:" suppresses a header
  * @max_idle_s: a connection that was idle for longer is not reused; 0 for the default of
  *   118 s
+ * @source_ip: IP address to connect from, NULL for any
  * @fresh_connection: opens a new connection instead of reusing an idle one
  * @timeout_ms: limit of the whole transfer; 0 for none
  * @connect_timeout_ms: limit for opening a connection; 0 for the default of 2000 ms
@@ -71,6 +72,7 @@
   const char *const *headers;
   uint32_t header_count;
   uint32_t max_idle_s;
+  const char *source_ip;
   bool fresh_connection;
   uint32_t timeout_ms;
   uint32_t connect_timeout_ms;
--- a/gateway/configuration.c
+++ b/gateway/configuration.c
@@ -1,5 +1,6 @@
 #include "configuration.h"
 
+#include "handover.h"
 #include "log.h"
 
 #include <apr_hash.h>
@@ -67,10 +68,11 @@
     return control->config_lag_since_us + CONFIG_LAG_US;
   burdock_log (BURDOCK_LOG_WARNING, "configuration behind", "-",
                "version %" PRIu64 ", another gateway has %" PRIu64
-               "; calling the store again",
+               "; calling the store and that gateway again",
                control->config.version, peer_version);
   burdock_table_watch_call_again (control->config_watch, CONFIG_LAG_US, now_us);
   burdock_table_watch_call_again (control->upstream_watch, CONFIG_LAG_US, now_us);
+  burdock_gateway_handover_ask (gateway, now_us);
   control->config_lag_since_us = now_us;
   return now_us + CONFIG_LAG_US;
 }
--- a/gateway/configuration.h
+++ b/gateway/configuration.h
@@ -15,8 +15,9 @@
 void burdock_gateway_configuration_read (BurdockGateway *gateway, BurdockBytes text,
                                          uint64_t era, const char *source);
 
-/** burdock_gateway_configuration_check() - calls the store again if another gateway has
- * had a newer configuration for a while; returns the time of the next check */
+/** burdock_gateway_configuration_check() - calls the store again, and another gateway, if
+ * that one has had a newer configuration for a while; returns the time of the next check
+ */
 uint64_t burdock_gateway_configuration_check (BurdockGateway *gateway, uint64_t now_us);
 
 #endif
--- a/gateway/control.c
+++ b/gateway/control.c
@@ -1,6 +1,7 @@
 #include "gateway.h"
 
 #include "configuration.h"
+#include "handover.h"
 #include "log.h"
 #include "quarantine.h"
 
@@ -70,6 +71,9 @@
 static void
 config_end (void *ctx, bool listing)
 {
+  BurdockGateway *gateway = ctx;
+
+  gateway->control.config_listed = true;
 }
 
 static void
@@ -81,7 +85,30 @@
 }
 
 static void
-publish_upstreams (BurdockGateway *gateway)
+add_gone (void *ctx, const char *id, uint64_t born_ms)
+{
+  BurdockUpstreamList *list = ctx;
+  size_t size_bytes = (list->gone_count + 1) * sizeof (BurdockGoneUpstream);
+  BurdockGoneUpstream *gone = realloc (list->gone, size_bytes);
+
+  if (gone == NULL)
+    abort ();
+  list->gone = gone;
+  gone = &list->gone[list->gone_count++];
+  gone->born_ms = born_ms;
+  snprintf (gone->id, sizeof gone->id, "%s", id);
+}
+
+void
+burdock_gateway_free_upstreams (BurdockUpstreamList *list)
+{
+  if (list != NULL)
+    free (list->gone);
+  free (list);
+}
+
+void
+burdock_gateway_publish_upstreams (BurdockGateway *gateway)
 {
   const BurdockUpstreamRegistry *registry = gateway->control.upstreams;
   uint32_t count = burdock_upstream_registry_count (registry);
@@ -89,9 +116,10 @@
 
   if (list == NULL)
     abort ();
-  list->count = count;
+  *list = (BurdockUpstreamList){ .count = count };
   burdock_upstream_registry_copy (registry, list->items);
-  free (burdock_slot_put (&gateway->published_upstreams, list));
+  burdock_upstream_registry_each_gone (registry, burdock_loop_now_us (), add_gone, list);
+  burdock_gateway_free_upstreams (burdock_slot_put (&gateway->published_upstreams, list));
   notify_traffic (gateway);
 }
 
@@ -139,7 +167,7 @@
   if (listing)
     burdock_upstream_registry_end_listing (control->upstreams, burdock_loop_now_us ());
   control->upstreams_listed = true;
-  publish_upstreams (gateway);
+  burdock_gateway_publish_upstreams (gateway);
 }
 
 static void
@@ -162,7 +190,7 @@
       burdock_upstream_registry_expire (gateway->control.upstreams, now_us, &changed);
 
   if (changed)
-    publish_upstreams (gateway);
+    burdock_gateway_publish_upstreams (gateway);
   return next_us;
 }
 
@@ -203,6 +231,7 @@
   uint64_t config_us;
   uint64_t upstream_us;
   uint64_t quarantine_us;
+  uint64_t handover_us;
 
   burdock_store_client_note_era (&gateway->control.store, gateway->peer_store_era,
                                  "another gateway");
@@ -210,7 +239,9 @@
   config_us = burdock_table_watch_tick (gateway->control.config_watch, now_us);
   upstream_us = burdock_table_watch_tick (gateway->control.upstream_watch, now_us);
   quarantine_us = tick_quarantine (&gateway->control, now_us);
+  handover_us = burdock_gateway_handover_tick (gateway, now_us);
   next_us = expire_us < next_us ? expire_us : next_us;
+  next_us = handover_us < next_us ? handover_us : next_us;
   next_us = quarantine_us < next_us ? quarantine_us : next_us;
   next_us = config_us < next_us ? config_us : next_us;
   return upstream_us < next_us ? upstream_us : next_us;
@@ -269,6 +300,7 @@
 {
   BurdockGatewayControl *control = &gateway->control;
 
+  burdock_gateway_handover_clear (gateway);
   burdock_table_watch_free (control->config_watch);
   burdock_table_watch_free (control->upstream_watch);
   burdock_table_watch_free (control->quarantine_watch);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "config-stamp.h"
 #include "datagram.h"
 #include "era-share.h"
+#include "handover-policy.h"
 #include "http-server.h"
 #include "part-quarantine.h"
 #include "row-decoder.h"
@@ -27,9 +28,20 @@
 
 typedef struct BurdockForward BurdockForward;
 
-/** struct BurdockUpstreamList - all upstreams in the store; the thread that takes it from
- * the slot frees it */
+/** struct BurdockGoneUpstream - start of an upstream that has gone */
 typedef struct {
+  char id[BURDOCK_NAME_BYTES];
+  uint64_t born_ms;
+} BurdockGoneUpstream;
+
+/**
+ * struct BurdockUpstreamList - all upstreams in the store; the thread that takes it from
+ * the slot frees it
+ * @gone: upstreams that have gone lately, released with free()
+ */
+typedef struct {
+  uint32_t gone_count;
+  BurdockGoneUpstream *gone;
   uint32_t count;
   BurdockUpstream items[];
 } BurdockUpstreamList;
@@ -107,7 +119,11 @@
  * @config: the last configuration that was published
  * @config_lag_since_us: time since which another gateway has a newer configuration, 0 if
  *   none has
+ * @config_listed: the table of the configuration was read at least once
  * @upstreams_listed: the table of upstreams was read at least once
+ * @handover: what is known of the others while the gateway starts
+ * @handover_transfer: call to another gateway, NULL for none
+ * @handover_done: the start is over
  * @quarantine_watch: reads the stored quarantine once, then NULL
  * @quarantine_listed: the stored quarantine was read
  */
@@ -119,7 +135,11 @@
   BurdockConfigStamp config;
   BurdockUpstreamRegistry *upstreams;
   uint64_t config_lag_since_us;
+  bool config_listed;
   bool upstreams_listed;
+  BurdockHandoverView handover;
+  BurdockHttpTransfer *handover_transfer;
+  bool handover_done;
   BurdockTableWatch *quarantine_watch;
   BurdockRowWriter *quarantine_writer;
   bool quarantine_listed;
@@ -136,6 +156,8 @@
  * @quarantine: prompt parts that crash upstreams
  * @quarantine_loaded: the stored quarantine was received from the control thread
  * @upstreams_received: a list of upstreams was received from the control thread
+ * @gone: upstreams that have gone lately
+ * @handover_done: the control thread has taken over what other gateways know
  * @keep_alive_max_s: idle time after which a connection to an upstream is not reused, 0
  *   before an upstream has sent a keep-alive timeout
  * @leaving: the gateway is shutting down
@@ -152,6 +174,7 @@
   BurdockHttpServer *ready_server;
   BurdockHttpServer *directory_server;
   BurdockHttpServer *metrics_server;
+  BurdockHttpServer *peer_server;
   BurdockDatagramSocket *datagrams;
   BurdockBalancer *balancer;
   BurdockPartQuarantine *quarantine;
@@ -163,6 +186,9 @@
   uint64_t mean_first_event_us;
   bool quarantine_loaded;
   bool upstreams_received;
+  uint32_t gone_count;
+  BurdockGoneUpstream *gone;
+  bool handover_done;
   uint32_t keep_alive_max_s;
   bool leaving;
   uint64_t drain_started_us;
@@ -187,6 +213,9 @@
  * @published_table: &BurdockRouteTable from the control to the traffic thread
  * @peer_config_version: highest version of the configuration that another gateway has
  *   reported, from the traffic to the control thread
+ * @newest_peer: control address of a gateway that has reported this version, as the IP
+ *   address and 16 bits for the port; 0 for none
+ * @peer_ready: a gateway that is ready was heard
  * @peer_store_era: highest era of the store that another gateway has reported, from the
  *   traffic to the control thread
  * @published_upstreams: &BurdockUpstreamList from the control to the traffic thread
@@ -200,6 +229,8 @@
   BurdockSlot published_table;
   BurdockSlot published_upstreams;
   _Atomic uint64_t peer_config_version;
+  _Atomic uint64_t newest_peer;
+  _Atomic bool peer_ready;
   _Atomic uint64_t peer_store_era;
 } BurdockGateway;
 
@@ -245,8 +276,15 @@
 void burdock_gateway_handle_datagram (void *ctx, BurdockAddress from,
                                       const BurdockMessage *message);
 
+/** burdock_gateway_free_upstreams() - accepts NULL */
+void burdock_gateway_free_upstreams (BurdockUpstreamList *list);
+
+/** burdock_gateway_publish_upstreams() - hands the list of upstreams over to the traffic
+ * thread; runs on the control thread */
+void burdock_gateway_publish_upstreams (BurdockGateway *gateway);
+
 /** burdock_gateway_has_state() - whether configuration, upstreams and quarantine have
- * been read since the start */
+ * been read since the start, and what the other gateways know */
 bool burdock_gateway_has_state (const BurdockGateway *gateway);
 
 /** burdock_gateway_peer_is_alive() - whether a heartbeat was received within the last
--- a/gateway/local-endpoints.c
+++ b/gateway/local-endpoints.c
@@ -18,7 +18,7 @@
   const BurdockGatewayTraffic *traffic = &gateway->traffic;
 
   return traffic->table != NULL && traffic->upstreams_received &&
-         traffic->quarantine_loaded;
+         traffic->quarantine_loaded && traffic->handover_done;
 }
 
 bool
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -27,7 +27,7 @@
          burdock_loop_run_posted (gateway->traffic.runtime.loop))
     ;
   burdock_route_table_unref (burdock_slot_take (&gateway->published_table));
-  free (burdock_slot_take (&gateway->published_upstreams));
+  burdock_gateway_free_upstreams (burdock_slot_take (&gateway->published_upstreams));
 }
 
 static int
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -36,6 +36,9 @@
 #define ROSTERS_MAX_PER_S 50
 #define ROSTER_SENDERS 3
 
+/* Bits of the port in an address that is passed as one number. */
+#define PORT_BITS 16
+
 static BurdockGatewayPeer *
 find_peer (BurdockGatewayTraffic *traffic, BurdockAddress address)
 {
@@ -74,76 +77,6 @@
   return peer->last_heartbeat_us != 0 && now_us - peer->last_heartbeat_us < timeout_us;
 }
 
-static void
-handle_heartbeat (BurdockGateway *gateway, BurdockAddress from,
-                  const BurdockMessage *message)
-{
-  BurdockGatewayTraffic *traffic = &gateway->traffic;
-  const BurdockGatewayLoadMessage *load = &message->gateway_load;
-  uint64_t now_us = burdock_loop_now_us ();
-  BurdockGatewayPeer *peer = add_peer (gateway, from);
-
-  if (peer == NULL || message->header.sender_incarnation < peer->incarnation)
-    return;
-  if (!burdock_gateway_peer_is_alive (peer, now_us) || load->leaving != peer->leaving)
-    burdock_log (BURDOCK_LOG_INFO, load->leaving ? "gateway leaving" : "gateway heard",
-                 load->name, "incarnation %" PRIu64 " ready %d generation %" PRIu64,
-                 message->header.sender_incarnation, load->ready, load->generation);
-  peer->id = message->header.sender_id;
-  peer->incarnation = message->header.sender_incarnation;
-  peer->last_heartbeat_us = now_us;
-  peer->interval_ms = load->interval_ms;
-  peer->http_address = load->http_address;
-  peer->ready = load->ready;
-  peer->leaving = load->leaving;
-  for (uint32_t i = 0; i < load->peer_count; i++)
-    add_peer (gateway, load->peers[i].address);
-  if (load->generation > gateway->peer_config_version) {
-    gateway->peer_config_version = load->generation;
-    burdock_loop_post (gateway->control.runtime.loop, burdock_gateway_control_wake,
-                       gateway);
-  }
-  burdock_balancer_set_peer_load (traffic->balancer, peer->id,
-                                  load->interval_ms * US_PER_MS, load->items,
-                                  load->item_count, now_us);
-}
-
-static void
-handle_store_state (BurdockGateway *gateway, const BurdockStoreStateMessage *state)
-{
-  if (state->era <= gateway->peer_store_era)
-    return;
-  gateway->peer_store_era = state->era;
-  burdock_loop_post (gateway->control.runtime.loop, burdock_gateway_control_wake,
-                     gateway);
-}
-
-void
-burdock_gateway_handle_datagram (void *ctx, BurdockAddress from,
-                                 const BurdockMessage *message)
-{
-  BurdockGateway *gateway = ctx;
-
-  if (message->header.type == BURDOCK_MSG_GATEWAY_LOAD)
-    handle_heartbeat (gateway, from, message);
-  else if (message->header.type == BURDOCK_MSG_UPSTREAM_RATES)
-    burdock_balancer_merge_rates (gateway->traffic.balancer, message->header.sender_id,
-                                  message->upstream_rates.demand_per_1000s,
-                                  message->upstream_rates.items,
-                                  message->upstream_rates.item_count,
-                                  burdock_loop_now_us ());
-  else if (message->header.type == BURDOCK_MSG_PROMPT_PARTS)
-    burdock_part_quarantine_merge (gateway->traffic.quarantine,
-                                   message->prompt_parts.items,
-                                   message->prompt_parts.item_count,
-                                   burdock_loop_now_us ());
-  else if (message->header.type == BURDOCK_MSG_STORE_STATE)
-    handle_store_state (gateway, &message->store_state);
-  else if (message->header.type == BURDOCK_MSG_RANK_STATE)
-    burdock_balancer_set_rank_state (gateway->traffic.balancer, &message->rank_state,
-                                     burdock_loop_now_us ());
-}
-
 static void
 add_alive_peers (BurdockGateway *gateway, BurdockGatewayLoadMessage *load,
                  uint64_t now_us)
@@ -187,23 +120,38 @@
                               ROSTER_INTERVAL_MIN_MS);
 }
 
-void
-burdock_gateway_send_to_peers (BurdockGateway *gateway, BurdockMessageType type)
+static void
+send_message (BurdockGateway *gateway, BurdockMessageType type, const BurdockAddress *to,
+              uint32_t count)
 {
   BurdockGatewayTraffic *traffic = &gateway->traffic;
-  BurdockAddress to[BURDOCK_GATEWAY_PEERS_MAX];
 
   traffic->outgoing.header = (BurdockMessageHeader){
     .type = type, .sender_id = gateway->id, .sender_incarnation = gateway->incarnation
   };
+  burdock_datagram_socket_send (traffic->datagrams, &traffic->outgoing, to, count);
+}
+
+static uint32_t
+peer_addresses (const BurdockGatewayTraffic *traffic,
+                BurdockAddress to[BURDOCK_GATEWAY_PEERS_MAX])
+{
   for (uint32_t i = 0; i < traffic->peer_count; i++)
     to[i] = traffic->peers[i].address;
-  burdock_datagram_socket_send (traffic->datagrams, &traffic->outgoing, to,
-                                traffic->peer_count);
+  return traffic->peer_count;
+}
+
+void
+burdock_gateway_send_to_peers (BurdockGateway *gateway, BurdockMessageType type)
+{
+  BurdockAddress to[BURDOCK_GATEWAY_PEERS_MAX];
+
+  send_message (gateway, type, to, peer_addresses (&gateway->traffic, to));
 }
 
 static void
-send_heartbeat (BurdockGateway *gateway, uint64_t now_us)
+send_heartbeat (BurdockGateway *gateway, const BurdockAddress *to, uint32_t count,
+                uint64_t now_us)
 {
   BurdockGatewayTraffic *traffic = &gateway->traffic;
   BurdockGatewayLoadMessage *load = &traffic->outgoing.gateway_load;
@@ -219,7 +167,95 @@
   add_alive_peers (gateway, load, now_us);
   load->item_count =
       burdock_balancer_own_load (traffic->balancer, load->items, BURDOCK_LOAD_ITEMS_MAX);
-  burdock_gateway_send_to_peers (gateway, BURDOCK_MSG_GATEWAY_LOAD);
+  send_message (gateway, BURDOCK_MSG_GATEWAY_LOAD, to, count);
+}
+
+/* Wakes the control thread if it may have to call the other gateway. */
+static void
+note_configuration (BurdockGateway *gateway, BurdockAddress from,
+                    const BurdockGatewayLoadMessage *load)
+{
+  bool newer = load->generation > gateway->peer_config_version;
+
+  if (load->generation < gateway->peer_config_version || load->generation == 0)
+    return;
+  gateway->newest_peer = ((uint64_t)from.ipv4 << PORT_BITS) | from.port;
+  gateway->peer_config_version = load->generation;
+  gateway->peer_ready = gateway->peer_ready || load->ready;
+  if (newer || !gateway->traffic.handover_done)
+    burdock_loop_post (gateway->control.runtime.loop, burdock_gateway_control_wake,
+                       gateway);
+}
+
+static void
+handle_heartbeat (BurdockGateway *gateway, BurdockAddress from,
+                  const BurdockMessage *message)
+{
+  BurdockGatewayTraffic *traffic = &gateway->traffic;
+  const BurdockGatewayLoadMessage *load = &message->gateway_load;
+  uint64_t now_us = burdock_loop_now_us ();
+  BurdockGatewayPeer *peer = add_peer (gateway, from);
+  bool first;
+
+  if (peer == NULL || message->header.sender_incarnation < peer->incarnation)
+    return;
+  first = peer->last_heartbeat_us == 0 ||
+          message->header.sender_incarnation != peer->incarnation;
+  if (!burdock_gateway_peer_is_alive (peer, now_us) || load->leaving != peer->leaving)
+    burdock_log (BURDOCK_LOG_INFO, load->leaving ? "gateway leaving" : "gateway heard",
+                 load->name, "incarnation %" PRIu64 " ready %d generation %" PRIu64,
+                 message->header.sender_incarnation, load->ready, load->generation);
+  peer->id = message->header.sender_id;
+  peer->incarnation = message->header.sender_incarnation;
+  peer->last_heartbeat_us = now_us;
+  peer->interval_ms = load->interval_ms;
+  peer->http_address = load->http_address;
+  peer->ready = load->ready;
+  peer->leaving = load->leaving;
+  for (uint32_t i = 0; i < load->peer_count; i++)
+    add_peer (gateway, load->peers[i].address);
+  note_configuration (gateway, from, load);
+  burdock_balancer_set_peer_load (traffic->balancer, peer->id,
+                                  load->interval_ms * US_PER_MS, load->items,
+                                  load->item_count, now_us);
+  if (first)
+    send_heartbeat (gateway, &from, 1, now_us);
+}
+
+static void
+handle_store_state (BurdockGateway *gateway, const BurdockStoreStateMessage *state)
+{
+  if (state->era <= gateway->peer_store_era)
+    return;
+  gateway->peer_store_era = state->era;
+  burdock_loop_post (gateway->control.runtime.loop, burdock_gateway_control_wake,
+                     gateway);
+}
+
+void
+burdock_gateway_handle_datagram (void *ctx, BurdockAddress from,
+                                 const BurdockMessage *message)
+{
+  BurdockGateway *gateway = ctx;
+
+  if (message->header.type == BURDOCK_MSG_GATEWAY_LOAD)
+    handle_heartbeat (gateway, from, message);
+  else if (message->header.type == BURDOCK_MSG_UPSTREAM_RATES)
+    burdock_balancer_merge_rates (gateway->traffic.balancer, message->header.sender_id,
+                                  message->upstream_rates.demand_per_1000s,
+                                  message->upstream_rates.items,
+                                  message->upstream_rates.item_count,
+                                  burdock_loop_now_us ());
+  else if (message->header.type == BURDOCK_MSG_PROMPT_PARTS)
+    burdock_part_quarantine_merge (gateway->traffic.quarantine,
+                                   message->prompt_parts.items,
+                                   message->prompt_parts.item_count,
+                                   burdock_loop_now_us ());
+  else if (message->header.type == BURDOCK_MSG_STORE_STATE)
+    handle_store_state (gateway, &message->store_state);
+  else if (message->header.type == BURDOCK_MSG_RANK_STATE)
+    burdock_balancer_set_rank_state (gateway->traffic.balancer, &message->rank_state,
+                                     burdock_loop_now_us ());
 }
 
 static void
@@ -333,7 +369,7 @@
 {
   BurdockGatewayTraffic *traffic = &gateway->traffic;
   const BurdockSettings *library = &gateway->settings.library;
-
+  BurdockAddress to[BURDOCK_GATEWAY_PEERS_MAX];
   bool due = now_us >= traffic->next_heartbeat_us;
 
   if (due) {
@@ -344,7 +380,7 @@
     for (uint32_t i = 0; i < library->seed_count; i++)
       add_peer (gateway, (BurdockAddress){ library->seeds[i].ipv4,
                                            library->control_address.port });
-    send_heartbeat (gateway, now_us);
+    send_heartbeat (gateway, to, peer_addresses (traffic, to), now_us);
     send_upstream_rates (gateway, now_us);
   }
   burdock_gateway_quarantine_share (gateway, due, now_us);
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -1,5 +1,6 @@
 #include "gateway.h"
 
+#include "handover.h"
 #include "log.h"
 #include "quarantine.h"
 #include "stop.h"
@@ -90,7 +91,11 @@
   list_agents (gateway, list);
   burdock_balancer_set_upstreams (traffic->balancer, list->items, list->count,
                                   burdock_loop_now_us ());
-  free (list);
+  free (traffic->gone);
+  traffic->gone = list->gone;
+  traffic->gone_count = list->gone_count;
+  list->gone = NULL;
+  burdock_gateway_free_upstreams (list);
 }
 
 void
@@ -169,6 +174,9 @@
   BurdockHttpHandler local_handler = { .ctx = gateway,
                                        .request = burdock_gateway_handle_local_request,
                                        .closed = ignore_closed };
+  BurdockHttpHandler peer_handler = { .ctx = gateway,
+                                      .request = burdock_gateway_handover_answer,
+                                      .closed = ignore_closed };
 
   traffic->caller_server =
       listen_on (gateway, gateway->settings.library.http_address, &caller_handler);
@@ -179,12 +187,15 @@
   if (gateway->settings.metrics_address.port != 0)
     traffic->metrics_server =
         listen_on (gateway, gateway->settings.metrics_address, &local_handler);
+  traffic->peer_server =
+      listen_on (gateway, gateway->settings.library.control_address, &peer_handler);
   traffic->datagrams =
       burdock_datagram_socket_new (traffic->runtime.loop,
                                    gateway->settings.library.control_address,
                                    burdock_gateway_handle_datagram, gateway);
   if (traffic->caller_server == NULL || traffic->ready_server == NULL ||
-      traffic->directory_server == NULL || traffic->datagrams == NULL)
+      traffic->directory_server == NULL || traffic->peer_server == NULL ||
+      traffic->datagrams == NULL)
     return -EADDRNOTAVAIL;
   return 0;
 }
@@ -224,9 +235,11 @@
   burdock_http_server_free (traffic->ready_server);
   burdock_http_server_free (traffic->directory_server);
   burdock_http_server_free (traffic->metrics_server);
+  burdock_http_server_free (traffic->peer_server);
   burdock_datagram_socket_free (traffic->datagrams);
   burdock_balancer_free (traffic->balancer);
   burdock_part_quarantine_free (traffic->quarantine);
   burdock_route_table_unref (traffic->table);
+  free (traffic->gone);
   burdock_runtime_clear (&traffic->runtime);
 }
--- a/libburdock/upstream-registry.c
+++ b/libburdock/upstream-registry.c
@@ -338,6 +338,32 @@
   registry->store_regained_us = since_us;
 }
 
+bool
+burdock_upstream_registry_note_gone (BurdockUpstreamRegistry *registry, const char *id,
+                                     uint64_t born_ms, uint64_t now_us)
+{
+  Entry *entry = find_entry (registry, id);
+
+  if (entry == NULL) {
+    burdock_gone_upstreams_add (registry->gone, id, born_ms, now_us);
+    return false;
+  }
+  if (entry->upstream.born_ms > born_ms)
+    return false;
+  registry->restored_us = now_us;
+  hold_row (registry, &entry->upstream, entry->version);
+  delete_entry (registry, entry, "another gateway knows that it has gone", now_us);
+  return true;
+}
+
+void
+burdock_upstream_registry_each_gone (
+    const BurdockUpstreamRegistry *registry, uint64_t now_us,
+    void (*function) (void *ctx, const char *id, uint64_t born_ms), void *ctx)
+{
+  burdock_gone_upstreams_each (registry->gone, now_us, function, ctx);
+}
+
 static uint64_t
 expire_entries (BurdockUpstreamRegistry *registry, uint64_t now_us, bool *changed)
 {
--- a/libburdock/upstream-registry.h
+++ b/libburdock/upstream-registry.h
@@ -71,6 +71,22 @@
 void burdock_upstream_registry_store_regained (BurdockUpstreamRegistry *registry,
                                                uint64_t since_us);
 
+/**
+ * burdock_upstream_registry_note_gone() - another gateway knows that the start of @id at
+ * @born_ms has gone
+ *
+ * If it is listed, the store has just been restored; its row is held back.
+ * Returns whether the list has changed.
+ */
+bool burdock_upstream_registry_note_gone (BurdockUpstreamRegistry *registry,
+                                          const char *id, uint64_t born_ms,
+                                          uint64_t now_us);
+
+/** burdock_upstream_registry_each_gone() - see burdock_gone_upstreams_each() */
+void burdock_upstream_registry_each_gone (
+    const BurdockUpstreamRegistry *registry, uint64_t now_us,
+    void (*function) (void *ctx, const char *id, uint64_t born_ms), void *ctx);
+
 /**
  * burdock_upstream_registry_expire() - removes the upstreams whose rows were not written
  * again in time after an outage, and applies rows that were held back
--- /dev/null
+++ b/tests/test-handover-policy.c
@@ -0,0 +1,111 @@
+#include "handover-policy.h"
+#include "test.h"
+
+#define MS UINT64_C (1000)
+#define LISTED_US (50 * MS)
+
+typedef struct {
+  const char *name;
+  BurdockHandoverView view;
+  uint64_t now_us;
+  BurdockHandoverStep step;
+} StepCase;
+
+static const StepCase step_cases[] = {
+  { "store not read yet", { .peer_ready = true }, 40 * MS, BURDOCK_HANDOVER_WAIT },
+  { "no other gateway heard yet",
+    { .listed_us = LISTED_US, .own_version = 4 },
+    100 * MS,
+    BURDOCK_HANDOVER_WAIT },
+  { "no other gateway is ready",
+    { .listed_us = LISTED_US, .own_version = 4 },
+    400 * MS,
+    BURDOCK_HANDOVER_DONE },
+  { "another gateway is ready",
+    { .listed_us = LISTED_US, .own_version = 4, .peer_ready = true, .peer_version = 4 },
+    60 * MS,
+    BURDOCK_HANDOVER_ASK },
+  { "state taken over",
+    { .listed_us = LISTED_US,
+      .own_version = 4,
+      .peer_ready = true,
+      .peer_version = 4,
+      .taken_over = true,
+      .asked_us = 60 * MS },
+    61 * MS,
+    BURDOCK_HANDOVER_DONE },
+  { "store restored, the others have a newer configuration",
+    { .listed_us = LISTED_US,
+      .own_version = 4,
+      .peer_ready = true,
+      .peer_version = 9,
+      .taken_over = true,
+      .asked_us = 60 * MS },
+    300 * MS,
+    BURDOCK_HANDOVER_ASK },
+  { "behind, asked just now",
+    { .listed_us = LISTED_US,
+      .own_version = 4,
+      .peer_ready = true,
+      .peer_version = 9,
+      .failures = 1,
+      .asked_us = 290 * MS },
+    300 * MS,
+    BURDOCK_HANDOVER_WAIT },
+  { "behind a gateway that is not ready",
+    { .listed_us = LISTED_US, .own_version = 4, .peer_version = 9 },
+    300 * MS,
+    BURDOCK_HANDOVER_ASK },
+  { "no answer, not behind",
+    { .listed_us = LISTED_US,
+      .own_version = 4,
+      .peer_ready = true,
+      .peer_version = 4,
+      .failures = 3,
+      .asked_us = 600 * MS },
+    610 * MS,
+    BURDOCK_HANDOVER_DONE },
+  { "no answer, behind",
+    { .listed_us = LISTED_US,
+      .own_version = 4,
+      .peer_ready = true,
+      .peer_version = 9,
+      .failures = 30,
+      .asked_us = 6000 * MS },
+    9000 * MS,
+    BURDOCK_HANDOVER_ASK },
+  { "behind for too long",
+    { .listed_us = LISTED_US,
+      .own_version = 4,
+      .peer_ready = true,
+      .peer_version = 9,
+      .failures = 30,
+      .asked_us = 10000 * MS },
+    10060 * MS,
+    BURDOCK_HANDOVER_DONE },
+};
+
+static void
+a_gateway_starts_with_what_the_others_know (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (step_cases); i++) {
+    const StepCase *row = &step_cases[i];
+    uint64_t due_us;
+
+    if (burdock_handover_next (&row->view, row->now_us, &due_us) != row->step)
+      CU_FAIL (row->name);
+    if (row->step == BURDOCK_HANDOVER_WAIT)
+      CU_ASSERT_TRUE (due_us > row->now_us);
+  }
+}
+
+static const Test tests[] = {
+  { "a gateway that starts serves an older configuration than the others",
+    a_gateway_starts_with_what_the_others_know },
+};
+
+int
+main (void)
+{
+  return test_main ("handover-policy", tests, TEST_COUNT (tests));
+}
