End leases when the store returns from a copy

After a restore the row of a lease may name a former holder, and conditions and fencing tokens of the time since the copy are met and given out again: two tenures could have one fencing token, and a candidate that started then could take a lease that a holder unknown to the copy still acted on. The store client now knows the era (Burdock-Store-Era), drops answers of an earlier one, and reports the outcome of a write of an ended era as unknown. A candidate that was paused reads the row again before it writes, as its condition could be met by chance.

--- a/daemon/http-store.c
+++ b/daemon/http-store.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define ERA_HEADER "Burdock-Store-Era"
 #define INSTANCES_MAX 16384
 #define HTTP_OK 200
 #define HTTP_NOT_FOUND 404
@@ -23,6 +24,7 @@
   BurdockHttpStore *store;
   uint64_t id;
   BurdockStoreOp op;
+  uint64_t era; /* in the headers of the answer, 0 for none */
 } PendingCall;
 
 BurdockHttpStore *
@@ -142,6 +144,16 @@
   return instances;
 }
 
+static int
+answer_head (void *ctx, BurdockHttpTransfer *transfer, int32_t http_status)
+{
+  PendingCall *pending = ctx;
+  const char *era = burdock_http_transfer_header (transfer, ERA_HEADER);
+
+  pending->era = era != NULL ? strtoull (era, NULL, 10) : 0;
+  return 0;
+}
+
 static void
 call_done (void *ctx, const BurdockHttpResult *result)
 {
@@ -153,6 +165,7 @@
     .id = pending->id,
     .op = pending->op,
     .status = result_status (result),
+    .era = pending->era,
   };
   bool has_json = out.status == 0 || out.status == -EEXIST;
 
@@ -210,10 +223,11 @@
   int status = -ENOMEM;
 
   if (pending != NULL && url != NULL) {
-    *pending = (PendingCall){ store, call->id, call->op };
+    *pending = (PendingCall){ .store = store, .id = call->id, .op = call->op };
     http->url = url;
     http->timeout_ms = call->timeout_ms;
     http->ctx = pending;
+    http->head = answer_head;
     http->done = call_done;
     http->free_ctx = free;
     status = burdock_http_client_start (store->client, http);
--- a/libburdock/burdock.h
+++ b/libburdock/burdock.h
@@ -167,6 +167,8 @@
  * @status: 0; -ENOENT if the row or object does not exist; -EEXIST if a version did not
  *   match and nothing was written; -ETIMEDOUT or -EIO if the outcome of a write is
  *   unknown; -EAGAIN if the store refused the call before it had any effect
+ * @era: era of the store, which rises when the store returns from a copy and may give
+ *   versions out again; 0 if the store names none
  * @version: version of the row read or written, 0 if there is no row
  * @value: content of the row or object read
  * @instances: for INSTANCE_LIST, borrowed for the duration of the call
@@ -175,6 +177,7 @@
   uint64_t id;
   BurdockStoreOp op;
   int32_t status;
+  uint64_t era;
   uint64_t version;
   BurdockBytes value;
   uint32_t instance_count;
--- a/libburdock/lease-controller.c
+++ b/libburdock/lease-controller.c
@@ -6,6 +6,11 @@
  * LEASE_MARGIN_US. Another candidate takes over after it has seen the same version of the
  * row for LEASE_DURATION_US plus LEASE_MARGIN_US. Every new tenure, including a further
  * one of the same process, has a new fencing token.
+ *
+ * A store that returns from a copy may name a former holder, and gives the fencing tokens
+ * since the copy out again. So with each new era of the store all tenures end, nobody
+ * takes a lease before a holder that the copy does not know has expired, and the era is
+ * the upper half of a fencing token.
  */
 #include "controller.h"
 #include "error.h"
@@ -43,6 +48,12 @@
 #define ROW_KEY_BYTES (sizeof ROW_PREFIX + BURDOCK_NAME_BYTES)
 #define LEASE_PREFIX "group/"
 
+/* Era of a store that has not been restored yet. */
+#define FIRST_ERA 1
+
+/* Bits of a fencing token that count within an era. */
+#define FENCE_ERA_SHIFT 32
+
 typedef struct Leases Leases;
 
 /**
@@ -80,8 +91,14 @@
   uint64_t valid_until_us;
 } LeaseSlot;
 
+/*
+ * @era: highest era of the store that was taken into account, 0 for none
+ * @restored_us: time at which a restore was noticed, 0 for none
+ */
 struct Leases {
   BurdockCore *core;
+  uint64_t era;
+  uint64_t restored_us;
   uint64_t writes;
   uint64_t generation;
   uint32_t slot_count;
@@ -142,6 +159,44 @@
   burdock_blackboard_touch (&slot->leases->core->board);
 }
 
+/* Ends all tenures when the store has returned from a copy; their rows are read again. A
+ * process that starts cannot tell when a later era than the first one began. */
+static void
+follow_era (Leases *leases)
+{
+  uint64_t era = burdock_store_era (leases->core->store);
+  bool restored = era > leases->era && era > FIRST_ERA;
+
+  leases->era = era;
+  if (!restored)
+    return;
+  leases->restored_us = burdock_core_now (leases->core);
+  for (uint32_t i = 0; i < leases->slot_count; i++) {
+    end_tenure (leases->slots[i], "lease lost, the store was restored");
+    leases->slots[i]->version_seen_us = 0;
+  }
+  publish_leases (leases);
+}
+
+/* Time from which on a holder that the restored store does not know has expired. */
+static uint64_t
+lost_tenures_end_us (const Leases *leases)
+{
+  if (leases->restored_us == 0)
+    return 0;
+  return leases->restored_us + LEASE_DURATION_US + LEASE_MARGIN_US;
+}
+
+/* The version of a row grows with each write in an era, also if a write of a paused
+ * process met its condition by chance and put an older token into the row. */
+static uint64_t
+next_fence (const LeaseSlot *slot)
+{
+  uint64_t first = (slot->leases->era << FENCE_ERA_SHIFT) + slot->version + 1;
+
+  return slot->row_fence + 1 > first ? slot->row_fence + 1 : first;
+}
+
 /* Reads holder and fencing token of a row; a malformed row counts as held by another. */
 static void
 parse_row (LeaseSlot *slot, BurdockBytes value)
@@ -214,10 +269,15 @@
 {
   LeaseSlot *slot = ctx;
   uint64_t now_us = burdock_core_now (slot->leases->core);
+  uint64_t era = slot->leases->era;
 
   slot->call_pending = false;
   slot->due_us = now_us + RETRY_US;
-  if (result->status == 0) {
+  follow_era (slot->leases);
+  if (era != 0 && era != slot->leases->era) {
+    /* The condition of the write was met by a row of another era. */
+    slot->version_seen_us = 0;
+  } else if (result->status == 0) {
     slot->version = result->version;
     slot->version_seen_us = now_us;
     slot->row_fence = slot->request_fence;
@@ -265,6 +325,7 @@
 
   slot->call_pending = false;
   slot->due_us = burdock_core_now (slot->leases->core) + READ_PERIOD_US;
+  follow_era (slot->leases);
   if (result->status < 0 && result->status != -ENOENT)
     return;
   observe_row (slot, result);
@@ -319,13 +380,17 @@
   uint64_t takeover_us = slot->version_seen_us + takeover_wait (slot, position);
   uint64_t read_us = slot->read_us + READ_PERIOD_US;
 
+  if (takeover_us < lost_tenures_end_us (slot->leases))
+    takeover_us = lost_tenures_end_us (slot->leases) + position * CANDIDATE_STAGGER_US;
   if (position >= CANDIDATES_MAX) {
     slot->due_us = now_us + READ_PERIOD_US;
     slot->version_seen_us = 0;
     return;
   }
-  if (slot->version_seen_us > 0 && now_us >= takeover_us) {
-    write_row (slot, slot->row_fence + 1, false, write_done);
+  /* A process that was paused reads the row again before it writes. */
+  if (slot->version_seen_us > 0 && now_us >= takeover_us &&
+      now_us < read_us + READ_PERIOD_US) {
+    write_row (slot, next_fence (slot), false, write_done);
     return;
   }
   if (slot->version_seen_us == 0 || now_us >= read_us) {
@@ -359,6 +424,7 @@
   slot->call_pending = false;
   slot->version_seen_us = 0;
   slot->due_us = burdock_core_now (slot->leases->core) + READ_PERIOD_US;
+  follow_era (slot->leases);
 }
 
 /* A leaving process releases its leases, so that the next candidate need not wait. */
@@ -466,6 +532,7 @@
   uint64_t next_us = now_us + RETRY_US;
 
   apply_configuration (leases);
+  follow_era (leases);
   for (uint32_t i = 0; i < leases->slot_count; i++) {
     uint64_t due_us;
 
--- a/libburdock/store.c
+++ b/libburdock/store.c
@@ -41,6 +41,7 @@
  * struct Call - a call that has not been answered
  * @in_flight_id: id of the call of env->store in progress, 0 while there is none
  * @due_us: when to issue the call; while it is in flight, when to stop waiting for it
+ * @era: era of the store when the call was started
  * @retries: number of retries, which determines backoff and timeout
  * @throttled: waits for a token of the budget; later calls of its kind queue behind it
  * @ambiguous: an earlier issue of the write may have taken effect or may still do so
@@ -57,6 +58,7 @@
   uint64_t in_flight_id;
   uint64_t due_us;
   uint64_t deadline_us;
+  uint64_t era;
   uint32_t retries;
   bool throttled;
   bool ambiguous;
@@ -84,6 +86,7 @@
   uint32_t queue_limit;
   uint32_t open_count;
   uint64_t next_id;
+  uint64_t era;
   bool available;
   Call *calls; /* in the order of arrival */
 };
@@ -309,6 +312,7 @@
   call->key = key != NULL ? strdup (key) : NULL;
   call->due_us = now_us;
   call->deadline_us = now_us + deadline_ms * US_PER_MS;
+  call->era = store->era;
   call->done = done;
   call->ctx = ctx;
   while (*link != NULL)
@@ -416,6 +420,14 @@
   return status == 0 || status == -ENOENT || status == -EEXIST;
 }
 
+/* Whether the store has been restored since the versions of the call were read. The first
+ * call of a process finds out the era. */
+static bool
+is_of_ended_era (const BurdockStore *store, const Call *call)
+{
+  return call->era != 0 && call->era < store->era;
+}
+
 static bool
 is_own_value (const Call *call, const BurdockStoreResult *result)
 {
@@ -454,6 +466,10 @@
     finish_call (store, call, &out);
     return;
   }
+  if (is_of_ended_era (store, call)) {
+    finish_with_status (store, call, -ETIMEDOUT);
+    return;
+  }
   if (version == put->if_version && !call->superseded) {
     call->phase = PHASE_ISSUE;
     retry_later (store, call, now_us);
@@ -511,12 +527,25 @@
     finish_call (store, call, result);
 }
 
+/* A late answer of an earlier era tells nothing about the present one. */
+static BurdockStoreResult
+present_result (BurdockStore *store, const BurdockStoreResult *result)
+{
+  if (result->era > store->era)
+    store->era = result->era;
+  if (result->era == 0 || result->era == store->era)
+    return *result;
+  return (BurdockStoreResult){ .id = result->id, .status = -ETIMEDOUT };
+}
+
 void
 burdock_store_handle_result (BurdockStore *store, const BurdockStoreResult *result)
 {
+  BurdockStoreResult present = present_result (store, result);
+
   for (Call *call = store->calls; call != NULL; call = call->next) {
     if (call->in_flight_id == result->id && result->id != 0) {
-      handle_result (store, call, result, store_now (store));
+      handle_result (store, call, &present, store_now (store));
       return;
     }
   }
@@ -576,3 +605,9 @@
 {
   return store->available;
 }
+
+uint64_t
+burdock_store_era (const BurdockStore *store)
+{
+  return store->era;
+}
--- a/libburdock/store.h
+++ b/libburdock/store.h
@@ -8,6 +8,10 @@
  * take effect only once. The callback gets -ETIMEDOUT if the deadline passes first, or if
  * the rows were overwritten so that the outcome cannot be determined; it must then treat
  * the outcome as unknown.
+ *
+ * A store that returns from a copy gives versions out again, in a higher era. Answers of
+ * an earlier era than the highest one known count as lost, and the outcome of a write
+ * that was started in an earlier era is unknown unless its row holds the value.
  */
 #ifndef BURDOCK_STORE_H
 #define BURDOCK_STORE_H
@@ -87,4 +91,7 @@
  * before the first call */
 bool burdock_store_available (const BurdockStore *store);
 
+/** burdock_store_era() - highest era of the store that is known, 0 for none */
+uint64_t burdock_store_era (const BurdockStore *store);
+
 #endif
--- a/tests/support/fake-store.c
+++ b/tests/support/fake-store.c
@@ -91,7 +91,7 @@
 void
 fake_store_apply (FakeStore *store, const BurdockStoreCall *call, BurdockStoreResult *out)
 {
-  *out = (BurdockStoreResult){ .id = call->id, .op = call->op };
+  *out = (BurdockStoreResult){ .id = call->id, .op = call->op, .era = store->era };
   switch (call->op) {
   case BURDOCK_STORE_ROW_GET:
   case BURDOCK_STORE_OBJECT_GET:
@@ -110,6 +110,31 @@
   }
 }
 
+void
+fake_store_copy (const FakeStore *store, FakeStore *copy)
+{
+  *copy = *store;
+  copy->rows = calloc (store->row_count + 1, sizeof *copy->rows);
+  for (uint32_t i = 0; i < store->row_count; i++) {
+    const FakeRow *row = &store->rows[i];
+
+    copy->rows[i] = *row;
+    copy->rows[i].key = strdup (row->key);
+    copy->rows[i].value = malloc (row->value_bytes + 1);
+    memcpy (copy->rows[i].value, row->value, row->value_bytes);
+  }
+}
+
+void
+fake_store_restore (FakeStore *store, const FakeStore *copy)
+{
+  uint64_t era = store->era + 1;
+
+  fake_store_clear (store);
+  fake_store_copy (copy, store);
+  store->era = era;
+}
+
 static BurdockBytes
 copy_bytes (BurdockBytes bytes)
 {
--- a/tests/support/fake-store.h
+++ b/tests/support/fake-store.h
@@ -23,8 +23,10 @@
 /**
  * struct FakeStore - content of the store
  * @instances: instance list, owned by the test
+ * @era: in all answers; rises with each restore
  */
 typedef struct {
+  uint64_t era;
   uint32_t row_count;
   FakeRow *rows;
   uint32_t instance_count;
@@ -41,6 +43,12 @@
 /** fake_store_row() - row or object with @key, or NULL */
 const FakeRow *fake_store_row (const FakeStore *store, const char *key);
 
+/** fake_store_copy() - copies the rows, to be released with fake_store_clear() */
+void fake_store_copy (const FakeStore *store, FakeStore *copy);
+
+/** fake_store_restore() - replaces the rows by those of a copy, in a new era */
+void fake_store_restore (FakeStore *store, const FakeStore *copy);
+
 /** fake_call_copy() - deep copy of a call, to be released with fake_call_free() */
 BurdockStoreCall *fake_call_copy (const BurdockStoreCall *call);
 void fake_call_free (BurdockStoreCall *call);
--- a/tests/test-lease.c
+++ b/tests/test-lease.c
@@ -52,6 +52,8 @@
 {
   Fleet *fleet = fleet_new (seed);
 
+  fleet->store.era = 1;
+
   for (uint32_t i = 0; i < ENTRIES; i++)
     start_entry (fleet, i);
   return fleet;
@@ -137,6 +139,11 @@
   bool down;
   bool in_flight;   /* the fault starts just after a renewal was sent */
   bool same_holder; /* whether the holder must keep its lease */
+  /* The store returns from a copy that was taken so long before; 0 for no restore. */
+  uint64_t copy_age_us;
+  uint32_t restores;
+  bool copy_is_empty;
+  bool others_start; /* the candidates start again as the store returns */
 } LeaseCase;
 
 static const LeaseCase cases[] = {
@@ -166,6 +173,39 @@
   { .name = "holder crashes with a renewal in flight", .kill = true, .in_flight = true },
   { .name = "holder crashes", .kill = true },
   { .name = "holder leaves", .leave = true },
+  { .name = "store restored", .copy_age_us = 5 * US_PER_S, .restores = 1 },
+  { .name = "store restored twice", .copy_age_us = 5 * US_PER_S, .restores = 2 },
+  { .name = "store restored, copy from before a takeover",
+    .copy_age_us = 14 * US_PER_S,
+    .restores = 1,
+    .pause_us = 13 * US_PER_S },
+  { .name = "store restored, copy from before a takeover, first holder resumes",
+    .copy_age_us = 12 * US_PER_S,
+    .restores = 1,
+    .pause_us = 15 * US_PER_S },
+  { .name = "store restored, copy from before a release",
+    .copy_age_us = 4 * US_PER_S,
+    .restores = 1,
+    .leave = true },
+  { .name = "store restored, copy from before a crash",
+    .copy_age_us = 14 * US_PER_S,
+    .restores = 2,
+    .kill = true },
+  { .name = "store restored, renewals of the era before take effect late",
+    .copy_age_us = 5 * US_PER_S,
+    .restores = 1,
+    .late_writes = 2,
+    .late_write_delay_us = 6 * US_PER_S },
+  { .name = "store restored, copy from before the first lease, candidates start",
+    .copy_age_us = 100 * US_PER_MS,
+    .restores = 1,
+    .copy_is_empty = true,
+    .others_start = true,
+    .pause_us = 20 * US_PER_S },
+  { .name = "store restored, answers lost",
+    .copy_age_us = 3 * US_PER_S,
+    .restores = 1,
+    .lose_answers = 2 },
   { .name = "store down", .down = true },
   { .name = "store down and holder paused", .down = true, .pause_us = 20 * US_PER_S },
 };
@@ -196,6 +236,7 @@
 {
   Fleet *fleet = start_fleet (seed);
   LeaseMonitor monitor = { .holder = -1 };
+  FakeStore copy = { 0 };
   uint32_t first;
   uint64_t fence;
 
@@ -205,7 +246,20 @@
   fence = monitor.fence;
   /* Faults start at a random time in the renewal period. */
   run_monitored (fleet, fleet_random (fleet) % (2 * US_PER_S), &monitor);
+  if (!c->copy_is_empty)
+    fake_store_copy (&fleet->store, &copy);
   apply_fault (fleet, c, first);
+  for (uint32_t i = 0; i < c->restores; i++) {
+    run_monitored (fleet, c->copy_age_us, &monitor);
+    fake_store_restore (&fleet->store, &copy);
+  }
+  for (uint32_t i = 0; i < ENTRIES && c->others_start; i++) {
+    if (i == first)
+      continue;
+    fleet_kill (fleet, i);
+    start_entry (fleet, i);
+  }
+  fake_store_clear (&copy);
   run_monitored (fleet, 25 * US_PER_S, &monitor);
   if (c->down)
     CU_ASSERT_EQUAL (holder_of (fleet), UINT32_MAX);
--- a/tests/test-upstream.c
+++ b/tests/test-upstream.c
@@ -121,6 +121,33 @@
     0, "", "GET /instances HTTP" },
 };
 
+static const char *const era_responses[] = {
+  "200 <Burdock-Store-Era: 4>{\"key\":\"a\",\"value\":\"v\",\"version\":7}",
+  "404 <Burdock-Store-Era: 4>",
+  "503 <Burdock-Store-Era: 4>",
+};
+
+/* Guards against an era of the store that only some of its answers tell. */
+static void
+responses_tell_the_era (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (era_responses); i++) {
+    BurdockStoreCall call = {
+      .id = 5, .op = BURDOCK_STORE_ROW_GET, .key = "a", .timeout_ms = TIMEOUT_MS
+    };
+    BurdockHttpStore *store;
+    Fixture fixture;
+
+    open_fixture (&fixture, &era_responses[i], 1);
+    store = burdock_http_store_new (fixture.client, fixture.url, on_result, &fixture);
+    CU_ASSERT_EQUAL (burdock_http_store_call (store, &call), 0);
+    burdock_loop_run (fixture.loop);
+    close_fixture (&fixture);
+    CU_ASSERT_EQUAL (fixture.store.era, 4);
+    burdock_http_store_free (store);
+  }
+}
+
 /* Guards against a response of the store that is reported with the wrong status: a call
  * whose outcome is unknown must be distinguished from one that had no effect. */
 static void
@@ -353,6 +380,7 @@
 }
 
 static const Test tests[] = {
+  { "a restored store is not noticed", responses_tell_the_era },
   { "a response of the store is reported with the wrong status",
     store_responses_map_to_statuses },
   { "a write to an unreachable store counts as ambiguous",
