Log what two copies of a request have in common

attempt failed and request ended had an id for each attempt of a caller and nothing that is the same when a request comes again, so upstreams that end under one repeated request could not be told from upstreams that end by themselves.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -4,6 +4,7 @@
 #include "log.h"
 
 #include <errno.h>
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -223,12 +224,12 @@
   burdock_log_subject (BURDOCK_LOG_INFO, "attempt failed", forward->caller.request_id,
                        forward->upstream.id,
                        "result %d status %d http %d form %d sent %d new %d after_ms %u "
-                       "events %u prompt %s",
+                       "events %u prompt %s digest %016" PRIx64,
                        attempt_result, result->status, result->http_status,
                        forward->answer_kind, result->sent, result->new_connection,
                        (uint32_t)((burdock_loop_now_us () - forward->sent_us) /
                                   US_PER_MS),
-                       forward->attempt_event_count, prompt);
+                       forward->attempt_event_count, prompt, forward->digest);
 }
 
 /* Whether the connection of an attempt ended before its answer, after it was sent. */
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -1,7 +1,9 @@
 #include "forward.h"
 
 #include "log.h"
+#include "request-digest.h"
 
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -376,6 +378,20 @@
   return 0;
 }
 
+static uint64_t
+digest_request (const BurdockForward *forward)
+{
+  BurdockRequestContent content = {
+    .method = burdock_http_method (forward->http_request),
+    .host = forward->caller.host,
+    .target = burdock_http_target (forward->http_request),
+    .caller = forward->caller.api_key,
+    .body = burdock_http_body (forward->http_request),
+  };
+
+  return burdock_request_digest (&content);
+}
+
 static void
 start_forward (BurdockForward *forward)
 {
@@ -386,6 +402,7 @@
   forward->pool = burdock_route_pick_pool (forward->route,
                                            burdock_runtime_random (&traffic->runtime));
   forward->event_stream.last_id = forward->caller.last_event_id;
+  forward->digest = digest_request (forward);
   forward->placement.handle = ++traffic->next_handle;
   forward->placement.pool = forward->pool->name;
   forward->phase = BURDOCK_FORWARD_WAITING;
@@ -447,7 +464,8 @@
       BURDOCK_LOG_INFO, "request ended", forward->caller.request_id,
       forward->send_count > 0 ? forward->upstream.id : "-",
       "outcome %s status %u route %s pool %s generation %u delivered %d sent %u ran %u "
-      "reason %s first_ms %u total_ms %u placed_ms %u events %u pause_ms %u",
+      "reason %s first_ms %u total_ms %u placed_ms %u events %u pause_ms %u "
+      "digest %016" PRIx64,
       forward->outcome != NULL ? forward->outcome : "abandoned", forward->final_status,
       forward->route->name, forward->pool->name, (uint32_t)forward->table->version,
       delivered, forward->send_count, forward->run_count,
@@ -456,7 +474,8 @@
       forward->send_count > 0
           ? (uint32_t)((forward->sent_us - forward->received_us) / US_PER_MS)
           : 0,
-      forward->attempt_event_count, (uint32_t)(forward->longest_gap_us / US_PER_MS));
+      forward->attempt_event_count, (uint32_t)(forward->longest_gap_us / US_PER_MS),
+      forward->digest);
 }
 
 void
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -20,6 +20,7 @@
  * @http_request: the caller's request; valid until burdock_forward_closed()
  * @table: route table that @route and @pool belong to; holds a reference
  * @workspace: workspace of the caller's API key, or NULL
+ * @digest: tells the request when it comes again, see burdock_request_digest()
  * @run_count: attempts that may have run
  * @send_count: all attempts
  * @upstream: upstream of the current or last attempt
@@ -49,6 +50,7 @@
   const BurdockPool *pool;
   const char *workspace;
   BurdockCallerRequest caller;
+  uint64_t digest;
   BurdockPlacement placement;
   BurdockForwardPhase phase;
   uint64_t received_us;
