Add a failing scenario of a request that crashes upstreams

One request with the same path, caller and body comes again at any of nine gateways and crashes each of three upstreams that runs it; sound requests run beside it, some of them equal to others.

--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -2,6 +2,7 @@
 """Incidents played against real gateways and rank agents, with a check of what upstreams get.
 
 prompt-part: requests with one part in their prompts crash each upstream that runs them.
+request: one request that comes again crashes each upstream that runs it.
 limit: most upstreams name a limit of requests a second, and a gateway is started meanwhile.
 restored: the store returns from a copy some seconds old, twice.
 """
@@ -14,7 +15,7 @@
 
 import soak
 from restored import RestoredScenario
-from standin import CRASHING_PART
+from standin import CRASHING_PART, CRASHING_PATH, Runner
 
 # Bounds of the users' pages.
 STABILITY_S = 3.0
@@ -84,14 +85,19 @@
 class PromptPartScenario(Scenario):
     """All gateways are killed once in the middle, so that a successor knows only what lasts."""
 
+    crashes_max = CRASHES_MAX
+
+    def start_callers(self, end_time):
+        return [self.stream_caller(end_time) for _ in range(self.options.callers)]
+
     async def kill_all_gateways(self):
         await asyncio.gather(*(gateway.restart(signal.SIGKILL, 0.3)
                                for gateway in self.gateways))
 
     async def run(self):
         self.began = time.monotonic()
-        callers = [asyncio.create_task(self.stream_caller(self.began + self.options.seconds))
-                   for _ in range(self.options.callers)]
+        callers = [asyncio.create_task(caller)
+                   for caller in self.start_callers(self.began + self.options.seconds)]
         await asyncio.sleep(5)
         self.crashing = True
         await asyncio.sleep((self.options.seconds - 5) * 0.6)
@@ -101,27 +107,29 @@
         self.check_sound_requests()
 
     def crash_times(self):
-        return sorted(runner_crash for runner in self.runners
+        return sorted(runner_crash for runner in self.runners + self.plain_runners
                       for runner_crash in runner.crash_times)
 
     def check_arrivals(self):
         crashes = self.crash_times()
         print(f"crashes: {' '.join(f'{t - self.began:.2f}' for t in crashes)}")
-        if len(crashes) < CRASHES_MAX:
+        if len(crashes) < self.crashes_max:
             return
-        bound = crashes[CRASHES_MAX - 1] + STABILITY_S
-        late = [t for runner in self.runners for t in runner.crashing_arrivals if t > bound]
+        bound = crashes[self.crashes_max - 1] + STABILITY_S
+        late = [t for runner in self.runners + self.plain_runners
+                for t in runner.crashing_arrivals if t > bound]
         if len(late) > LATE_ARRIVALS_MAX:
             self.check.add_violation(
-                "BUDGET", f"{len(late)} requests with the part reached upstreams later than "
-                          f"{STABILITY_S} s after the fifth crash; {len(crashes)} crashes in all")
+                "BUDGET", f"{len(late)} crashing requests reached upstreams later than "
+                          f"{STABILITY_S} s after crash {self.crashes_max}; {len(crashes)} "
+                          "crashes in all")
 
     def check_sound_requests(self):
         crashes = self.crash_times()
         if not crashes:
             self.check.add_violation("SETUP", "no upstream crashed")
             return
-        since = crashes[min(len(crashes), CRASHES_MAX) - 1] + 2 * STABILITY_S
+        since = crashes[min(len(crashes), self.crashes_max) - 1] + 2 * STABILITY_S
         before = [served for t, served in self.sound_requests if t < self.began + 5]
         after = [served for t, served in self.sound_requests if t > since]
         if len(after) < 20 or sum(after) * len(before) * 2 < sum(before) * len(after):
@@ -130,6 +138,53 @@
                                              f"{len(before)}")
 
 
+class RequestScenario(PromptPartScenario):
+    """Callers of a plain service; every third sound request is the same as others."""
+
+    crashes_max = 3
+
+    async def start(self):
+        await super().start()
+        runner = Runner(self.check, "plain", f"{self.net}.3.9")
+        runner.store = self.store
+        await runner.http.start()
+        await self.store.put("servers", runner.id, runner.store_row())
+        self.plain_runners.append(runner)
+
+    def start_callers(self, end_time):
+        return ([self.plain_caller(end_time) for _ in range(self.options.callers)]
+                + [self.crashing_caller(end_time)])
+
+    async def send(self, prefix):
+        started, status, connection = time.monotonic(), "cut", None
+        attempt = f"{self.random.getrandbits(64):016x}"
+        try:
+            connection = (*await asyncio.open_connection(
+                self.gateway_ip(self.pick_gateway()), 8080), "")
+            request = self.exchange("safe", attempt, connection, own_prefix=prefix)
+            status = (await asyncio.wait_for(request, 2))[0]
+        except (OSError, asyncio.IncompleteReadError, ValueError, asyncio.TimeoutError):
+            pass
+        if connection is not None:
+            connection[1].close()
+        kind = "crash" if CRASHING_PATH.startswith(prefix) else "safe"
+        key = f"{kind} {status}"
+        self.outcome_counts[key] = self.outcome_counts.get(key, 0) + 1
+        return started, status == "200"
+
+    async def plain_caller(self, end_time):
+        while time.monotonic() < end_time:
+            own = "same" if self.random.random() < 0.33 else f"{self.random.getrandbits(32):x}"
+            self.sound_requests.append(await self.send(f"/safe/{own}/"))
+            await asyncio.sleep(0.1 + self.random.random() * 0.4)
+
+    async def crashing_caller(self, end_time):
+        while time.monotonic() < end_time:
+            await asyncio.sleep(0.2 + self.random.random() * 0.3)
+            if self.crashing:
+                await self.send(CRASHING_PATH[:-1])
+
+
 class LimitScenario(Scenario):
     """More requests than the upstreams take; half of the callers use one gateway only."""
 
@@ -168,7 +223,7 @@
 
 
 SCENARIOS = {"limit": LimitScenario, "prompt-part": PromptPartScenario,
-             "restored": RestoredScenario}
+             "request": RequestScenario, "restored": RestoredScenario}
 
 
 async def main():
--- a/tests/soak/standin.py
+++ b/tests/soak/standin.py
@@ -20,6 +20,10 @@
 # another runner has started in its place.
 CRASHING_PART = "bad0bad0"
 CRASH_S = 2.0
+# Path of a request that crashes each plain runner that runs it, and the time in s for which
+# the runner works on it before.
+CRASHING_PATH = "/safe/crash/p"
+CRASH_WORK_S = 0.05
 
 # Share of the requests that a runner with a limit rejects, without naming the limit.
 LIMITED_REJECT_RATE = 0.2
@@ -310,7 +314,7 @@
         attempt = headers.get("burdockwind-attempt-id", "")
         self.arrivals.append(time.monotonic())
         crashing = CRASHING_PART in headers.get("burdockwind-prompt-prefix", "")
-        if crashing:
+        if crashing or path == CRASHING_PATH:
             self.crashing_arrivals.append(time.monotonic())
         if headers.get("burdockwind-expect-instance") != self.id:
             writer.write(answer(421, headers=[("Burdockwind-Instance-Id", self.id)]))
@@ -333,6 +337,9 @@
                 return False
             if path.startswith("/stream/"):
                 return await self.stream(attempt, headers, writer)
+            if path == CRASHING_PATH:
+                await self.crash_plain()
+                return False
             await asyncio.sleep(0.03)
             writer.write(answer(200, body_of(attempt), self.answer_headers(attempt)))
             await writer.drain()
@@ -370,10 +377,17 @@
             asyncio.create_task(self.restart())
         return False
 
+    async def crash_plain(self):
+        await asyncio.sleep(CRASH_WORK_S)
+        if not self.down:
+            self.crash_times.append(time.monotonic())
+            asyncio.create_task(self.restart())
+        await asyncio.sleep(CRASH_S)
+
     async def restart(self):
         self.down = True
         await self.http.stop()
-        if self.group.open:
+        if self.group and self.group.open:
             asyncio.create_task(self.group.crash(CRASH_S + 0.3))
         await asyncio.sleep(CRASH_S / 2)
         await self.store.remove("servers", self.id)
