Quarantine requests that come again and crash upstreams

Cause: the quarantine knew the parts of prompts only, so a plain request, or a prompt whose own part crashes, left nothing behind; class: knowledge that one gateway gains and all need stays with one request. The digest of a request is now the deepest part of its prompt, in the same records, messages and rows. A request is blamed only for an upstream whose own process has ended, which a connection shows that is tried at once after a break, and not for crashes that a request with more of them explains.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 # Incidents of the users' platform, played against gateways and rank agents as processes.
 scenarios: build
 	python3 tests/soak/scenarios.py prompt-part --build $(BUILD) --seed $(SEED) --seconds 30
+	python3 tests/soak/scenarios.py request --build $(BUILD) --seed $(SEED) --seconds 30
 	python3 tests/soak/scenarios.py limit --build $(BUILD) --seed $(SEED) --seconds 25 --callers 40
 	python3 tests/soak/scenarios.py restored --build $(BUILD) --seed $(SEED) --seconds 24
 
--- a/daemon/http-client.c
+++ b/daemon/http-client.c
@@ -562,7 +562,10 @@
 static void
 set_connection (CURL *easy, const BurdockHttpCall *call)
 {
-  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, call->fresh_connection ? 1L : 0L);
+  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT,
+                    call->fresh_connection || call->connect_only ? 1L : 0L);
+  curl_easy_setopt (easy, CURLOPT_CONNECT_ONLY, call->connect_only ? 1L : 0L);
+  curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, call->connect_only ? 1L : 0L);
   curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN,
                     (long)(call->max_idle_s > 0 ? call->max_idle_s : DEFAULT_MAX_IDLE_S));
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
--- a/daemon/http-client.h
+++ b/daemon/http-client.h
@@ -50,6 +50,8 @@
  *   118 s
  * @source_ip: IP address to connect from, NULL for any
  * @fresh_connection: opens a new connection instead of reusing an idle one
+ * @connect_only: ends as soon as a new connection is established, which is closed;
+ * nothing is sent
  * @timeout_ms: limit of the whole transfer; 0 for none
  * @connect_timeout_ms: limit for opening a connection; 0 for the default of 2000 ms
  * @line: receives each line of the body of a 200 response, without the newline; may be
@@ -74,6 +76,7 @@
   uint32_t max_idle_s;
   const char *source_ip;
   bool fresh_connection;
+  bool connect_only;
   uint32_t timeout_ms;
   uint32_t connect_timeout_ms;
   void *ctx;
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -403,6 +403,7 @@
                                            burdock_runtime_random (&traffic->runtime));
   forward->event_stream.last_id = forward->caller.last_event_id;
   forward->digest = digest_request (forward);
+  forward->caller.prompt.request = forward->digest;
   forward->placement.handle = ++traffic->next_handle;
   forward->placement.pool = forward->pool->name;
   forward->phase = BURDOCK_FORWARD_WAITING;
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -7,6 +7,7 @@
 #include <errno.h>
 #include <inttypes.h>
 #include <jansson.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
@@ -14,6 +15,7 @@
 #define US_PER_MS UINT64_C (1000)
 #define MS_PER_S 1000
 #define NS_PER_MS 1000000
+#define CHECK_TIMEOUT_MS 700
 
 /* The gateway that saw the last crash stores the evidence. A few others do the same
  * later, in case it ended first. */
@@ -201,7 +203,8 @@
 
   burdock_log (BURDOCK_LOG_WARNING,
                status->quarantined ? "part quarantined" : "part released", "-",
-               "part %" PRIx64 " crashes %u local %d", status->part, status->crashes,
+               "%s %016" PRIx64 " crashes %u local %d",
+               status->request ? "request" : "part", status->part, status->crashes,
                status->local);
   if (!store_delay_us (gateway, status, &delay_us))
     return;
@@ -221,11 +224,79 @@
   return burdock_balancer_has_ended (gateway->traffic.balancer, upstream, since_us);
 }
 
+static bool
+upstream_has_ended_itself (void *ctx, uint64_t upstream, uint64_t since_us)
+{
+  const BurdockGateway *gateway = ctx;
+
+  return burdock_balancer_has_ended_itself (gateway->traffic.balancer, upstream,
+                                            since_us);
+}
+
+/* Connection that shows whether the process of an upstream has ended. */
+typedef struct {
+  BurdockGateway *gateway;
+  uint64_t upstream;
+} Check;
+
+static void
+check_done (void *ctx, const BurdockHttpResult *result)
+{
+  Check *check = ctx;
+
+  if (result->status == -ECONNREFUSED)
+    burdock_balancer_record_refusal (check->gateway->traffic.balancer, check->upstream,
+                                     burdock_loop_now_us ());
+  burdock_log (BURDOCK_LOG_INFO, "upstream checked", "-", "key %016" PRIx64 " status %d",
+               check->upstream, result->status);
+  free (check);
+}
+
+static void
+start_check (BurdockGateway *gateway, uint64_t upstream)
+{
+  Check *check = malloc (sizeof *check);
+  BurdockAddress address;
+  char text[24];
+  char url[40];
+  BurdockHttpCall call = { .method = "GET",
+                           .url = url,
+                           .connect_only = true,
+                           .timeout_ms = CHECK_TIMEOUT_MS,
+                           .connect_timeout_ms = CHECK_TIMEOUT_MS,
+                           .ctx = check,
+                           .done = check_done,
+                           .free_ctx = free };
+
+  if (check == NULL ||
+      !burdock_balancer_address (gateway->traffic.balancer, upstream, &address)) {
+    free (check);
+    return;
+  }
+  *check = (Check){ gateway, upstream };
+  burdock_address_format (address, text, sizeof text);
+  snprintf (url, sizeof url, "http://%s", text);
+  if (burdock_http_client_start (gateway->traffic.runtime.client, &call) < 0)
+    free (check);
+}
+
+uint64_t
+burdock_gateway_quarantine_tick (BurdockGateway *gateway, uint64_t now_us)
+{
+  uint64_t upstream;
+
+  while (
+      burdock_part_quarantine_next_check (gateway->traffic.quarantine, now_us, &upstream))
+    start_check (gateway, upstream);
+  return burdock_part_quarantine_tick (gateway->traffic.quarantine, now_us);
+}
+
 int
 burdock_gateway_quarantine_init (BurdockGateway *gateway)
 {
   BurdockPartQuarantineHandler handler = { .ctx = gateway,
                                            .has_ended = upstream_has_ended,
+                                           .has_ended_itself = upstream_has_ended_itself,
                                            .changed = part_changed };
 
   gateway->traffic.quarantine = burdock_part_quarantine_new (gateway->id, &handler);
--- a/gateway/quarantine.h
+++ b/gateway/quarantine.h
@@ -15,6 +15,10 @@
  * returns 0 or -ENOMEM */
 int burdock_gateway_quarantine_init (BurdockGateway *gateway);
 
+/** burdock_gateway_quarantine_tick() - checks upstreams whose connections ended; returns
+ * the time of the next call */
+uint64_t burdock_gateway_quarantine_tick (BurdockGateway *gateway, uint64_t now_us);
+
 /** burdock_gateway_quarantine_share() - sends evidence to the other gateways
  * @due: a heartbeat is being sent; otherwise only news are sent */
 void burdock_gateway_quarantine_share (BurdockGateway *gateway, bool due,
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -127,7 +127,7 @@
   BurdockGateway *gateway = ctx;
   BurdockGatewayTraffic *traffic = &gateway->traffic;
   uint64_t next_us = burdock_balancer_tick (traffic->balancer, now_us);
-  uint64_t quarantine_us = burdock_part_quarantine_tick (traffic->quarantine, now_us);
+  uint64_t quarantine_us = burdock_gateway_quarantine_tick (gateway, now_us);
   uint64_t forward_us = burdock_forward_tick (gateway, now_us);
   uint64_t peers_us = burdock_gateway_peers_tick (gateway, now_us);
 
--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -433,18 +433,39 @@
   return count;
 }
 
+bool
+burdock_balancer_has_ended_itself (const BurdockBalancer *balancer, uint64_t upstream,
+                                   uint64_t since_us)
+{
+  const Node *node = burdock_balancer_node (balancer, upstream);
+
+  return node == NULL || !node->listed || node->unreachable_us >= since_us;
+}
+
 bool
 burdock_balancer_has_ended (const BurdockBalancer *balancer, uint64_t upstream,
                             uint64_t since_us)
 {
   const Node *node = burdock_balancer_node (balancer, upstream);
 
-  if (node == NULL || !node->listed || node->unreachable_us >= since_us)
+  if (burdock_balancer_has_ended_itself (balancer, upstream, since_us))
     return true;
   return node->group != NULL && node->group->broken_us + BROKEN_LEAD_US >= since_us &&
          node->group->broken_us != 0;
 }
 
+bool
+burdock_balancer_address (const BurdockBalancer *balancer, uint64_t upstream,
+                          BurdockAddress *out)
+{
+  const Node *node = burdock_balancer_node (balancer, upstream);
+
+  if (node == NULL || !node->listed)
+    return false;
+  *out = node->info.address;
+  return true;
+}
+
 uint32_t
 burdock_balancer_own_load (const BurdockBalancer *balancer, BurdockLoadItem *items,
                            uint32_t limit)
@@ -461,6 +482,23 @@
   return count;
 }
 
+static void
+record_refusal (Node *node, uint64_t now_us)
+{
+  node->ejected_until_us = now_us + UNREACHABLE_EJECTION_US;
+  node->unreachable_us = now_us;
+}
+
+void
+burdock_balancer_record_refusal (BurdockBalancer *balancer, uint64_t upstream,
+                                 uint64_t now_us)
+{
+  Node *node = burdock_balancer_node (balancer, upstream);
+
+  if (node != NULL)
+    record_refusal (node, now_us);
+}
+
 static void
 record_activity (Node *node, uint64_t now_us)
 {
@@ -492,8 +530,7 @@
     node->ejected_until_us = now_us + BUSY_EJECTION_US;
     return;
   case BURDOCK_UPSTREAM_UNREACHABLE:
-    node->ejected_until_us = now_us + UNREACHABLE_EJECTION_US;
-    node->unreachable_us = now_us;
+    record_refusal (node, now_us);
     return;
   case BURDOCK_UPSTREAM_REPLACED:
     node->ejected_until_us = now_us + REPLACED_EJECTION_US;
--- a/libburdock/balancer.h
+++ b/libburdock/balancer.h
@@ -179,6 +179,20 @@
 bool burdock_balancer_has_ended (const BurdockBalancer *balancer, uint64_t upstream,
                                  uint64_t since_us);
 
+/** burdock_balancer_has_ended_itself() - as burdock_balancer_has_ended(), but not if only
+ * its group broke */
+bool burdock_balancer_has_ended_itself (const BurdockBalancer *balancer,
+                                        uint64_t upstream, uint64_t since_us);
+
+/** burdock_balancer_record_refusal() - a connection to @upstream was refused */
+void burdock_balancer_record_refusal (BurdockBalancer *balancer, uint64_t upstream,
+                                      uint64_t now_us);
+
+/** burdock_balancer_address() - address of a listed upstream; false if it is not listed
+ */
+bool burdock_balancer_address (const BurdockBalancer *balancer, uint64_t upstream,
+                               BurdockAddress *out);
+
 /**
  * burdock_balancer_own_load() - outstanding requests of this gateway, for its heartbeat
  * Returns the number of entries written to @items, at most @limit.
--- a/libburdock/part-quarantine.c
+++ b/libburdock/part-quarantine.c
@@ -9,7 +9,7 @@
 #define US_PER_S (1000 * US_PER_MS)
 #define US_PER_MIN (60 * US_PER_S)
 
-#define RECORDS_MAX 256
+#define RECORDS_MAX 512
 #define BREAKS_MAX 64
 
 /* A part is quarantined after this many crashes. Upstreams may also end for another
@@ -41,7 +41,7 @@
 
 /* Gateways report the crash of one upstream at slightly different times. An upstream that
  * starts again under its id takes longer to begin an answer. */
-#define SAME_CRASH_US (10 * US_PER_S)
+#define SAME_CRASH_US (2 * US_PER_S)
 
 /* Datagrams may be lost, so evidence is sent in several heartbeats. */
 #define SHARE_REPEATS 5
@@ -51,6 +51,11 @@
 
 #define TICK_US (50 * US_PER_MS)
 
+/* Times after a break at which a connection to the upstream is tried. */
+#define CHECKS_MAX 4
+static const uint64_t check_delays_us[CHECKS_MAX] = { 0, 100 * US_PER_MS, 300 * US_PER_MS,
+                                                      1000 * US_PER_MS };
+
 typedef struct {
   uint64_t upstream;
   uint64_t at_us;
@@ -59,7 +64,8 @@
 /* Evidence about one part. */
 typedef struct {
   uint64_t part;
-  uint32_t depth; /* highest index at which the part stood in a prompt */
+  uint32_t depth; /* highest index at which the part stood in a prompt, or
+                     BURDOCK_REQUEST_DEPTH */
   uint32_t crash_count;
   Crash crashes[BURDOCK_PART_CRASHES_MAX]; /* since the last answer */
   uint64_t answered_us;                    /* last answer, 0 if none is known */
@@ -73,6 +79,8 @@
 typedef struct {
   uint64_t upstream;
   uint64_t at_us;
+  uint32_t checks;     /* connections that were tried since */
+  bool parts_recorded; /* the group has broken; the request awaits the upstream itself */
   BurdockPromptParts parts;
 } Break;
 
@@ -243,7 +251,32 @@
   return count;
 }
 
-/* Crashes of a part that no deeper part explains. */
+static bool
+is_request (const Record *record)
+{
+  return record->depth == BURDOCK_REQUEST_DEPTH;
+}
+
+static bool
+has_enough_crashes (const Record *record)
+{
+  return record->crash_count >= QUARANTINE_CRASHES &&
+         last_crash_us (record) >= first_crash_us (record) + QUARANTINE_SPAN_US;
+}
+
+/* Whether crashes that both records have are due to @other. A request explains those of
+ * its parts, and of requests that ran beside it less often. */
+static bool
+explains (const Record *other, const Record *record)
+{
+  if (is_request (other))
+    return has_enough_crashes (other) &&
+           (!is_request (record) || other->crash_count > record->crash_count);
+  return !is_request (record) && other->depth > record->depth &&
+         other->crash_count >= EXPLAINING_CRASHES;
+}
+
+/* Crashes of a part that no other one explains. */
 static uint32_t
 unexplained_crashes (const BurdockPartQuarantine *quarantine, const Record *record)
 {
@@ -253,7 +286,7 @@
     const Record *other = &quarantine->records[i];
     uint32_t common;
 
-    if (other->depth <= record->depth || other->crash_count < EXPLAINING_CRASHES)
+    if (!explains (other, record))
       continue;
     common = common_crashes (record, other);
     explained = common > explained ? common : explained;
@@ -264,8 +297,7 @@
 static bool
 should_be_quarantined (const BurdockPartQuarantine *quarantine, const Record *record)
 {
-  return record->crash_count >= QUARANTINE_CRASHES &&
-         last_crash_us (record) >= first_crash_us (record) + QUARANTINE_SPAN_US &&
+  return has_enough_crashes (record) &&
          unexplained_crashes (quarantine, record) >= QUARANTINE_CRASHES;
 }
 
@@ -274,6 +306,7 @@
 {
   const BurdockPartQuarantineHandler *handler = &quarantine->handler;
   BurdockPartStatus status = { .part = record->part,
+                               .request = is_request (record),
                                .quarantined = record->quarantined,
                                .crashes = record->crash_count,
                                .local = local };
@@ -307,8 +340,9 @@
 burdock_part_quarantine_blocks (const BurdockPartQuarantine *quarantine,
                                 const BurdockPromptParts *parts, uint64_t now_us)
 {
-  for (uint32_t i = 0; i < parts->count && quarantine->record_count > 0; i++) {
-    uint32_t at = find_record (quarantine, parts->ids[i]);
+  for (uint32_t i = 0;
+       i < burdock_prompt_parts_all (parts) && quarantine->record_count > 0; i++) {
+    uint32_t at = find_record (quarantine, burdock_prompt_parts_id (parts, i));
 
     if (at < quarantine->record_count &&
         is_blocked (quarantine, &quarantine->records[at], now_us))
@@ -338,8 +372,9 @@
 {
   uint64_t longest_us = 0;
 
-  for (uint32_t i = 0; i < parts->count && quarantine->record_count > 0; i++) {
-    const Record *record = known_record (quarantine, parts->ids[i]);
+  for (uint32_t i = 0;
+       i < burdock_prompt_parts_all (parts) && quarantine->record_count > 0; i++) {
+    const Record *record = known_record (quarantine, burdock_prompt_parts_id (parts, i));
     uint64_t us = record != NULL ? wait_us (quarantine, record, now_us) : 0;
 
     longest_us = us > longest_us ? us : longest_us;
@@ -348,8 +383,9 @@
     *retry_after_ms = (uint32_t)(longest_us / US_PER_MS) + 1;
     return false;
   }
-  for (uint32_t i = 0; i < parts->count && quarantine->record_count > 0; i++) {
-    Record *record = known_record (quarantine, parts->ids[i]);
+  for (uint32_t i = 0;
+       i < burdock_prompt_parts_all (parts) && quarantine->record_count > 0; i++) {
+    Record *record = known_record (quarantine, burdock_prompt_parts_id (parts, i));
 
     if (record != NULL && record->quarantined)
       record->next_trial_us = now_us + TRIAL_INTERVAL_US;
@@ -361,8 +397,9 @@
 burdock_part_quarantine_is_suspect (const BurdockPartQuarantine *quarantine,
                                     const BurdockPromptParts *parts, uint64_t upstream)
 {
-  for (uint32_t i = 0; i < parts->count && quarantine->record_count > 0; i++) {
-    uint32_t at = find_record (quarantine, parts->ids[i]);
+  for (uint32_t i = 0;
+       i < burdock_prompt_parts_all (parts) && quarantine->record_count > 0; i++) {
+    uint32_t at = find_record (quarantine, burdock_prompt_parts_id (parts, i));
     const Record *record = &quarantine->records[at];
 
     if (at == quarantine->record_count)
@@ -380,26 +417,25 @@
                                       const BurdockPromptParts *parts, uint64_t upstream,
                                       uint64_t now_us)
 {
-  if (parts->count == 0 || quarantine->break_count == BREAKS_MAX)
+  if (burdock_prompt_parts_all (parts) == 0 || quarantine->break_count == BREAKS_MAX)
     return;
   quarantine->breaks[quarantine->break_count++] =
       (Break){ .upstream = upstream, .at_us = now_us, .parts = *parts };
 }
 
 static void
-record_crash (BurdockPartQuarantine *quarantine, const Break *broken)
+record_crash (BurdockPartQuarantine *quarantine, const Break *broken, uint64_t part,
+              uint32_t depth)
 {
-  for (uint32_t i = 0; i < broken->parts.count; i++) {
-    Record *record = record_for (quarantine, broken->parts.ids[i]);
+  Record *record = record_for (quarantine, part);
 
-    if (!add_crash (record, broken->upstream, i, broken->at_us))
-      continue;
-    record->changed_us = broken->at_us;
-    record->shares_left = SHARE_REPEATS;
-    /* The crash makes the quarantine longer. */
-    if (record->quarantined)
-      report_change (quarantine, record, true);
-  }
+  if (!add_crash (record, broken->upstream, depth, broken->at_us))
+    return;
+  record->changed_us = broken->at_us;
+  record->shares_left = SHARE_REPEATS;
+  /* The crash makes the quarantine longer. */
+  if (record->quarantined)
+    report_change (quarantine, record, true);
 }
 
 void
@@ -408,8 +444,9 @@
 {
   bool changed = false;
 
-  for (uint32_t i = 0; i < parts->count && quarantine->record_count > 0; i++) {
-    Record *record = known_record (quarantine, parts->ids[i]);
+  for (uint32_t i = 0;
+       i < burdock_prompt_parts_all (parts) && quarantine->record_count > 0; i++) {
+    Record *record = known_record (quarantine, burdock_prompt_parts_id (parts, i));
 
     if (record == NULL || record->crash_count == 0)
       continue;
@@ -579,30 +616,86 @@
   return count;
 }
 
+/* Returns whether a crash was recorded. */
+static bool
+confirm_parts (BurdockPartQuarantine *quarantine, Break *broken)
+{
+  const BurdockPartQuarantineHandler *handler = &quarantine->handler;
+
+  if (broken->parts_recorded ||
+      !handler->has_ended (handler->ctx, broken->upstream, broken->at_us))
+    return false;
+  for (uint32_t i = 0; i < broken->parts.count; i++)
+    record_crash (quarantine, broken, broken->parts.ids[i], i);
+  broken->parts_recorded = true;
+  return broken->parts.count > 0;
+}
+
+/* Returns whether a crash was recorded; the break is over then. */
+static bool
+confirm_request (BurdockPartQuarantine *quarantine, const Break *broken)
+{
+  const BurdockPartQuarantineHandler *handler = &quarantine->handler;
+
+  if (broken->parts.request == 0 ||
+      !handler->has_ended_itself (handler->ctx, broken->upstream, broken->at_us))
+    return false;
+  record_crash (quarantine, broken, broken->parts.request, BURDOCK_REQUEST_DEPTH);
+  return true;
+}
+
+static bool
+is_open (const Break *broken, uint64_t now_us)
+{
+  return now_us < broken->at_us + BREAK_CONFIRM_US &&
+         (!broken->parts_recorded || broken->parts.request != 0);
+}
+
 static void
 confirm_breaks (BurdockPartQuarantine *quarantine, uint64_t now_us)
 {
-  const BurdockPartQuarantineHandler *handler = &quarantine->handler;
   uint32_t kept = 0;
   bool crashed = false;
 
   for (uint32_t i = 0; i < quarantine->break_count; i++) {
     Break *broken = &quarantine->breaks[i];
+    bool parts = confirm_parts (quarantine, broken);
+    bool request = confirm_request (quarantine, broken);
 
-    if (handler->has_ended (handler->ctx, broken->upstream, broken->at_us)) {
-      record_crash (quarantine, broken);
-      crashed = true;
-    } else if (now_us < broken->at_us + BREAK_CONFIRM_US) {
-      if (kept != i)
-        quarantine->breaks[kept] = *broken;
-      kept++;
-    }
+    crashed = crashed || parts || request;
+    if (request || !is_open (broken, now_us))
+      continue;
+    if (kept != i)
+      quarantine->breaks[kept] = *broken;
+    kept++;
   }
   quarantine->break_count = kept;
   if (crashed)
     update_quarantines (quarantine, true);
 }
 
+bool
+burdock_part_quarantine_next_check (BurdockPartQuarantine *quarantine, uint64_t now_us,
+                                    uint64_t *upstream)
+{
+  uint32_t due = 0;
+
+  while (due < quarantine->break_count &&
+         (quarantine->breaks[due].checks == CHECKS_MAX ||
+          now_us < quarantine->breaks[due].at_us +
+                       check_delays_us[quarantine->breaks[due].checks]))
+    due++;
+  if (due == quarantine->break_count)
+    return false;
+  *upstream = quarantine->breaks[due].upstream;
+  for (uint32_t i = due; i < quarantine->break_count; i++) {
+    if (quarantine->breaks[i].upstream == *upstream &&
+        quarantine->breaks[i].checks < CHECKS_MAX)
+      quarantine->breaks[i].checks++;
+  }
+  return true;
+}
+
 static bool
 is_outdated (const Record *record, uint64_t now_us)
 {
--- a/libburdock/part-quarantine.h
+++ b/libburdock/part-quarantine.h
@@ -7,6 +7,11 @@
  * parts were answered since. A part under which upstreams keep ending, with no answer in
  * between, is quarantined: its requests are refused.
  *
+ * A request that comes again, also one without a prompt, counts as a part that only its
+ * copies share. An upstream often ends while it runs several requests, so a request is
+ * blamed only for an upstream whose own process has ended, and not for crashes that a
+ * request with more crashes explains.
+ *
  * Every gateway derives the quarantine from the evidence alone. The evidence of a
  * quarantined part is also stored, for gateways that start. Performs no I/O and belongs
  * to one thread.
@@ -25,11 +30,13 @@
 /**
  * struct BurdockPartStatus - a part that was quarantined or released, or under which
  * another upstream ended
+ * @request: the part is a request
  * @crashes: upstreams that ended under the part since its last answer
  * @local: evidence of this gateway caused the change
  */
 typedef struct {
   uint64_t part;
+  bool request;
   bool quarantined;
   uint32_t crashes;
   bool local;
@@ -37,12 +44,14 @@
 
 /**
  * struct BurdockPartQuarantineHandler - callbacks
- * @has_ended: whether the process of @upstream has ended since @since_us
+ * @has_ended: whether @upstream has ended since @since_us, or its group is broken
+ * @has_ended_itself: whether the process of @upstream has ended since @since_us
  * @changed: a part was quarantined or released, or the evidence to be stored has changed
  */
 typedef struct {
   void *ctx;
   bool (*has_ended) (void *ctx, uint64_t upstream, uint64_t since_us);
+  bool (*has_ended_itself) (void *ctx, uint64_t upstream, uint64_t since_us);
   void (*changed) (void *ctx, const BurdockPartStatus *status);
 } BurdockPartQuarantineHandler;
 
@@ -104,6 +113,16 @@
                                         uint32_t gateways, uint64_t now_us,
                                         BurdockPartItem *items, uint32_t limit);
 
+/**
+ * burdock_part_quarantine_next_check() - upstream to which a connection is to be tried
+ * @upstream: set to its key
+ *
+ * A connection to it has ended, and it is not known whether its process has. It is tried
+ * at once and three times later. Returns false if no check is due.
+ */
+bool burdock_part_quarantine_next_check (BurdockPartQuarantine *quarantine,
+                                         uint64_t now_us, uint64_t *upstream);
+
 /** burdock_part_quarantine_has_news() - whether this gateway has evidence that it has not
  * shared yet */
 bool burdock_part_quarantine_has_news (const BurdockPartQuarantine *quarantine);
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -161,7 +161,8 @@
         try:
             connection = (*await asyncio.open_connection(
                 self.gateway_ip(self.pick_gateway()), 8080), "")
-            request = self.exchange("safe", attempt, connection, own_prefix=prefix)
+            request = self.exchange("safe", attempt, connection, own_prefix=prefix,
+                                    own_key=next(iter(soak.WORKSPACES_BY_KEY)))
             status = (await asyncio.wait_for(request, 2))[0]
         except (OSError, asyncio.IncompleteReadError, ValueError, asyncio.TimeoutError):
             pass
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -230,11 +230,12 @@
             self.late_requests[1] += 1
         return reusable
 
-    async def exchange(self, kind, attempt, connection, header_lines="", own_prefix=None):
+    async def exchange(self, kind, attempt, connection, header_lines="", own_prefix=None,
+                       own_key=None):
         reader, writer, _ = connection
         prefix, method, limit = REQUEST_KINDS[kind]
         prefix = own_prefix or prefix
-        key = self.random.choice(list(WORKSPACES_BY_KEY))
+        key = own_key or self.random.choice(list(WORKSPACES_BY_KEY))
         body = "x" * 20 if method == "POST" else ""
         writer.write((f"{method} {prefix}p?q=1 HTTP/1.1\r\nHost: h\r\n"
                       f"Burdockwind-Attempt-Id: {attempt}\r\n"
--- a/tests/test-part-quarantine.c
+++ b/tests/test-part-quarantine.c
@@ -13,6 +13,7 @@
 typedef struct {
   BurdockPartQuarantine *quarantine;
   bool upstreams_end; /* what the balancer says of every upstream */
+  bool groups_break;  /* only the groups of upstreams have ended */
   uint64_t now_us;
   uint32_t changes;
   BurdockPartStatus last;
@@ -26,6 +27,14 @@
   return gateway->upstreams_end;
 }
 
+static bool
+has_ended_itself (void *ctx, uint64_t upstream, uint64_t since_us)
+{
+  const Gateway *gateway = ctx;
+
+  return gateway->upstreams_end && !gateway->groups_break;
+}
+
 static void
 record_change (void *ctx, const BurdockPartStatus *status)
 {
@@ -38,7 +47,8 @@
 static void
 set_up (Gateway *gateway, uint64_t seed)
 {
-  BurdockPartQuarantineHandler handler = { gateway, has_ended, record_change };
+  BurdockPartQuarantineHandler handler = { gateway, has_ended, has_ended_itself,
+                                           record_change };
 
   *gateway = (Gateway){ .upstreams_end = true, .now_us = 100 * US_PER_S };
   gateway->quarantine = burdock_part_quarantine_new (seed, &handler);
@@ -387,7 +397,216 @@
   tear_down (&gateway);
 }
 
+#define POISON 0x90150
+#define SOUND 0x50
+#define EQUAL 0xe9
+
+/** enum Event - what happens at an upstream */
+typedef enum {
+  EVENT_CRASH = 1, /* it ends while it runs the requests */
+  EVENT_ANSWER,    /* it answers the first request */
+  EVENT_BREAK,     /* its group breaks while it runs the requests */
+} Event;
+
+typedef struct {
+  Event event;
+  uint64_t after_ms; /* since the previous event */
+  uint64_t requests[3];
+  uint64_t part; /* of the prompts of the requests, 0 for requests without prompts */
+} RequestEvent;
+
+typedef struct {
+  const char *name;
+  RequestEvent events[8];
+  uint32_t count;
+  bool refuses_poison;
+  bool refuses_sound;
+  bool refuses_part;
+} RequestCase;
+
+static const RequestCase request_cases[] = {
+  { "it comes again",
+    { { EVENT_CRASH, 0, { POISON }, 0 },
+      { EVENT_CRASH, 50, { POISON }, 0 },
+      { EVENT_CRASH, 2000, { POISON }, 0 } },
+    3,
+    true,
+    false,
+    false },
+  { "three upstreams end within a second",
+    { { EVENT_CRASH, 0, { POISON }, 0 },
+      { EVENT_CRASH, 50, { POISON }, 0 },
+      { EVENT_CRASH, 300, { POISON }, 0 } },
+    3,
+    false,
+    false,
+    false },
+  { "sound requests run beside it",
+    { { EVENT_CRASH, 0, { POISON, SOUND, EQUAL }, 0 },
+      { EVENT_CRASH, 50, { POISON, SOUND }, 0 },
+      { EVENT_CRASH, 300, { POISON }, 0 },
+      { EVENT_CRASH, 2000, { POISON, SOUND }, 0 } },
+    4,
+    true,
+    false,
+    false },
+  { "a sound request that is answered in between runs beside it each time",
+    { { EVENT_CRASH, 0, { POISON, SOUND }, 0 },
+      { EVENT_CRASH, 50, { POISON, SOUND }, 0 },
+      { EVENT_ANSWER, 500, { SOUND }, 0 },
+      { EVENT_CRASH, 2000, { POISON, SOUND }, 0 } },
+    4,
+    true,
+    false,
+    false },
+  { "it is answered in between",
+    { { EVENT_CRASH, 0, { POISON }, 0 },
+      { EVENT_CRASH, 50, { POISON }, 0 },
+      { EVENT_ANSWER, 500, { POISON }, 0 },
+      { EVENT_CRASH, 2000, { POISON }, 0 } },
+    4,
+    false,
+    false,
+    false },
+  { "groups break while they run a sound request that comes again",
+    { { EVENT_BREAK, 0, { SOUND }, 0 },
+      { EVENT_BREAK, 2000, { SOUND }, 0 },
+      { EVENT_BREAK, 2000, { SOUND }, 0 } },
+    3,
+    false,
+    false,
+    false },
+  { "its own prompt crashes, the shared part does not",
+    { { EVENT_CRASH, 0, { POISON }, SHARED },
+      { EVENT_CRASH, 2000, { POISON }, SHARED },
+      { EVENT_CRASH, 2000, { POISON }, SHARED } },
+    3,
+    true,
+    false,
+    false },
+  { "a part crashes, and each request with it comes twice",
+    { { EVENT_CRASH, 0, { SOUND }, SHARED },
+      { EVENT_CRASH, 50, { SOUND }, SHARED },
+      { EVENT_CRASH, 2000, { EQUAL }, SHARED },
+      { EVENT_CRASH, 50, { EQUAL }, SHARED } },
+    4,
+    false,
+    false,
+    true },
+};
+
+static BurdockPromptParts
+request_parts (uint64_t request, uint64_t part)
+{
+  return (BurdockPromptParts){ .request = request,
+                               .count = part != 0 ? 1 : 0,
+                               .ids = { part } };
+}
+
+static void
+play_event (Gateway *gateway, const RequestEvent *event, uint64_t upstream)
+{
+  advance (gateway, event->after_ms * US_PER_MS);
+  gateway->groups_break = event->event == EVENT_BREAK;
+  for (uint32_t i = 0; i < 3 && event->requests[i] != 0; i++) {
+    BurdockPromptParts parts = request_parts (event->requests[i], event->part);
+
+    if (event->event == EVENT_ANSWER)
+      burdock_part_quarantine_record_answer (gateway->quarantine, &parts,
+                                             gateway->now_us);
+    else
+      burdock_part_quarantine_record_break (gateway->quarantine, &parts, upstream,
+                                            gateway->now_us);
+  }
+  advance (gateway, US_PER_MS);
+}
+
+static bool
+refuses (Gateway *gateway, uint64_t request, uint64_t part)
+{
+  BurdockPromptParts parts = request_parts (request, part);
+  uint32_t retry_after_ms;
+
+  return !burdock_part_quarantine_admit (gateway->quarantine, &parts, gateway->now_us,
+                                         &retry_after_ms);
+}
+
+/* The second gateway hears of the crashes only. */
+static void
+crashing_request_is_refused (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (request_cases); i++) {
+    const RequestCase *row = &request_cases[i];
+    Gateway gateways[2];
+
+    set_up (&gateways[0], 1);
+    set_up (&gateways[1], 2);
+    for (uint32_t k = 0; k < row->count; k++) {
+      play_event (&gateways[0], &row->events[k], 100 + k);
+      send_heartbeat (&gateways[0], &gateways[1]);
+    }
+    for (uint32_t k = 0; k < 2; k++) {
+      if (refuses (&gateways[k], POISON, 0) != row->refuses_poison ||
+          refuses (&gateways[k], SOUND, 0) != row->refuses_sound ||
+          refuses (&gateways[k], EQUAL, 0) != row->refuses_sound ||
+          refuses (&gateways[k], 0x777, SHARED) != row->refuses_part)
+        CU_FAIL (row->name);
+      tear_down (&gateways[k]);
+    }
+  }
+}
+
+static void
+stored_request_is_refused (void)
+{
+  Gateway gateway;
+  Gateway successor;
+  BurdockPartItem items[BURDOCK_PART_CRASHES_MAX];
+  uint32_t count;
+
+  set_up (&gateway, 1);
+  set_up (&successor, 2);
+  for (uint32_t i = 0; i < 3; i++)
+    play_event (&gateway, &request_cases[0].events[i], 100 + i);
+  CU_ASSERT_TRUE (gateway.last.request);
+  count = burdock_part_quarantine_evidence (gateway.quarantine, POISON, gateway.now_us,
+                                            items);
+  successor.now_us = gateway.now_us;
+  burdock_part_quarantine_merge (successor.quarantine, items, count, successor.now_us);
+  CU_ASSERT_TRUE (refuses (&successor, POISON, SHARED));
+  CU_ASSERT_FALSE (refuses (&successor, SOUND, SHARED));
+  tear_down (&gateway);
+  tear_down (&successor);
+}
+
+static void
+upstreams_are_checked_after_a_break (void)
+{
+  BurdockPromptParts parts = request_parts (POISON, 0);
+  uint32_t checks = 0;
+  uint64_t upstream = 0;
+  Gateway gateway;
+
+  set_up (&gateway, 1);
+  gateway.upstreams_end = false;
+  for (uint32_t i = 0; i < 3; i++)
+    burdock_part_quarantine_record_break (gateway.quarantine, &parts, 7, gateway.now_us);
+  for (uint32_t i = 0; i < 200; i++) {
+    while (burdock_part_quarantine_next_check (gateway.quarantine, gateway.now_us,
+                                               &upstream))
+      checks++;
+    advance (&gateway, 50 * US_PER_MS);
+  }
+  CU_ASSERT_EQUAL (upstream, 7);
+  CU_ASSERT_EQUAL (checks, 4);
+  tear_down (&gateway);
+}
+
 static const Test tests[] = {
+  { "a request that comes again keeps crashing upstreams, or a sound one is blamed",
+    crashing_request_is_refused },
+  { "a gateway that starts sends a quarantined request", stored_request_is_refused },
+  { "an upstream that has ended is not noticed", upstreams_are_checked_after_a_break },
   { "a part keeps crashing upstreams", crashing_part_is_refused },
   { "gateways do not learn of each other's crashes", crashes_of_other_gateways_count },
   { "a sound part before the crashing one is refused", shared_part_is_not_blamed },
--- a/tests/test-upstream.c
+++ b/tests/test-upstream.c
@@ -6,6 +6,7 @@
 #include <apr_general.h>
 #include <curl/curl.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -202,6 +203,65 @@
   burdock_http_store_free (store);
 }
 
+#define CHECKS 12
+
+static void
+record_check (void *ctx, const BurdockHttpResult *result)
+{
+  Fixture *fixture = ctx;
+
+  fixture->store.status = result->status;
+  fixture->done++;
+}
+
+static uint32_t
+open_descriptors (void)
+{
+  uint32_t count = 0;
+
+  for (int fd = 0; fd < 1024; fd++)
+    count += fcntl (fd, F_GETFD) >= 0;
+  return count;
+}
+
+static void
+check_connection (Fixture *fixture)
+{
+  BurdockHttpCall call = { .method = "GET",
+                           .url = fixture->url,
+                           .connect_only = true,
+                           .timeout_ms = TIMEOUT_MS,
+                           .ctx = fixture,
+                           .done = record_check };
+
+  fixture->done = 0;
+  CU_ASSERT_EQUAL (burdock_http_client_start (fixture->client, &call), 0);
+  burdock_loop_run (fixture->loop);
+}
+
+/* Guards against a check that sends a request, keeps its connection open, or takes a
+ * sound upstream for one that has ended. */
+static void
+connection_checks_send_nothing (void)
+{
+  Fixture fixture;
+  uint32_t descriptors = 0;
+
+  open_fixture (&fixture, NULL, 0);
+  for (uint32_t i = 0; i < CHECKS; i++) {
+    check_connection (&fixture);
+    CU_ASSERT_EQUAL (fixture.store.status, 0);
+    if (i == CHECKS / 2)
+      descriptors = open_descriptors ();
+  }
+  CU_ASSERT_TRUE (open_descriptors () <= descriptors + 2);
+  CU_ASSERT_EQUAL (script_server_stop (fixture.server), 0);
+  fixture.server = NULL;
+  check_connection (&fixture);
+  CU_ASSERT_EQUAL (fixture.store.status, -ECONNREFUSED);
+  close_fixture (&fixture);
+}
+
 /* Guards against a request that is executed twice: libcurl resends a request by itself
  * when a connection reused from an earlier request ends without a response. */
 static void
@@ -380,6 +440,8 @@
 }
 
 static const Test tests[] = {
+  { "an upstream is taken for ended, or gets an empty request",
+    connection_checks_send_nothing },
   { "a restored store is not noticed", responses_tell_the_era },
   { "a response of the store is reported with the wrong status",
     store_responses_map_to_statuses },
