Store the quarantine again when the store returns from a copy

What gateways had written since the copy was gone, and nobody wrote it again: after a restore, gateways that all started anew sent quarantined requests again. With each new era about six gateways now store what they know to be quarantined, within 2 s.

--- a/gateway/control.c
+++ b/gateway/control.c
@@ -222,6 +222,24 @@
   return watch_us < next_us ? watch_us : next_us;
 }
 
+/* What was written since the copy is gone when the store has returned from it. */
+static void
+follow_era (BurdockGateway *gateway)
+{
+  BurdockGatewayControl *control = &gateway->control;
+  uint64_t era;
+
+  burdock_store_client_note_era (&control->store, gateway->peer_store_era,
+                                 "another gateway");
+  era = control->store.era;
+  if (era == control->followed_era)
+    return;
+  if (control->followed_era != 0)
+    burdock_loop_post (gateway->traffic.runtime.loop,
+                       burdock_gateway_quarantine_store_again, gateway);
+  control->followed_era = era;
+}
+
 static uint64_t
 control_hook (void *ctx, uint64_t now_us)
 {
@@ -233,8 +251,7 @@
   uint64_t quarantine_us;
   uint64_t handover_us;
 
-  burdock_store_client_note_era (&gateway->control.store, gateway->peer_store_era,
-                                 "another gateway");
+  follow_era (gateway);
   next_us = burdock_gateway_configuration_check (gateway, now_us);
   config_us = burdock_table_watch_tick (gateway->control.config_watch, now_us);
   upstream_us = burdock_table_watch_tick (gateway->control.upstream_watch, now_us);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -119,6 +119,7 @@
  * @config: the last configuration that was published
  * @config_lag_since_us: time since which another gateway has a newer configuration, 0 if
  *   none has
+ * @followed_era: era of the store for which this gateway has written its rows again
  * @config_listed: the table of the configuration was read at least once
  * @upstreams_listed: the table of upstreams was read at least once
  * @handover: what is known of the others while the gateway starts
@@ -135,6 +136,7 @@
   BurdockConfigStamp config;
   BurdockUpstreamRegistry *upstreams;
   uint64_t config_lag_since_us;
+  uint64_t followed_era;
   bool config_listed;
   bool upstreams_listed;
   BurdockHandoverView handover;
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -22,6 +22,10 @@
 #define BACKUP_WRITERS 3
 #define BACKUP_DELAY_MS 2000
 
+/* After a restore of the store, no gateway is the one that saw the last crash. */
+#define REWRITERS 6
+#define REWRITE_PARTS_MAX 48
+
 /* Evidence on its way to the other thread. */
 typedef struct {
   BurdockGateway *gateway;
@@ -177,43 +181,65 @@
   burdock_loop_post (gateway->traffic.runtime.loop, mark_loaded, gateway);
 }
 
-/* Delay after which this gateway stores the evidence, false if others do. */
+/* Whether this gateway is one of about @writers that store the evidence about @part. */
 static bool
-store_delay_us (const BurdockGateway *gateway, const BurdockPartStatus *status,
-                uint64_t *delay_us)
+is_writer (const BurdockGateway *gateway, uint64_t part, uint32_t writers)
 {
-  uint64_t rank = burdock_hash_pair (status->part, gateway->id);
+  uint64_t rank = burdock_hash_mix (burdock_hash_pair (part, gateway->id));
   uint32_t gateways = gateway->traffic.peer_count + 1;
 
-  *delay_us = 0;
-  if (status->local)
-    return true;
-  *delay_us = (BACKUP_DELAY_MS + rank % BACKUP_DELAY_MS) * US_PER_MS;
-  return status->quarantined &&
-         burdock_hash_unit (burdock_hash_mix (rank)) * gateways < BACKUP_WRITERS;
+  return burdock_hash_unit (rank) * gateways < writers;
+}
+
+static uint64_t
+backup_delay_us (const BurdockGateway *gateway, uint64_t part)
+{
+  uint64_t rank = burdock_hash_pair (part, gateway->id);
+
+  return (BACKUP_DELAY_MS + rank % BACKUP_DELAY_MS) * US_PER_MS;
+}
+
+static void
+post_evidence (BurdockGateway *gateway, uint64_t part, uint64_t delay_us)
+{
+  uint64_t now_us = burdock_loop_now_us ();
+  Evidence *evidence = new_evidence (gateway, part);
+
+  evidence->due_us = now_us + delay_us;
+  evidence->count = burdock_part_quarantine_evidence (gateway->traffic.quarantine, part,
+                                                      now_us, evidence->items);
+  burdock_loop_post (gateway->control.runtime.loop, store_evidence, evidence);
 }
 
 static void
 part_changed (void *ctx, const BurdockPartStatus *status)
 {
   BurdockGateway *gateway = ctx;
-  uint64_t now_us = burdock_loop_now_us ();
-  uint64_t delay_us;
-  Evidence *evidence;
 
   burdock_log (BURDOCK_LOG_WARNING,
                status->quarantined ? "part quarantined" : "part released", "-",
                "%s %016" PRIx64 " crashes %u local %d",
                status->request ? "request" : "part", status->part, status->crashes,
                status->local);
-  if (!store_delay_us (gateway, status, &delay_us))
-    return;
-  evidence = new_evidence (gateway, status->part);
-  evidence->due_us = now_us + delay_us;
-  evidence->count =
-      burdock_part_quarantine_evidence (gateway->traffic.quarantine, status->part, now_us,
-                                        evidence->items);
-  burdock_loop_post (gateway->control.runtime.loop, store_evidence, evidence);
+  if (status->local)
+    post_evidence (gateway, status->part, 0);
+  else if (status->quarantined && is_writer (gateway, status->part, BACKUP_WRITERS))
+    post_evidence (gateway, status->part, backup_delay_us (gateway, status->part));
+}
+
+void
+burdock_gateway_quarantine_store_again (void *ctx)
+{
+  BurdockGateway *gateway = ctx;
+  uint64_t parts[REWRITE_PARTS_MAX];
+  uint32_t count = burdock_part_quarantine_list (gateway->traffic.quarantine, parts,
+                                                 REWRITE_PARTS_MAX);
+
+  for (uint32_t i = 0; i < count; i++) {
+    if (is_writer (gateway, parts[i], REWRITERS))
+      post_evidence (gateway, parts[i],
+                     backup_delay_us (gateway, parts[i]) - BACKUP_DELAY_MS * US_PER_MS);
+  }
 }
 
 static bool
--- a/gateway/quarantine.h
+++ b/gateway/quarantine.h
@@ -24,6 +24,10 @@
 void burdock_gateway_quarantine_share (BurdockGateway *gateway, bool due,
                                        uint64_t now_us);
 
+/** burdock_gateway_quarantine_store_again() - stores all evidence again, after the store
+ * has returned from a copy; on the traffic thread */
+void burdock_gateway_quarantine_store_again (void *ctx);
+
 /** burdock_gateway_quarantine_row() - handles a stored row; on the control thread */
 void burdock_gateway_quarantine_row (void *ctx, const BurdockTableRow *row);
 
--- a/libburdock/part-quarantine.c
+++ b/libburdock/part-quarantine.c
@@ -593,6 +593,19 @@
   return write_items (&quarantine->records[at], now_us, items);
 }
 
+uint32_t
+burdock_part_quarantine_list (const BurdockPartQuarantine *quarantine, uint64_t *parts,
+                              uint32_t limit)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < quarantine->record_count && count < limit; i++) {
+    if (quarantine->records[i].quarantined)
+      parts[count++] = quarantine->records[i].part;
+  }
+  return count;
+}
+
 bool
 burdock_part_quarantine_is_outdated (const BurdockPartItem *items, uint32_t count)
 {
--- a/libburdock/part-quarantine.h
+++ b/libburdock/part-quarantine.h
@@ -141,6 +141,11 @@
                                            uint64_t part, uint64_t now_us,
                                            BurdockPartItem *items);
 
+/** burdock_part_quarantine_list() - writes the quarantined parts to @parts, at most
+ * @limit; returns their number */
+uint32_t burdock_part_quarantine_list (const BurdockPartQuarantine *quarantine,
+                                       uint64_t *parts, uint32_t limit);
+
 /** burdock_part_quarantine_is_outdated() - whether evidence of this age is ignored */
 bool burdock_part_quarantine_is_outdated (const BurdockPartItem *items, uint32_t count);
 
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -139,10 +139,25 @@
 
 
 class RequestScenario(PromptPartScenario):
-    """Callers of a plain service; every third sound request is the same as others."""
+    """Callers of a plain service; every third sound request is the same as others.
+
+    The store returns from a copy of the start before all gateways are killed.
+    """
 
     crashes_max = 3
 
+    async def kill_all_gateways(self):
+        runners = self.runners + self.plain_runners
+        ids = {runner.id for runner in runners}
+        await self.store.restore(self.copy, 0.3)
+        for table, key in list(self.store.rows):
+            if table == "servers" and key not in ids:
+                await self.store.remove(table, key)
+        for runner in runners:
+            await self.store.put("servers", runner.id, runner.store_row())
+        await asyncio.sleep(4)
+        await super().kill_all_gateways()
+
     async def start(self):
         await super().start()
         runner = Runner(self.check, "plain", f"{self.net}.3.9")
@@ -150,6 +165,7 @@
         await runner.http.start()
         await self.store.put("servers", runner.id, runner.store_row())
         self.plain_runners.append(runner)
+        self.copy = self.store.copy()
 
     def start_callers(self, end_time):
         return ([self.plain_caller(end_time) for _ in range(self.options.callers)]
