Write claims again when the store returns from a copy

The claim of a key that was confirmed after the copy was gone, so another entry could claim the key and run the request a second time. Claimants now write those of the last minute again, from memory, and none claims a key for 5 s after it has noticed a new era: requests with a key are refused at once, as not run, until then.

--- a/libburdock/claims.c
+++ b/libburdock/claims.c
@@ -12,6 +12,17 @@
 #define US_PER_S UINT64_C (1000000)
 #define CLAIM_EXPIRY_S (UINT64_C (24) * 3600)
 
+/* Claims that are written again when the store has returned from a copy. */
+#define KEPT_MAX 1024
+#define KEPT_US (60 * US_PER_S)
+#define REWRITE_DEADLINE_MS 3000
+
+/* Time in which all claimants notice a restore and write their claims again. */
+#define REWRITE_WAIT_US (5 * US_PER_S)
+
+/* Era of a store that has not been restored yet. */
+#define FIRST_ERA 1
+
 /* Time limit of a release, which the caller of a refused request waits for. */
 #define RELEASE_DEADLINE_MS 1000
 
@@ -30,6 +41,7 @@
 
 /*
  * @version: version of the row as written by this claim
+ * @era: era of the store when the claim was started
  * @abandoned: release the claim as soon as its write is confirmed
  * @replacing_row: the second write, which replaces a released or expired row, was started
  * @suppress_callback: end the release without a callback
@@ -40,6 +52,7 @@
   ClaimState state;
   uint64_t request_id;
   uint64_t version;
+  uint64_t era;
   uint32_t deadline_ms;
   bool abandoned;
   bool replacing_row;
@@ -50,6 +63,16 @@
   BurdockClaim *previous;
 };
 
+/* Confirmed claim. */
+typedef struct {
+  char key[CLAIM_KEY_BYTES];
+  uint64_t at_us;
+} KeptClaim;
+
+/*
+ * @blocked_until_us: no key is claimed before this time
+ * @kept: ring of the claims that were confirmed last
+ */
 struct BurdockClaims {
   const BurdockEnv *env;
   BurdockStore *store;
@@ -58,6 +81,10 @@
   BurdockClaimDone done;
   void *ctx;
   BurdockClaim *first;
+  uint64_t era;
+  uint64_t blocked_until_us;
+  uint64_t kept_count;
+  KeptClaim *kept;
 };
 
 BurdockClaims *
@@ -98,6 +125,7 @@
     next = claim->next;
     free (claim);
   }
+  free (claims->kept);
   free (claims);
 }
 
@@ -108,19 +136,79 @@
 }
 
 static void
-format_value (BurdockClaim *claim, const char *state)
+format_value (BurdockClaims *claims, const char *state, uint64_t request_id,
+              char value[CLAIM_VALUE_BYTES])
 {
-  BurdockClaims *claims = claim->owner;
   uint64_t wall_s = claims->env->wall_us (claims->env->ctx) / US_PER_S;
   uint64_t random = claims->env->random_u64 (claims->env->ctx);
 
-  snprintf (claim->value, sizeof claim->value,
+  snprintf (value, CLAIM_VALUE_BYTES,
             "{\"state\":\"%s\",\"request\":\"%016" PRIx64 "\",\"entry\":\"%016" PRIx64
             "\",\"attempt\":\"%016" PRIx64 "-%" PRIu64 "\",\"time_s\":%" PRIu64 "}",
-            state, claim->request_id, claims->incarnation, random, ++claims->next_attempt,
+            state, request_id, claims->incarnation, random, ++claims->next_attempt,
             wall_s);
 }
 
+static uint64_t
+claims_now (const BurdockClaims *claims)
+{
+  return claims->env->now_us (claims->env->ctx);
+}
+
+static void
+keep_claim (BurdockClaims *claims, const char *key)
+{
+  KeptClaim *kept;
+
+  if (claims->kept == NULL)
+    claims->kept = calloc (KEPT_MAX, sizeof *claims->kept);
+  if (claims->kept == NULL)
+    return;
+  kept = &claims->kept[claims->kept_count++ % KEPT_MAX];
+  kept->at_us = claims_now (claims);
+  snprintf (kept->key, sizeof kept->key, "%s", key);
+}
+
+static void
+forget_claim (BurdockClaims *claims, const char *key)
+{
+  for (uint32_t i = 0; i < KEPT_MAX && claims->kept != NULL; i++) {
+    if (strcmp (claims->kept[i].key, key) == 0)
+      claims->kept[i] = (KeptClaim){ 0 };
+  }
+}
+
+/* A row that is there already, of this claim or another one, stays as it is. */
+static void
+write_again (BurdockClaims *claims, const KeptClaim *kept)
+{
+  char value[CLAIM_VALUE_BYTES];
+  BurdockStorePut write = { .key = kept->key };
+
+  format_value (claims, "claimed", 0, value);
+  write.value = (BurdockBytes){ (const uint8_t *)value, (uint32_t)strlen (value) };
+  burdock_store_put_if (claims->store, &write, 1, REWRITE_DEADLINE_MS, NULL, NULL);
+}
+
+void
+burdock_claims_note_era (BurdockClaims *claims, uint64_t era)
+{
+  uint64_t now_us = claims_now (claims);
+
+  if (era <= claims->era)
+    return;
+  claims->era = era;
+  if (era == FIRST_ERA)
+    return;
+  claims->blocked_until_us = now_us + REWRITE_WAIT_US;
+  for (uint32_t i = 0; i < KEPT_MAX && claims->kept != NULL; i++) {
+    const KeptClaim *kept = &claims->kept[i];
+
+    if (kept->key[0] != '\0' && now_us < kept->at_us + KEPT_US)
+      write_again (claims, kept);
+  }
+}
+
 static int
 put_row (BurdockClaim *claim, uint64_t if_version, uint32_t deadline_ms,
          BurdockStoreDone done)
@@ -142,7 +230,9 @@
   uint64_t request_id = claim->request_id;
   bool suppress_callback = claim->suppress_callback;
 
-  (void)result; /* if the release failed, the key stays claimed, which is safe */
+  /* If the release failed, the key stays claimed, which is safe. */
+  if (result->status == 0)
+    forget_claim (claims, claim->key);
   claim_free (claim);
   if (!suppress_callback)
     claims->done (claims->ctx, request_id, BURDOCK_CLAIM_FAILED);
@@ -155,7 +245,7 @@
 {
   claim->state = CLAIM_RELEASING;
   claim->suppress_callback = suppress_callback;
-  format_value (claim, "released");
+  format_value (claim->owner, "released", claim->request_id, claim->value);
   if (put_row (claim, claim->version, RELEASE_DEADLINE_MS, release_done) == 0)
     return true;
   claim_free (claim);
@@ -191,14 +281,37 @@
     return;
   }
   claim->state = outcome == BURDOCK_CLAIM_HELD ? CLAIM_HELD : CLAIM_LOST;
+  if (outcome == BURDOCK_CLAIM_HELD)
+    keep_claim (claims, claim->key);
   claims->done (claims->ctx, claim->request_id, outcome);
 }
 
+/* The store was restored meanwhile, and another claim of the key may have been lost. */
+static void
+reject_acquire (BurdockClaim *claim)
+{
+  BurdockClaims *claims = claim->owner;
+
+  if (claim->abandoned) {
+    start_release (claim, true);
+    return;
+  }
+  claim->state = CLAIM_HELD;
+  claims->done (claims->ctx, claim->request_id, BURDOCK_CLAIM_FAILED);
+}
+
 static void
 acquire_done (void *ctx, const BurdockStoreResult *result)
 {
   BurdockClaim *claim = ctx;
 
+  burdock_claims_note_era (claim->owner, burdock_store_era (claim->owner->store));
+  if (result->status == 0 && claim->era != claim->owner->era &&
+      claims_now (claim->owner) < claim->owner->blocked_until_us) {
+    claim->version = result->version;
+    reject_acquire (claim);
+    return;
+  }
   if (result->status == 0) {
     claim->version = result->version;
     finish_acquire (claim, BURDOCK_CLAIM_HELD);
@@ -241,14 +354,18 @@
 burdock_claims_acquire (BurdockClaims *claims, const char *workspace, const char *key,
                         uint64_t request_id, uint32_t deadline_ms)
 {
-  BurdockClaim *claim = calloc (1, sizeof *claim);
+  BurdockClaim *claim;
 
+  if (claims_now (claims) < claims->blocked_until_us)
+    return NULL;
+  claim = calloc (1, sizeof *claim);
   claim->owner = claims;
+  claim->era = claims->era;
   claim->state = CLAIM_WRITING;
   claim->request_id = request_id;
   claim->deadline_ms = deadline_ms;
   format_key (claim, workspace, key);
-  format_value (claim, "claimed");
+  format_value (claims, "claimed", request_id, claim->value);
   claim->next = claims->first;
   if (claim->next != NULL)
     claim->next->previous = claim;
--- a/libburdock/claims.h
+++ b/libburdock/claims.h
@@ -7,6 +7,9 @@
  * A claimant that knows that its request has not run releases the claim. The release is
  * conditional on the version of the claimant's own write, so it cannot overwrite a later
  * claim.
+ *
+ * A store that returns from a copy has lost the latest claims. Each claimant writes those
+ * of the last minute again, and none claims a key meanwhile.
  */
 #ifndef BURDOCK_CLAIMS_H
 #define BURDOCK_CLAIMS_H
@@ -46,12 +49,16 @@
 /** burdock_claims_store() - store client, for its limits, ticks and results */
 BurdockStore *burdock_claims_store (BurdockClaims *claims);
 
+/** burdock_claims_note_era() - the store has reached @era; 0 if it names none */
+void burdock_claims_note_era (BurdockClaims *claims, uint64_t era);
+
 /**
  * burdock_claims_acquire() - starts to claim a key
  * @deadline_ms: time limit for each of at most two writes; the second one replaces a row
  *   that was released or has expired
  * Returns the claim, to be ended by burdock_claims_release(), burdock_claims_abandon() or
- * burdock_claims_keep(), or NULL if the store accepts no call now.
+ * burdock_claims_keep(), or NULL if the store accepts no call now or has just returned
+ * from a copy.
  */
 BurdockClaim *burdock_claims_acquire (BurdockClaims *claims, const char *workspace,
                                       const char *key, uint64_t request_id,
--- a/libburdock/dispatcher.c
+++ b/libburdock/dispatcher.c
@@ -457,6 +457,7 @@
   burdock_router_set_snapshot (dispatcher->router, snapshot,
                                burdock_endpoint_now (&dispatcher->endpoint));
   burdock_admission_set_snapshot (dispatcher->admission, snapshot);
+  burdock_claims_note_era (dispatcher->claims, snapshot->store_era);
   if (old == NULL || old->live_entries != snapshot->live_entries)
     set_claim_rate_limits (dispatcher, snapshot->live_entries);
   burdock_snapshot_unref (old);
--- a/libburdock/publish-controller.c
+++ b/libburdock/publish-controller.c
@@ -37,6 +37,7 @@
   uint64_t revision;
   uint64_t last_publish_us;
   BurdockReason refusal;
+  uint64_t store_era;
   bool published;
 } Publisher;
 
@@ -169,6 +170,7 @@
   snapshot->generation = board->config.generation;
   snapshot->refusal = publisher->refusal;
   snapshot->store_available = burdock_store_available (core->store);
+  snapshot->store_era = publisher->store_era;
   snapshot->answer_lifetime_ms = settings->answer_lifetime_ms;
   snapshot->answer_slot = lifetime_us > 0 ? now_us / lifetime_us : 0;
   memcpy (snapshot->failure_domain, settings->failure_domain,
@@ -185,7 +187,8 @@
   const BurdockBlackboard *board = &publisher->core->board;
   BurdockReason refusal = current_refusal (board, now_us);
   bool changed = publisher->revision != board->revision || !publisher->published ||
-                 publisher->refusal != refusal;
+                 publisher->refusal != refusal ||
+                 publisher->store_era != burdock_store_era (publisher->core->store);
   uint64_t gap_us =
       changed ? PUBLISH_GAP_US + (uint64_t)board->members.count * PUBLISH_GAP_MEMBER_US
               : PUBLISH_PERIOD_US;
@@ -196,6 +199,7 @@
   publisher->revision = board->revision;
   publisher->last_publish_us = now_us;
   publisher->refusal = refusal;
+  publisher->store_era = burdock_store_era (publisher->core->store);
   publish_snapshot (publisher, now_us);
   return now_us + PUBLISH_PERIOD_US;
 }
--- a/libburdock/snapshot.h
+++ b/libburdock/snapshot.h
@@ -59,6 +59,7 @@
  * @config: active configuration, NULL if there is none
  * @refusal: BURDOCK_REASON_NONE while new work is accepted, otherwise the reason why all
  *   of it is refused (no configuration, isolated, leaving)
+ * @store_era: highest era of the store that is known, 0 for none
  * @live_entries: number of usable entries, this one included
  * @answer_lifetime_ms: how long callers may use an answer of /v1/entries
  * @answer_slot: number of the current answer lifetime; callers are distributed over the
@@ -71,6 +72,7 @@
   BurdockConfig *config;
   BurdockReason refusal;
   bool store_available;
+  uint64_t store_era;
   uint32_t live_entries;
   uint32_t answer_lifetime_ms;
   uint64_t answer_slot;
--- a/tests/support/traffic-store.c
+++ b/tests/support/traffic-store.c
@@ -64,6 +64,13 @@
   done (store->calls[result->id % CALLS_MAX].ctx, result);
 }
 
+uint64_t
+burdock_store_era (const BurdockStore *store)
+{
+  (void)store;
+  return 0;
+}
+
 uint64_t
 burdock_store_tick (BurdockStore *store)
 {
