Split the quarantine and the balancer by job

The exchange of evidence with other gateways and the store moves to part-exchange.c, the rate limits of upstreams to balancer-rates.c; no change of behaviour, apart from a write of a lease in an ended era, whose branch is merged with that of an unknown outcome.

--- a/libburdock/balancer-private.h
+++ b/libburdock/balancer-private.h
@@ -1,8 +1,9 @@
 /**
- * DOC: balancer-private.h - state shared by balancer.c and balancer-queue.c
+ * DOC: balancer-private.h - state shared by the files of the balancer
  *
  * balancer.c tracks the state of upstreams, groups and other gateways; balancer-queue.c
- * places, queues and refuses requests.
+ * places, queues and refuses requests; balancer-rates.c keeps the rate limits of
+ * upstreams.
  */
 #ifndef BURDOCK_BALANCER_PRIVATE_H
 #define BURDOCK_BALANCER_PRIVATE_H
--- a/libburdock/lease-controller.c
+++ b/libburdock/lease-controller.c
@@ -270,14 +270,13 @@
   LeaseSlot *slot = ctx;
   uint64_t now_us = burdock_core_now (slot->leases->core);
   uint64_t era = slot->leases->era;
+  bool same_era;
 
   slot->call_pending = false;
   slot->due_us = now_us + RETRY_US;
   follow_era (slot->leases);
-  if (era != 0 && era != slot->leases->era) {
-    /* The condition of the write was met by a row of another era. */
-    slot->version_seen_us = 0;
-  } else if (result->status == 0) {
+  same_era = era == 0 || era == slot->leases->era;
+  if (same_era && result->status == 0) {
     slot->version = result->version;
     slot->version_seen_us = now_us;
     slot->row_fence = slot->request_fence;
@@ -285,14 +284,14 @@
     slot->row_released = false;
     confirm_tenure (slot);
     slot->due_us = slot->request_us + RENEW_PERIOD_US;
-  } else if (result->status == -EEXIST) {
+  } else if (same_era && result->status == -EEXIST) {
     /* Read the row again, as it may come from an earlier write of this process. */
     end_tenure (slot, "lease lost");
     slot->version_seen_us = 0;
     slot->due_us = now_us;
   } else {
-    /* Unknown outcome or not written: the tenure lasts until valid_until_us, and the row
-     * is read again. */
+    /* Unknown outcome, not written, or a condition that a row of another era has met: the
+     * row is read again, and a tenure lasts until valid_until_us. */
     slot->version_seen_us = 0;
   }
   publish_leases (slot->leases);
--- a/libburdock/part-quarantine.c
+++ b/libburdock/part-quarantine.c
@@ -1,17 +1,10 @@
-#include "part-quarantine.h"
+#include "part-quarantine-private.h"
 
 #include "hash.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#define US_PER_MS UINT64_C (1000)
-#define US_PER_S (1000 * US_PER_MS)
-#define US_PER_MIN (60 * US_PER_S)
-
-#define RECORDS_MAX 512
-#define BREAKS_MAX 64
-
 /* A part is quarantined after this many crashes. Upstreams may also end for another
  * reason while they answer a sound part, and several of them at once: hence the minimum
  * time between the first and the last crash. A sound part is answered in between. */
@@ -31,10 +24,6 @@
 /* Interval at which a gateway tries a part whose quarantine is over. */
 #define TRIAL_INTERVAL_US (10 * US_PER_S)
 
-/* Time for which evidence is kept without another crash. */
-#define SUSPECT_US (10 * US_PER_MIN)
-#define TRIAL_US (60 * US_PER_MIN)
-
 /* An upstream that ends is noticed by refused connections or by its group within a
  * fraction of a second, or by its entry, which expires after three heartbeats. */
 #define BREAK_CONFIRM_US (8 * US_PER_S)
@@ -43,12 +32,6 @@
  * starts again under its id takes longer to begin an answer. */
 #define SAME_CRASH_US (2 * US_PER_S)
 
-/* Datagrams may be lost, so evidence is sent in several heartbeats. */
-#define SHARE_REPEATS 5
-
-/* Time between heartbeats of any gateway that repeat a quarantined part. */
-#define REPEAT_INTERVAL_US (500 * US_PER_MS)
-
 #define TICK_US (50 * US_PER_MS)
 
 /* Times after a break at which a connection to the upstream is tried. */
@@ -56,45 +39,6 @@
 static const uint64_t check_delays_us[CHECKS_MAX] = { 0, 100 * US_PER_MS, 300 * US_PER_MS,
                                                       1000 * US_PER_MS };
 
-typedef struct {
-  uint64_t upstream;
-  uint64_t at_us;
-} Crash;
-
-/* Evidence about one part. */
-typedef struct {
-  uint64_t part;
-  uint32_t depth; /* highest index at which the part stood in a prompt, or
-                     BURDOCK_REQUEST_DEPTH */
-  uint32_t crash_count;
-  Crash crashes[BURDOCK_PART_CRASHES_MAX]; /* since the last answer */
-  uint64_t answered_us;                    /* last answer, 0 if none is known */
-  uint64_t changed_us;
-  uint64_t next_trial_us;
-  uint32_t shares_left;
-  bool quarantined;
-} Record;
-
-/* A connection that ended before the first event. */
-typedef struct {
-  uint64_t upstream;
-  uint64_t at_us;
-  uint32_t checks;     /* connections that were tried since */
-  bool parts_recorded; /* the group has broken; the request awaits the upstream itself */
-  BurdockPromptParts parts;
-} Break;
-
-struct BurdockPartQuarantine {
-  uint64_t seed;
-  BurdockPartQuarantineHandler handler;
-  uint32_t record_count;
-  Record records[RECORDS_MAX];
-  uint32_t break_count;
-  Break breaks[BREAKS_MAX];
-  uint64_t next_repeat_us;
-  uint32_t repeat_at;
-};
-
 BurdockPartQuarantine *
 burdock_part_quarantine_new (uint64_t seed, const BurdockPartQuarantineHandler *handler)
 {
@@ -113,8 +57,8 @@
   free (quarantine);
 }
 
-static uint32_t
-find_record (const BurdockPartQuarantine *quarantine, uint64_t part)
+uint32_t
+burdock_part_find (const BurdockPartQuarantine *quarantine, uint64_t part)
 {
   uint32_t i = 0;
 
@@ -123,10 +67,10 @@
   return i;
 }
 
-static Record *
-known_record (BurdockPartQuarantine *quarantine, uint64_t part)
+Record *
+burdock_part_known (BurdockPartQuarantine *quarantine, uint64_t part)
 {
-  uint32_t i = find_record (quarantine, part);
+  uint32_t i = burdock_part_find (quarantine, part);
 
   return i < quarantine->record_count ? &quarantine->records[i] : NULL;
 }
@@ -142,10 +86,10 @@
   return a->changed_us < b->changed_us;
 }
 
-static Record *
-record_for (BurdockPartQuarantine *quarantine, uint64_t part)
+Record *
+burdock_part_record (BurdockPartQuarantine *quarantine, uint64_t part)
 {
-  Record *record = known_record (quarantine, part);
+  Record *record = burdock_part_known (quarantine, part);
 
   if (record != NULL)
     return record;
@@ -182,8 +126,8 @@
   return first_us;
 }
 
-static uint64_t
-duration_us (uint32_t crash_count)
+uint64_t
+burdock_part_duration_us (uint32_t crash_count)
 {
   uint32_t doublings =
       crash_count > QUARANTINE_CRASHES ? crash_count - QUARANTINE_CRASHES : 0;
@@ -195,7 +139,7 @@
 static uint64_t
 quarantine_end_us (const BurdockPartQuarantine *quarantine, const Record *record)
 {
-  uint64_t time_us = duration_us (record->crash_count);
+  uint64_t time_us = burdock_part_duration_us (record->crash_count);
   double unit = burdock_hash_unit (burdock_hash_pair (record->part, quarantine->seed));
 
   return last_crash_us (record) + time_us +
@@ -221,9 +165,8 @@
   return false;
 }
 
-/* Returns whether the crash was not known. */
-static bool
-add_crash (Record *record, uint64_t upstream, uint32_t depth, uint64_t at_us)
+bool
+burdock_part_add_crash (Record *record, uint64_t upstream, uint32_t depth, uint64_t at_us)
 {
   Crash *slot = &record->crashes[0];
 
@@ -315,8 +258,8 @@
 }
 
 /* Evidence about one part may explain that about others, so all are compared. */
-static void
-update_quarantines (BurdockPartQuarantine *quarantine, bool local)
+void
+burdock_part_update (BurdockPartQuarantine *quarantine, bool local)
 {
   for (uint32_t i = 0; i < quarantine->record_count; i++) {
     Record *record = &quarantine->records[i];
@@ -342,7 +285,7 @@
 {
   for (uint32_t i = 0;
        i < burdock_prompt_parts_all (parts) && quarantine->record_count > 0; i++) {
-    uint32_t at = find_record (quarantine, burdock_prompt_parts_id (parts, i));
+    uint32_t at = burdock_part_find (quarantine, burdock_prompt_parts_id (parts, i));
 
     if (at < quarantine->record_count &&
         is_blocked (quarantine, &quarantine->records[at], now_us))
@@ -374,7 +317,8 @@
 
   for (uint32_t i = 0;
        i < burdock_prompt_parts_all (parts) && quarantine->record_count > 0; i++) {
-    const Record *record = known_record (quarantine, burdock_prompt_parts_id (parts, i));
+    const Record *record =
+        burdock_part_known (quarantine, burdock_prompt_parts_id (parts, i));
     uint64_t us = record != NULL ? wait_us (quarantine, record, now_us) : 0;
 
     longest_us = us > longest_us ? us : longest_us;
@@ -385,7 +329,7 @@
   }
   for (uint32_t i = 0;
        i < burdock_prompt_parts_all (parts) && quarantine->record_count > 0; i++) {
-    Record *record = known_record (quarantine, burdock_prompt_parts_id (parts, i));
+    Record *record = burdock_part_known (quarantine, burdock_prompt_parts_id (parts, i));
 
     if (record != NULL && record->quarantined)
       record->next_trial_us = now_us + TRIAL_INTERVAL_US;
@@ -399,7 +343,7 @@
 {
   for (uint32_t i = 0;
        i < burdock_prompt_parts_all (parts) && quarantine->record_count > 0; i++) {
-    uint32_t at = find_record (quarantine, burdock_prompt_parts_id (parts, i));
+    uint32_t at = burdock_part_find (quarantine, burdock_prompt_parts_id (parts, i));
     const Record *record = &quarantine->records[at];
 
     if (at == quarantine->record_count)
@@ -427,9 +371,9 @@
 record_crash (BurdockPartQuarantine *quarantine, const Break *broken, uint64_t part,
               uint32_t depth)
 {
-  Record *record = record_for (quarantine, part);
+  Record *record = burdock_part_record (quarantine, part);
 
-  if (!add_crash (record, broken->upstream, depth, broken->at_us))
+  if (!burdock_part_add_crash (record, broken->upstream, depth, broken->at_us))
     return;
   record->changed_us = broken->at_us;
   record->shares_left = SHARE_REPEATS;
@@ -446,7 +390,7 @@
 
   for (uint32_t i = 0;
        i < burdock_prompt_parts_all (parts) && quarantine->record_count > 0; i++) {
-    Record *record = known_record (quarantine, burdock_prompt_parts_id (parts, i));
+    Record *record = burdock_part_known (quarantine, burdock_prompt_parts_id (parts, i));
 
     if (record == NULL || record->crash_count == 0)
       continue;
@@ -456,167 +400,7 @@
     changed = true;
   }
   if (changed)
-    update_quarantines (quarantine, true);
-}
-
-static uint32_t
-age_ms (uint64_t at_us, uint64_t now_us)
-{
-  uint64_t age = now_us > at_us ? (now_us - at_us) / US_PER_MS : 0;
-
-  return age < UINT32_MAX ? (uint32_t)age : UINT32_MAX;
-}
-
-static uint32_t
-write_items (const Record *record, uint64_t now_us, BurdockPartItem *items)
-{
-  for (uint32_t i = 0; i < record->crash_count; i++)
-    items[i] = (BurdockPartItem){ .part = record->part,
-                                  .kind = BURDOCK_PART_CRASHED,
-                                  .upstream_id = record->crashes[i].upstream,
-                                  .depth = record->depth,
-                                  .age_ms = age_ms (record->crashes[i].at_us, now_us) };
-  if (record->crash_count > 0 || record->answered_us == 0)
-    return record->crash_count;
-  items[0] = (BurdockPartItem){ .part = record->part,
-                                .kind = BURDOCK_PART_ANSWERED,
-                                .age_ms = age_ms (record->answered_us, now_us) };
-  return 1;
-}
-
-/* Index of the quarantined part to repeat now, record_count for none. */
-static uint32_t
-repeated_record (BurdockPartQuarantine *quarantine, uint32_t gateways, uint64_t now_us)
-{
-  if (now_us < quarantine->next_repeat_us)
-    return quarantine->record_count;
-  quarantine->next_repeat_us = now_us + REPEAT_INTERVAL_US * gateways;
-  for (uint32_t i = 0; i < quarantine->record_count; i++) {
-    uint32_t at = (quarantine->repeat_at + 1 + i) % quarantine->record_count;
-
-    if (!quarantine->records[at].quarantined)
-      continue;
-    quarantine->repeat_at = at;
-    return at;
-  }
-  return quarantine->record_count;
-}
-
-uint32_t
-burdock_part_quarantine_share (BurdockPartQuarantine *quarantine, uint32_t gateways,
-                               uint64_t now_us, BurdockPartItem *items, uint32_t limit)
-{
-  uint32_t repeated = repeated_record (quarantine, gateways, now_us);
-  uint32_t count = 0;
-
-  for (uint32_t i = 0; i < quarantine->record_count; i++) {
-    Record *record = &quarantine->records[i];
-
-    if (record->shares_left == 0 && i != repeated)
-      continue;
-    if (count + BURDOCK_PART_CRASHES_MAX > limit)
-      break;
-    if (record->shares_left > 0)
-      record->shares_left--;
-    count += write_items (record, now_us, items + count);
-  }
-  return count;
-}
-
-bool
-burdock_part_quarantine_has_news (const BurdockPartQuarantine *quarantine)
-{
-  for (uint32_t i = 0; i < quarantine->record_count; i++) {
-    if (quarantine->records[i].shares_left == SHARE_REPEATS)
-      return true;
-  }
-  return false;
-}
-
-static bool
-merge_answer (BurdockPartQuarantine *quarantine, const BurdockPartItem *item,
-              uint64_t at_us)
-{
-  Record *record = known_record (quarantine, item->part);
-  uint32_t kept = 0;
-
-  if (record == NULL || at_us <= record->answered_us)
-    return false;
-  record->answered_us = at_us;
-  for (uint32_t i = 0; i < record->crash_count; i++) {
-    if (record->crashes[i].at_us > at_us)
-      record->crashes[kept++] = record->crashes[i];
-  }
-  record->crash_count = kept;
-  return true;
-}
-
-static bool
-merge_item (BurdockPartQuarantine *quarantine, const BurdockPartItem *item,
-            uint64_t now_us)
-{
-  uint64_t since_us = item->age_ms * US_PER_MS;
-  uint64_t at_us = now_us > since_us ? now_us - since_us : 0;
-  Record *record;
-
-  if (item->kind == BURDOCK_PART_ANSWERED)
-    return merge_answer (quarantine, item, at_us);
-  if (item->kind != BURDOCK_PART_CRASHED)
-    return false;
-  record = record_for (quarantine, item->part);
-  if (at_us > record->changed_us)
-    record->changed_us = at_us;
-  return add_crash (record, item->upstream_id, item->depth, at_us);
-}
-
-void
-burdock_part_quarantine_merge (BurdockPartQuarantine *quarantine,
-                               const BurdockPartItem *items, uint32_t count,
-                               uint64_t now_us)
-{
-  bool changed = false;
-
-  for (uint32_t i = 0; i < count; i++)
-    changed = merge_item (quarantine, &items[i], now_us) || changed;
-  if (changed)
-    update_quarantines (quarantine, false);
-}
-
-uint32_t
-burdock_part_quarantine_evidence (const BurdockPartQuarantine *quarantine, uint64_t part,
-                                  uint64_t now_us, BurdockPartItem *items)
-{
-  uint32_t at = find_record (quarantine, part);
-
-  if (at == quarantine->record_count || !quarantine->records[at].quarantined)
-    return 0;
-  return write_items (&quarantine->records[at], now_us, items);
-}
-
-uint32_t
-burdock_part_quarantine_list (const BurdockPartQuarantine *quarantine, uint64_t *parts,
-                              uint32_t limit)
-{
-  uint32_t count = 0;
-
-  for (uint32_t i = 0; i < quarantine->record_count && count < limit; i++) {
-    if (quarantine->records[i].quarantined)
-      parts[count++] = quarantine->records[i].part;
-  }
-  return count;
-}
-
-bool
-burdock_part_quarantine_is_outdated (const BurdockPartItem *items, uint32_t count)
-{
-  uint64_t youngest_us = UINT64_MAX;
-
-  for (uint32_t i = 0; i < count; i++) {
-    uint64_t us = items[i].age_ms * US_PER_MS;
-
-    youngest_us = us < youngest_us ? us : youngest_us;
-  }
-  return youngest_us > duration_us (count) + TRIAL_US;
+    burdock_part_update (quarantine, true);
 }
 
 uint32_t
@@ -684,7 +468,7 @@
   }
   quarantine->break_count = kept;
   if (crashed)
-    update_quarantines (quarantine, true);
+    burdock_part_update (quarantine, true);
 }
 
 bool
@@ -712,8 +496,9 @@
 static bool
 is_outdated (const Record *record, uint64_t now_us)
 {
-  uint64_t kept_us =
-      record->quarantined ? duration_us (record->crash_count) + TRIAL_US : SUSPECT_US;
+  uint64_t kept_us = record->quarantined
+                         ? burdock_part_duration_us (record->crash_count) + TRIAL_US
+                         : SUSPECT_US;
 
   return now_us > record->changed_us + kept_us;
 }
--- a/libburdock/upstream-registry.c
+++ b/libburdock/upstream-registry.c
@@ -289,9 +289,10 @@
   apr_hash_set (registry->held, held->upstream.id, APR_HASH_KEY_STRING, held);
   if (entry != NULL && entry->upstream.born_ms == upstream->born_ms)
     entry->listed = true;
+  /* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): registry->held owns the row */
   registry->log (registry->ctx, "upstream entry held", upstream->id,
                  "the copy of the store is older than what is known");
-} // NOLINT(clang-analyzer-unix.Malloc): registry->held owns the row
+}
 
 void
 burdock_upstream_registry_put (BurdockUpstreamRegistry *registry,
--- a/tests/support/script-server.h
+++ b/tests/support/script-server.h
@@ -18,8 +18,8 @@
  * script_server_start() - starts a server on a free port of the loopback address
  * @responses: @count responses, one for each request in turn; must stay valid until the
  *   server is stopped. Each is a status code, a space, a header line in angle brackets if
- *   needed, and the body, or a raw response that begins with "HTTP". Later requests get SCRIPT_CUT
- * Aborts the process on failure.
+ *   needed, and the body, or a raw response that begins with "HTTP". Later requests get
+ * SCRIPT_CUT Aborts the process on failure.
  */
 ScriptServer *script_server_start (const char *const *responses, uint32_t count);
 
--- a/tests/test-claims.c
+++ b/tests/test-claims.c
@@ -140,19 +140,19 @@
 typedef struct {
   const char *name;
   uint64_t noticed_us; /* by the second entry, after the first one; the claim follows */
-  bool by_claim;       /* the claim itself shows the restore to the second entry */
   uint64_t wait_us;    /* until the key is claimed again */
+  bool by_claim;       /* the claim itself shows the restore to the second entry */
   bool other_key;
   bool granted;
 } RestoreCase;
 
 static const RestoreCase restore_cases[] = {
-  { "claimed again at once", 0, false, 0, false, false },
-  { "another key at once", 0, false, 0, true, false },
-  { "claimed again by an entry that has not noticed", 0, true, 0, false, false },
-  { "claimed again once all claims are written", 0, false, 6 * US_PER_S, false, false },
-  { "another key once all claims are written", 0, false, 6 * US_PER_S, true, true },
-  { "noticed late", 3 * US_PER_S, false, 0, false, false },
+  { "claimed again at once", 0, 0, false, false, false },
+  { "another key at once", 0, 0, false, true, false },
+  { "claimed again by an entry that has not noticed", 0, 0, true, false, false },
+  { "claimed again once all claims are written", 0, 6 * US_PER_S, false, false, false },
+  { "another key once all claims are written", 0, 6 * US_PER_S, false, true, true },
+  { "noticed late", 3 * US_PER_S, 0, false, false, false },
 };
 
 static void
--- a/tests/test-config-stamp.c
+++ b/tests/test-config-stamp.c
@@ -12,57 +12,57 @@
 
 typedef struct {
   const char *name;
-  Read reads[5];
+  Read reads[4];
   uint32_t count;
-  const char *in_force; /* content after all reads */
   BurdockConfigOrder last;
+  const char *in_force; /* content after all reads */
 } ReadCase;
 
 static const ReadCase read_cases[] = {
-  { "first", { { 4, 1, "a" } }, 1, "a", BURDOCK_CONFIG_NEWER },
-  { "next one", { { 4, 1, "a" }, { 7, 1, "b" } }, 2, "b", BURDOCK_CONFIG_NEWER },
-  { "read again", { { 7, 1, "b" }, { 7, 1, "b" } }, 2, "b", BURDOCK_CONFIG_SAME },
-  { "late answer", { { 7, 1, "b" }, { 4, 1, "a" } }, 2, "b", BURDOCK_CONFIG_OLDER },
+  { "first", { { 4, 1, "a" } }, 1, BURDOCK_CONFIG_NEWER, "a" },
+  { "next one", { { 4, 1, "a" }, { 7, 1, "b" } }, 2, BURDOCK_CONFIG_NEWER, "b" },
+  { "read again", { { 7, 1, "b" }, { 7, 1, "b" } }, 2, BURDOCK_CONFIG_SAME, "b" },
+  { "late answer", { { 7, 1, "b" }, { 4, 1, "a" } }, 2, BURDOCK_CONFIG_OLDER, "b" },
   { "older one of a restored store",
     { { 4, 1, "a" }, { 7, 1, "b" }, { 4, 2, "a" } },
     3,
-    "b",
-    BURDOCK_CONFIG_OLDER },
+    BURDOCK_CONFIG_OLDER,
+    "b" },
   { "written again after a restore",
     { { 4, 1, "a" }, { 7, 1, "b" }, { 4, 2, "a" }, { 7, 2, "b" } },
     4,
-    "b",
-    BURDOCK_CONFIG_SAME },
+    BURDOCK_CONFIG_SAME,
+    "b" },
   { "written again one by one",
     { { 9, 1, "c" }, { 4, 2, "a" }, { 7, 2, "b" }, { 9, 2, "c" } },
     4,
-    "c",
-    BURDOCK_CONFIG_SAME },
+    BURDOCK_CONFIG_SAME,
+    "c" },
   { "number given out again after a restore",
     { { 4, 1, "a" }, { 7, 1, "b" }, { 4, 2, "a" }, { 7, 2, "c" } },
     4,
-    "c",
-    BURDOCK_CONFIG_NEWER },
+    BURDOCK_CONFIG_NEWER,
+    "c" },
   { "number given out again, then a copy from before",
     { { 7, 1, "b" }, { 7, 2, "c" }, { 7, 3, "b" } },
     3,
-    "c",
-    BURDOCK_CONFIG_OLDER },
+    BURDOCK_CONFIG_OLDER,
+    "c" },
   { "number given out again, late answer",
     { { 7, 2, "c" }, { 7, 1, "b" } },
     2,
-    "c",
-    BURDOCK_CONFIG_CONFLICT },
+    BURDOCK_CONFIG_CONFLICT,
+    "c" },
   { "another content in the same era",
     { { 7, 1, "b" }, { 7, 1, "x" } },
     2,
-    "b",
-    BURDOCK_CONFIG_CONFLICT },
+    BURDOCK_CONFIG_CONFLICT,
+    "b" },
   { "next one of a store without eras",
     { { 4, 0, "a" }, { 7, 0, "b" } },
     2,
-    "b",
-    BURDOCK_CONFIG_NEWER },
+    BURDOCK_CONFIG_NEWER,
+    "b" },
 };
 
 static void
