--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -471,6 +471,22 @@
   return bytes;
 }
 
+/* Size of a message that tells the era of the store. */
+static double
+store_state_bytes (uint64_t era)
+{
+  BurdockMessage *message = calloc (1, sizeof *message);
+  double bytes;
+
+  message->header = (BurdockMessageHeader){ .type = BURDOCK_MSG_STORE_STATE,
+                                            .sender_id = UINT64_MAX,
+                                            .sender_incarnation = UINT64_MAX };
+  message->store_state.era = era;
+  bytes = encoded_bytes (message);
+  free (message);
+  return bytes;
+}
+
 static void
 print_gateways (void)
 {
@@ -512,6 +528,8 @@
   print_series (&rates);
   print_series (&state);
   print_series (&command);
+  printf ("| gateway | era of the store, B | 3: %.4g; 1000: %.4g | - | - |\n",
+          store_state_bytes (3), store_state_bytes (1000));
 }
 
 int
