Restore the store in the soak

The randomised run has one more fault: the store returns from a copy of 1 to 5 s before, and upstreams and operator write again what it lost.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -113,6 +113,7 @@
         self.store = Store(f"{self.net}.9.1", 8000)
         self.version, self.outcome_counts = 1, {}
         self.faults_ended_at = False
+        self.restoring = False
         self.late_requests = [0, 0]  # answered with 200, all; after the recovery time
 
     def gateway_ip(self, k):
@@ -275,7 +276,7 @@
         down_s = 0.2 + rng.random() * 2
         name = rng.choice(("kill", "kill", "term", "freeze", "freeze", "hup", "store", "proxy",
                             "proxy", "history", "crash", "replace", "grey", "hang", "orders",
-                            "reset", "config"))
+                            "reset", "config", "restore"))
         if self.options.verbose:
             print(f"{time.monotonic() - self.began:7.2f} {name}", flush=True)
         if name == "kill":
@@ -319,6 +320,8 @@
             group.order_loss_rate = 0.3
             await asyncio.sleep(down_s)
             group.order_loss_rate = 0.0
+        elif name == "restore":
+            await self.restore_store(1 + rng.random() * 4, 0.2 + rng.random())
         elif name == "reset":
             rng.choice(self.runners + self.plain_runners).http.reset_all()
         else:
@@ -339,6 +342,28 @@
         runner.state = "available"
         await self.store.put("servers", runner.id, runner.store_row())
 
+    async def restore_store(self, age_s, away_s):
+        """The store returns from a copy; upstreams and operator write again what it lost."""
+        if self.restoring:
+            return
+        self.restoring = True
+        copy = self.store.copy()
+        await asyncio.sleep(age_s)
+        await self.store.restore(copy, away_s)
+
+        async def write_again(runner):
+            await asyncio.sleep(self.random.random() * 1.8)
+            await self.store.put("servers", runner.id, runner.store_row())
+        await asyncio.gather(self.store.put("op", "config", self.configuration()),
+                             *(write_again(runner)
+                               for runner in self.runners + self.plain_runners))
+        await asyncio.sleep(1.8)
+        ids = {runner.id for runner in self.runners + self.plain_runners}
+        for table, key in list(self.store.rows):
+            if table == "servers" and key not in ids:
+                await self.store.remove(table, key)
+        self.restoring = False
+
     async def drain_when_calm(self):
         """Drains an upstream when all gateways are calm, and checks that it gets nothing once
         its drain time has passed. With --sabotage drain the gateways are not told, so that
