Repeat a call to the store when others have read later upstreams

Connections to the store may go silent for good while new ones work; the long poll of the upstreams then had no answer for 28 s, and a gateway sent requests to upstreams that had left long before (DRAIN). The message that tells the era of the store now also has the version of the last change of the upstreams in it; a gateway that has not read it 0.3 s after the pause between its calls repeats its call. store-share.c decides both, and the lag of the configuration, without a network.

--- a/bench/capacity.c
+++ b/bench/capacity.c
@@ -471,7 +471,7 @@
   return bytes;
 }
 
-/* Size of a message that tells the era of the store. */
+/* Size of a message that tells the state of the store. */
 static double
 store_state_bytes (uint64_t era)
 {
@@ -482,6 +482,7 @@
                                             .sender_id = UINT64_MAX,
                                             .sender_incarnation = UINT64_MAX };
   message->store_state.era = era;
+  message->store_state.upstream_version = UINT32_MAX;
   bytes = encoded_bytes (message);
   free (message);
   return bytes;
@@ -528,7 +529,7 @@
   print_series (&rates);
   print_series (&state);
   print_series (&command);
-  printf ("| gateway | era of the store, B | 3: %.4g; 1000: %.4g | - | - |\n",
+  printf ("| gateway | state of the store, B | era 3: %.4g; era 1000: %.4g | - | - |\n",
           store_state_bytes (3), store_state_bytes (1000));
 }
 
--- a/gateway/configuration.c
+++ b/gateway/configuration.c
@@ -57,15 +57,12 @@
 {
   BurdockGatewayControl *control = &gateway->control;
   uint64_t peer_version = gateway->peer_config_version;
+  uint64_t due_us;
 
-  if (peer_version <= control->config.version) {
-    control->config_lag_since_us = 0;
-    return BURDOCK_LOOP_NEVER_US;
-  }
-  if (control->config_lag_since_us == 0)
-    control->config_lag_since_us = now_us;
-  if (now_us < control->config_lag_since_us + CONFIG_LAG_US)
-    return control->config_lag_since_us + CONFIG_LAG_US;
+  if (!burdock_store_lag_is_due (&control->config_lag,
+                                 peer_version > control->config.version, CONFIG_LAG_US,
+                                 now_us, &due_us))
+    return due_us;
   burdock_log (BURDOCK_LOG_WARNING, "configuration behind", "-",
                "version %" PRIu64 ", another gateway has %" PRIu64
                "; calling the store and that gateway again",
@@ -73,6 +70,5 @@
   burdock_table_watch_call_again (control->config_watch, CONFIG_LAG_US, now_us);
   burdock_table_watch_call_again (control->upstream_watch, CONFIG_LAG_US, now_us);
   burdock_gateway_handover_ask (gateway, now_us);
-  control->config_lag_since_us = now_us;
-  return now_us + CONFIG_LAG_US;
+  return due_us;
 }
--- a/gateway/control.c
+++ b/gateway/control.c
@@ -23,6 +23,9 @@
 #define CHANGES_DELAY_RATIO 0.25
 #define CHANGES_DELAY_MAX_MS 1000
 
+/* Time in which the gateways read a change after each other, beside that delay. */
+#define UPSTREAM_LAG_MS 300
+
 static uint32_t
 changes_delay_ms (double drain_limit_ms)
 {
@@ -137,6 +140,8 @@
   BurdockUpstream upstream;
   uint64_t now_us = burdock_loop_now_us ();
 
+  if (row->version > gateway->upstream_version)
+    gateway->upstream_version = row->version;
   if (row->removed) {
     burdock_upstream_registry_remove (registry, row->key, now_us);
   } else if (row->value.data == NULL ||
@@ -154,6 +159,7 @@
 {
   BurdockGateway *gateway = ctx;
 
+  gateway->upstream_version = 0;
   burdock_upstream_registry_begin_listing (gateway->control.upstreams, era,
                                            burdock_loop_now_us ());
 }
@@ -199,6 +205,29 @@
 {
 }
 
+/* Another gateway read a later change a while ago, so the answer was probably lost. */
+static uint64_t
+check_upstream_lag (BurdockGateway *gateway, uint64_t now_us)
+{
+  BurdockGatewayControl *control = &gateway->control;
+  uint64_t version = burdock_table_watch_version (control->upstream_watch);
+  bool behind = control->upstreams_listed &&
+                gateway->peer_store_era == control->store.era &&
+                gateway->peer_upstream_version > version;
+  uint64_t due_us;
+
+  if (!burdock_store_lag_is_due (&control->upstream_lag, behind, control->upstream_lag_us,
+                                 now_us, &due_us))
+    return due_us;
+  burdock_log (BURDOCK_LOG_WARNING, "upstreams behind", "-",
+               "version %" PRIu64 ", another gateway has read %" PRIu64
+               "; calling the store again",
+               version, gateway->peer_upstream_version);
+  burdock_table_watch_call_again (control->upstream_watch, control->upstream_lag_us,
+                                  now_us);
+  return due_us;
+}
+
 static void
 quarantine_reachable (void *ctx, bool reachable, uint64_t since_us, const char *reason)
 {
@@ -250,14 +279,17 @@
   uint64_t upstream_us;
   uint64_t quarantine_us;
   uint64_t handover_us;
+  uint64_t lag_us;
 
   follow_era (gateway);
   next_us = burdock_gateway_configuration_check (gateway, now_us);
   config_us = burdock_table_watch_tick (gateway->control.config_watch, now_us);
+  lag_us = check_upstream_lag (gateway, now_us);
   upstream_us = burdock_table_watch_tick (gateway->control.upstream_watch, now_us);
   quarantine_us = tick_quarantine (&gateway->control, now_us);
   handover_us = burdock_gateway_handover_tick (gateway, now_us);
   next_us = expire_us < next_us ? expire_us : next_us;
+  next_us = lag_us < next_us ? lag_us : next_us;
   next_us = handover_us < next_us ? handover_us : next_us;
   next_us = quarantine_us < next_us ? quarantine_us : next_us;
   next_us = config_us < next_us ? config_us : next_us;
@@ -298,6 +330,8 @@
   control->config_watch =
       burdock_table_watch_new (&control->store, BURDOCK_PLATFORM_CONFIG_TABLE,
                                CONFIG_CHANGES_DELAY_MS, &config);
+  control->upstream_lag_us =
+      (changes_delay_ms (gateway->settings.drain_limit_ms) + UPSTREAM_LAG_MS) * US_PER_MS;
   control->upstream_watch =
       burdock_table_watch_new (&control->store, BURDOCK_PLATFORM_UPSTREAM_TABLE,
                                changes_delay_ms (gateway->settings.drain_limit_ms),
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -11,7 +11,6 @@
 #include "balancer.h"
 #include "config-stamp.h"
 #include "datagram.h"
-#include "era-share.h"
 #include "handover-policy.h"
 #include "http-server.h"
 #include "part-quarantine.h"
@@ -21,6 +20,7 @@
 #include "runtime.h"
 #include "settings.h"
 #include "slot.h"
+#include "store-share.h"
 #include "table-watch.h"
 #include "upstream-registry.h"
 
@@ -117,8 +117,9 @@
 /**
  * struct BurdockGatewayControl - state of the control thread
  * @config: the last configuration that was published
- * @config_lag_since_us: time since which another gateway has a newer configuration, 0 if
- *   none has
+ * @config_lag: how long another gateway has had a newer configuration
+ * @upstream_lag: how long another gateway has read a later change of the upstreams
+ * @upstream_lag_us: time in which this gateway normally reads such a change
  * @followed_era: era of the store for which this gateway has written its rows again
  * @config_listed: the table of the configuration was read at least once
  * @upstreams_listed: the table of upstreams was read at least once
@@ -135,7 +136,9 @@
   BurdockTableWatch *upstream_watch;
   BurdockConfigStamp config;
   BurdockUpstreamRegistry *upstreams;
-  uint64_t config_lag_since_us;
+  BurdockStoreLag config_lag;
+  BurdockStoreLag upstream_lag;
+  uint64_t upstream_lag_us;
   uint64_t followed_era;
   bool config_listed;
   bool upstreams_listed;
@@ -163,7 +166,7 @@
  * @keep_alive_max_s: idle time after which a connection to an upstream is not reused, 0
  *   before an upstream has sent a keep-alive timeout
  * @leaving: the gateway is shutting down
- * @era_share: when the era of the store is sent to the other gateways
+ * @store_share: when the state of the store is sent to the other gateways
  * @roster_round: number of times that rosters were sent to all agents
  * @heartbeats_sent: number of heartbeats sent since the start
  * @peer_offset: index at which the next list of peers starts, so that all peers are
@@ -196,7 +199,7 @@
   uint64_t drain_started_us;
   uint64_t next_heartbeat_us;
   uint64_t next_roster_us;
-  BurdockEraShare era_share;
+  BurdockStoreShare store_share;
   uint64_t roster_round;
   uint32_t peer_count;
   BurdockGatewayPeer peers[BURDOCK_GATEWAY_PEERS_MAX];
@@ -220,6 +223,10 @@
  * @peer_ready: a gateway that is ready was heard
  * @peer_store_era: highest era of the store that another gateway has reported, from the
  *   traffic to the control thread
+ * @peer_upstream_version: highest version of a change of the upstreams in @peer_store_era
+ *   that another gateway has reported
+ * @upstream_version: version of the last change of the upstreams that was read in the
+ *   present era, from the control to the traffic thread
  * @published_upstreams: &BurdockUpstreamList from the control to the traffic thread
  */
 typedef struct {
@@ -234,6 +241,8 @@
   _Atomic uint64_t newest_peer;
   _Atomic bool peer_ready;
   _Atomic uint64_t peer_store_era;
+  _Atomic uint64_t peer_upstream_version;
+  _Atomic uint64_t upstream_version;
 } BurdockGateway;
 
 /**
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -225,9 +225,12 @@
 static void
 handle_store_state (BurdockGateway *gateway, const BurdockStoreStateMessage *state)
 {
-  if (state->era <= gateway->peer_store_era)
+  if (state->era < gateway->peer_store_era ||
+      (state->era == gateway->peer_store_era &&
+       state->upstream_version <= gateway->peer_upstream_version))
     return;
   gateway->peer_store_era = state->era;
+  gateway->peer_upstream_version = state->upstream_version;
   burdock_loop_post (gateway->control.runtime.loop, burdock_gateway_control_wake,
                      gateway);
 }
@@ -275,12 +278,13 @@
 send_store_state (BurdockGateway *gateway, uint64_t now_us)
 {
   BurdockGatewayTraffic *traffic = &gateway->traffic;
-  uint64_t era = gateway->control.store.era;
+  BurdockStoreState state = { gateway->control.store.era, gateway->upstream_version };
 
-  if (!burdock_era_share_is_due (&traffic->era_share, era, traffic->peer_count + 1,
-                                 now_us))
+  if (!burdock_store_share_is_due (&traffic->store_share, &state, traffic->peer_count + 1,
+                                   now_us))
     return;
-  traffic->outgoing.store_state.era = era;
+  traffic->outgoing.store_state =
+      (BurdockStoreStateMessage){ state.era, state.upstream_version };
   burdock_gateway_send_to_peers (gateway, BURDOCK_MSG_STORE_STATE);
 }
 
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -216,7 +216,7 @@
 
   if (status < 0)
     return status;
-  traffic->era_share.gateway = gateway->id;
+  traffic->store_share.gateway = gateway->id;
   memcpy (settings.failure_domain, gateway->settings.library.failure_domain,
           sizeof settings.failure_domain);
   traffic->balancer = burdock_balancer_new (&settings, &handler);
--- a/libburdock/message-fields.c
+++ b/libburdock/message-fields.c
@@ -245,6 +245,7 @@
 
 static const BurdockField store_state_fields[] = {
   FIELD (BURDOCK_FIELD_U64, BurdockStoreStateMessage, era),
+  FIELD (BURDOCK_FIELD_U64, BurdockStoreStateMessage, upstream_version),
 };
 
 static const BurdockField prompt_parts_fields[] = {
--- a/libburdock/message.h
+++ b/libburdock/message.h
@@ -455,9 +455,11 @@
  * struct BurdockStoreStateMessage - what a gateway has read from the store, for the
  * others
  * @era: highest era of the store that it knows
+ * @upstream_version: version of the last change of the upstreams in this era
  */
 typedef struct {
   uint64_t era;
+  uint64_t upstream_version;
 } BurdockStoreStateMessage;
 
 /** struct BurdockRosterRank - model runner (engine process) of a rank, at @address */
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -4,6 +4,7 @@
 prompt-part: requests with one part in their prompts crash each upstream that runs them.
 request: one request that comes again crashes each upstream that runs it.
 limit: most upstreams name a limit of requests a second, and a gateway is started meanwhile.
+silent-poll: open connections of some gateways to the store go silent for good.
 restored: the store returns from a copy some seconds old, twice.
 """
 import argparse
@@ -239,8 +240,28 @@
                                             f"{LIMIT_PER_S} that it takes")
 
 
+class SilentPollScenario(Scenario):
+    """An upstream leaves while a third of the gateways get no answer to their long polls."""
+
+    async def run(self):
+        self.began = time.monotonic()
+        end_time = self.began + self.options.seconds
+        callers = [asyncio.create_task(self.caller(lambda: end_time))
+                   for _ in range(self.options.callers)]
+        await asyncio.sleep(3)
+        for proxy in self.proxies[:GATEWAYS // 3]:
+            proxy.silence_open()
+        await asyncio.sleep(1)
+        runner = self.plain_runners[0]
+        runner.state = "draining"
+        await self.store.put("servers", runner.id, runner.store_row())
+        runner.left_at = time.monotonic()
+        await asyncio.gather(*callers)
+
+
 SCENARIOS = {"limit": LimitScenario, "prompt-part": PromptPartScenario,
-             "request": RequestScenario, "restored": RestoredScenario}
+             "request": RequestScenario, "restored": RestoredScenario,
+             "silent-poll": SilentPollScenario}
 
 
 async def main():
--- a/tests/soak/standin.py
+++ b/tests/soak/standin.py
@@ -224,6 +224,11 @@
         self.ip, self.port, self.to = ip, port, to
         self.mode = "pass"
         self.connections = set()
+        self.silenced = set()
+
+    def silence_open(self):
+        """Connections that are open now pass nothing any more; later ones do."""
+        self.silenced = {writer for pair in self.connections for writer in pair}
 
     async def start(self):
         await asyncio.start_server(self.serve, self.ip, self.port)
@@ -245,7 +250,8 @@
     async def pump(self, reader, writer, from_target):
         try:
             while data := await reader.read(65536):
-                while self.mode == "silent" or (self.mode == "oneway" and from_target):
+                while (self.mode == "silent" or writer in self.silenced
+                       or (self.mode == "oneway" and from_target)):
                     await asyncio.sleep(0.05)
                 if self.mode == "slow":
                     await asyncio.sleep(0.2)
--- a/tests/test-era-share.c
+++ b/tests/test-store-share.c
@@ -1,4 +1,4 @@
-#include "era-share.h"
+#include "store-share.h"
 #include "hash.h"
 #include "test.h"
 
@@ -24,7 +24,8 @@
 static void
 run_case (const ShareCase *row)
 {
-  BurdockEraShare shares[GATEWAYS_MAX] = { { 0 } };
+  const BurdockStoreState state = { .era = 2, .upstream_version = 7 };
+  BurdockStoreShare shares[GATEWAYS_MAX] = { { 0 } };
   uint64_t deaf_us = (uint64_t)(row->deaf_s * (double)US_PER_S);
   uint64_t told_us = 0;
   uint32_t late = 0;
@@ -35,7 +36,7 @@
     for (uint32_t i = 0; i + 1 < row->gateways; i++) {
       double draw = burdock_hash_unit (burdock_hash_pair (now_us, i));
 
-      if (!burdock_era_share_is_due (&shares[i], 2, row->gateways, now_us))
+      if (!burdock_store_share_is_due (&shares[i], &state, row->gateways, now_us))
         continue;
       late += now_us > 5 * US_PER_S;
       if (told_us == 0 && now_us >= deaf_us && draw >= row->lost)
@@ -48,7 +49,7 @@
 }
 
 static void
-the_last_gateway_hears_of_a_restore (void)
+the_last_gateway_hears_of_a_change (void)
 {
   for (uint32_t i = 0; i < TEST_COUNT (share_cases); i++)
     run_case (&share_cases[i]);
@@ -57,20 +58,52 @@
 static void
 nothing_is_told_without_an_era (void)
 {
-  BurdockEraShare share = { .gateway = 1 };
+  const BurdockStoreState state = { .upstream_version = 7 };
+  BurdockStoreShare share = { .gateway = 1 };
 
-  CU_ASSERT_FALSE (burdock_era_share_is_due (&share, 0, 9, US_PER_S));
-  CU_ASSERT_FALSE (burdock_era_share_is_due (&share, 0, 9, 100 * US_PER_S));
+  CU_ASSERT_FALSE (burdock_store_share_is_due (&share, &state, 9, US_PER_S));
+  CU_ASSERT_FALSE (burdock_store_share_is_due (&share, &state, 9, 100 * US_PER_S));
+}
+
+typedef struct {
+  uint64_t now_ms;
+  bool behind;
+  bool due;
+} LagStep;
+
+static const LagStep lag_steps[] = {
+  { 1000, false, false }, { 2000, true, false },  { 2700, true, false },
+  { 2800, true, true },   { 2900, true, false },  { 3600, true, true },
+  { 3700, false, false }, { 4600, false, false }, { 4700, true, false },
+  { 5600, true, true },
+};
+
+static void
+a_gateway_that_is_behind_calls_again (void)
+{
+  BurdockStoreLag lag = { 0 };
+
+  for (uint32_t i = 0; i < TEST_COUNT (lag_steps); i++) {
+    const LagStep *row = &lag_steps[i];
+    uint64_t due_us;
+
+    CU_ASSERT_EQUAL (burdock_store_lag_is_due (&lag, row->behind, UINT64_C (800000),
+                                               row->now_ms * 1000, &due_us),
+                     row->due);
+    CU_ASSERT_EQUAL (due_us == UINT64_MAX, !row->behind);
+  }
 }
 
 static const Test tests[] = {
-  { "a gateway without answers of the store never hears of a restore",
-    the_last_gateway_hears_of_a_restore },
+  { "a gateway that is behind never calls the store again, or does so all the time",
+    a_gateway_that_is_behind_calls_again },
+  { "a gateway without answers of the store never hears of a change",
+    the_last_gateway_hears_of_a_change },
   { "gateways send eras that a store does not have", nothing_is_told_without_an_era },
 };
 
 int
 main (void)
 {
-  return test_main ("era-share", tests, TEST_COUNT (tests));
+  return test_main ("store-share", tests, TEST_COUNT (tests));
 }
