--- a/gateway/control.c
+++ b/gateway/control.c
@@ -269,31 +269,26 @@
   control->followed_era = era;
 }
 
+static uint64_t
+earlier (uint64_t a_us, uint64_t b_us)
+{
+  return a_us < b_us ? a_us : b_us;
+}
+
 static uint64_t
 control_hook (void *ctx, uint64_t now_us)
 {
   BurdockGateway *gateway = ctx;
-  uint64_t expire_us = expire_upstreams (gateway, now_us);
-  uint64_t next_us;
-  uint64_t config_us;
-  uint64_t upstream_us;
-  uint64_t quarantine_us;
-  uint64_t handover_us;
-  uint64_t lag_us;
+  BurdockGatewayControl *control = &gateway->control;
+  uint64_t next_us = expire_upstreams (gateway, now_us);
 
   follow_era (gateway);
-  next_us = burdock_gateway_configuration_check (gateway, now_us);
-  config_us = burdock_table_watch_tick (gateway->control.config_watch, now_us);
-  lag_us = check_upstream_lag (gateway, now_us);
-  upstream_us = burdock_table_watch_tick (gateway->control.upstream_watch, now_us);
-  quarantine_us = tick_quarantine (&gateway->control, now_us);
-  handover_us = burdock_gateway_handover_tick (gateway, now_us);
-  next_us = expire_us < next_us ? expire_us : next_us;
-  next_us = lag_us < next_us ? lag_us : next_us;
-  next_us = handover_us < next_us ? handover_us : next_us;
-  next_us = quarantine_us < next_us ? quarantine_us : next_us;
-  next_us = config_us < next_us ? config_us : next_us;
-  return upstream_us < next_us ? upstream_us : next_us;
+  next_us = earlier (next_us, burdock_gateway_configuration_check (gateway, now_us));
+  next_us = earlier (next_us, check_upstream_lag (gateway, now_us));
+  next_us = earlier (next_us, burdock_table_watch_tick (control->config_watch, now_us));
+  next_us = earlier (next_us, burdock_table_watch_tick (control->upstream_watch, now_us));
+  next_us = earlier (next_us, tick_quarantine (control, now_us));
+  return earlier (next_us, burdock_gateway_handover_tick (gateway, now_us));
 }
 
 int
--- a/tests/test-platform-client.c
+++ b/tests/test-platform-client.c
@@ -122,6 +122,20 @@
   return 0;
 }
 
+static void
+open_watch (Fixture *fixture, const char *const *answers, uint32_t count)
+{
+  BurdockTableHandler handler = { fixture, watch_begin, watch_row, watch_end,
+                                  watch_reachable };
+
+  open_fixture (fixture, answers, count);
+  fixture->store = (BurdockStoreClient){ .loop = fixture->loop,
+                                         .client = fixture->client,
+                                         .url = fixture->url,
+                                         .random = no_jitter };
+  fixture->watch = burdock_table_watch_new (&fixture->store, "t", 0, &handler);
+}
+
 typedef struct {
   const char *name;
   const char *answers[5];
@@ -209,17 +223,9 @@
 watch_delivers_the_table (void)
 {
   for (uint32_t i = 0; i < sizeof watch_cases / sizeof watch_cases[0]; i++) {
-    BurdockTableHandler handler;
     Fixture fixture;
 
-    open_fixture (&fixture, watch_cases[i].answers, watch_cases[i].count);
-    handler = (BurdockTableHandler){ &fixture, watch_begin, watch_row, watch_end,
-                                     watch_reachable };
-    fixture.store = (BurdockStoreClient){ .loop = fixture.loop,
-                                          .client = fixture.client,
-                                          .url = fixture.url,
-                                          .random = no_jitter };
-    fixture.watch = burdock_table_watch_new (&fixture.store, "t", 0, &handler);
+    open_watch (&fixture, watch_cases[i].answers, watch_cases[i].count);
     fixture.expected_text = watch_cases[i].seen;
     burdock_loop_run (fixture.loop);
     if (strncmp (fixture.seen, watch_cases[i].seen, strlen (watch_cases[i].seen)) != 0)
@@ -411,18 +417,10 @@
   static const char *const answers[] = {
     "503 {}", "200 {\"rows\":[],\"hasMore\":false,\"schemaVersion\":5}"
   };
-  BurdockTableHandler handler;
   uint64_t started_us;
   Fixture fixture;
 
-  open_fixture (&fixture, answers, 2);
-  handler = (BurdockTableHandler){ &fixture, watch_begin, watch_row, watch_end,
-                                   watch_reachable };
-  fixture.store = (BurdockStoreClient){ .loop = fixture.loop,
-                                        .client = fixture.client,
-                                        .url = fixture.url,
-                                        .random = no_jitter };
-  fixture.watch = burdock_table_watch_new (&fixture.store, "t", 0, &handler);
+  open_watch (&fixture, answers, 2);
   fixture.expected_text = "!";
   burdock_loop_run (fixture.loop);
   /* Start the next call with a time that differs from the time of its answer. */
@@ -445,18 +443,10 @@
     "200 {\"rows\":[],\"hasMore\":false,\"schemaVersion\":5}", SCRIPT_STALL,
     "200 {\"rows\":[{\"key\":\"x\",\"data\":\"YQ==\"}],\"schemaVersion\":6}"
   };
-  BurdockTableHandler handler;
   uint64_t now_us;
   Fixture fixture;
 
-  open_fixture (&fixture, answers, 3);
-  handler = (BurdockTableHandler){ &fixture, watch_begin, watch_row, watch_end,
-                                   watch_reachable };
-  fixture.store = (BurdockStoreClient){ .loop = fixture.loop,
-                                        .client = fixture.client,
-                                        .url = fixture.url,
-                                        .random = no_jitter };
-  fixture.watch = burdock_table_watch_new (&fixture.store, "t", 0, &handler);
+  open_watch (&fixture, answers, 3);
   fixture.expected_text = "]";
   burdock_loop_run (fixture.loop);
   /* Runs until the server has received the call that it does not answer. */
@@ -533,17 +523,9 @@
     "200 " ERA (1) "{\"rows\":[]," ROWS_AT (50), SCRIPT_STALL,
     "200 " ERA (2) "{\"rows\":[{\"key\":\"x\",\"data\":\"YQ==\"}]," ROWS_AT (4)
   };
-  BurdockTableHandler handler;
   Fixture fixture;
 
-  open_fixture (&fixture, answers, 3);
-  handler = (BurdockTableHandler){ &fixture, watch_begin, watch_row, watch_end,
-                                   watch_reachable };
-  fixture.store = (BurdockStoreClient){ .loop = fixture.loop,
-                                        .client = fixture.client,
-                                        .url = fixture.url,
-                                        .random = no_jitter };
-  fixture.watch = burdock_table_watch_new (&fixture.store, "t", 0, &handler);
+  open_watch (&fixture, answers, 3);
   fixture.expected_text = "]";
   burdock_loop_run (fixture.loop);
   fixture.finished = false;
--- a/tests/test-platform-decode.c
+++ b/tests/test-platform-decode.c
@@ -73,6 +73,8 @@
       CU_ASSERT_EQUAL (upstream.leaving, upstream_cases[i].leaving);
       CU_ASSERT_EQUAL (upstream.address.port, 80);
       CU_ASSERT_STRING_EQUAL (upstream.pool, "s");
+      CU_ASSERT_EQUAL (upstream.born_ms,
+                       strstr (upstream_cases[i].text, "\"born\":5") != NULL ? 5 : 0);
     }
   }
 }
