Keep a key claimed when another entry releases its lost row

After a restore, an entry that had not noticed it claimed a key whose claim was lost, noticed the restore by the answer, and released the row; the entry that holds the claim had tried to write it in between and found the row taken. Five seconds later the key was free, and its request ran a second time. Claims are now written three times in the 5 s, and a row that was released meanwhile is replaced. The refusals of that time said not-run, although an earlier request with the key had run, so that a caller could have sent it under a new key: they now say unknown.

--- a/libburdock/claims.c
+++ b/libburdock/claims.c
@@ -20,6 +20,11 @@
 /* Time in which all claimants notice a restore and write their claims again. */
 #define REWRITE_WAIT_US (5 * US_PER_S)
 
+/* Claims are written again several times in REWRITE_WAIT_US: a claimant that has not
+ * noticed the restore may take the row for a moment, and then releases it. */
+#define REWRITE_PASSES 3
+#define REWRITE_INTERVAL_US (US_PER_S * 3 / 2)
+
 /* Era of a store that has not been restored yet. */
 #define FIRST_ERA 1
 
@@ -65,12 +70,15 @@
 
 /* Confirmed claim. */
 typedef struct {
+  BurdockClaims *owner;
   char key[CLAIM_KEY_BYTES];
   uint64_t at_us;
 } KeptClaim;
 
 /*
  * @blocked_until_us: no key is claimed before this time
+ * @passes_left: how often the kept claims are still to be written again
+ * @next_pass_us: time of the next pass
  * @kept: ring of the claims that were confirmed last
  */
 struct BurdockClaims {
@@ -83,6 +91,8 @@
   BurdockClaim *first;
   uint64_t era;
   uint64_t blocked_until_us;
+  uint32_t passes_left;
+  uint64_t next_pass_us;
   uint64_t kept_count;
   KeptClaim *kept;
 };
@@ -165,6 +175,7 @@
   if (claims->kept == NULL)
     return;
   kept = &claims->kept[claims->kept_count++ % KEPT_MAX];
+  kept->owner = claims;
   kept->at_us = claims_now (claims);
   snprintf (kept->key, sizeof kept->key, "%s", key);
 }
@@ -178,16 +189,68 @@
   }
 }
 
-/* A row that is there already, of this claim or another one, stays as it is. */
+/* Whether the claim found in the row was released or has expired. */
+static bool
+row_is_reusable (const BurdockClaims *claims, BurdockBytes value)
+{
+  json_t *row = json_loadb ((const char *)value.data, value.length_bytes, 0, NULL);
+  const char *state = json_string_value (json_object_get (row, "state"));
+  json_int_t written_s = json_integer_value (json_object_get (row, "time_s"));
+  uint64_t wall_s = claims->env->wall_us (claims->env->ctx) / US_PER_S;
+  bool released = state != NULL && strcmp (state, "released") == 0;
+  bool expired = written_s > 0 && wall_s > (uint64_t)written_s + CLAIM_EXPIRY_S;
+
+  json_decref (row);
+  return released || expired;
+}
+
 static void
-write_again (BurdockClaims *claims, const KeptClaim *kept)
+write_again (KeptClaim *kept, uint64_t if_version, BurdockStoreDone done)
 {
+  BurdockClaims *claims = kept->owner;
   char value[CLAIM_VALUE_BYTES];
-  BurdockStorePut write = { .key = kept->key };
+  BurdockStorePut write = { .key = kept->key, .if_version = if_version };
 
   format_value (claims, "claimed", 0, value);
   write.value = (BurdockBytes){ (const uint8_t *)value, (uint32_t)strlen (value) };
-  burdock_store_put_if (claims->store, &write, 1, REWRITE_DEADLINE_MS, NULL, NULL);
+  burdock_store_put_if (claims->store, &write, 1, REWRITE_DEADLINE_MS, done, kept);
+}
+
+/* A row that is claimed, by this claim or another one, stays as it is. */
+static void
+rewrite_done (void *ctx, const BurdockStoreResult *result)
+{
+  KeptClaim *kept = ctx;
+
+  if (result->status == -EEXIST && kept->key[0] != '\0' &&
+      row_is_reusable (kept->owner, result->value))
+    write_again (kept, result->version, NULL);
+}
+
+static void
+run_pass (BurdockClaims *claims, uint64_t now_us)
+{
+  claims->passes_left--;
+  claims->next_pass_us = now_us + REWRITE_INTERVAL_US;
+  for (uint32_t i = 0; i < KEPT_MAX && claims->kept != NULL; i++) {
+    KeptClaim *kept = &claims->kept[i];
+
+    if (kept->key[0] != '\0' && now_us < kept->at_us + KEPT_US)
+      write_again (kept, 0, rewrite_done);
+  }
+}
+
+uint64_t
+burdock_claims_tick (BurdockClaims *claims)
+{
+  uint64_t now_us = claims_now (claims);
+  uint64_t store_us;
+
+  if (claims->passes_left > 0 && now_us >= claims->next_pass_us)
+    run_pass (claims, now_us);
+  store_us = burdock_store_tick (claims->store);
+  return claims->passes_left > 0 && claims->next_pass_us < store_us ? claims->next_pass_us
+                                                                    : store_us;
 }
 
 void
@@ -201,12 +264,14 @@
   if (era == FIRST_ERA)
     return;
   claims->blocked_until_us = now_us + REWRITE_WAIT_US;
-  for (uint32_t i = 0; i < KEPT_MAX && claims->kept != NULL; i++) {
-    const KeptClaim *kept = &claims->kept[i];
+  claims->passes_left = REWRITE_PASSES;
+  run_pass (claims, now_us);
+}
 
-    if (kept->key[0] != '\0' && now_us < kept->at_us + KEPT_US)
-      write_again (claims, kept);
-  }
+bool
+burdock_claims_is_blocked (const BurdockClaims *claims)
+{
+  return claims_now (claims) < claims->blocked_until_us;
 }
 
 static int
@@ -252,21 +317,6 @@
   return false;
 }
 
-/* Whether the claim found in the row was released or has expired. */
-static bool
-row_is_reusable (const BurdockClaims *claims, BurdockBytes value)
-{
-  json_t *row = json_loadb ((const char *)value.data, value.length_bytes, 0, NULL);
-  const char *state = json_string_value (json_object_get (row, "state"));
-  json_int_t written_s = json_integer_value (json_object_get (row, "time_s"));
-  uint64_t wall_s = claims->env->wall_us (claims->env->ctx) / US_PER_S;
-  bool released = state != NULL && strcmp (state, "released") == 0;
-  bool expired = written_s > 0 && wall_s > (uint64_t)written_s + CLAIM_EXPIRY_S;
-
-  json_decref (row);
-  return released || expired;
-}
-
 static void
 finish_acquire (BurdockClaim *claim, BurdockClaimOutcome outcome)
 {
@@ -307,7 +357,7 @@
 
   burdock_claims_note_era (claim->owner, burdock_store_era (claim->owner->store));
   if (result->status == 0 && claim->era != claim->owner->era &&
-      claims_now (claim->owner) < claim->owner->blocked_until_us) {
+      burdock_claims_is_blocked (claim->owner)) {
     claim->version = result->version;
     reject_acquire (claim);
     return;
@@ -356,7 +406,7 @@
 {
   BurdockClaim *claim;
 
-  if (claims_now (claims) < claims->blocked_until_us)
+  if (burdock_claims_is_blocked (claims))
     return NULL;
   claim = calloc (1, sizeof *claim);
   claim->owner = claims;
--- a/libburdock/claims.h
+++ b/libburdock/claims.h
@@ -49,9 +49,17 @@
 /** burdock_claims_store() - store client, for its limits, ticks and results */
 BurdockStore *burdock_claims_store (BurdockClaims *claims);
 
+/** burdock_claims_tick() - runs due work, that of the store client included; returns the
+ * time of the next call */
+uint64_t burdock_claims_tick (BurdockClaims *claims);
+
 /** burdock_claims_note_era() - the store has reached @era; 0 if it names none */
 void burdock_claims_note_era (BurdockClaims *claims, uint64_t era);
 
+/** burdock_claims_is_blocked() - whether the store has just returned from a copy, so that
+ * it is not known which keys are claimed */
+bool burdock_claims_is_blocked (const BurdockClaims *claims);
+
 /**
  * burdock_claims_acquire() - starts to claim a key
  * @deadline_ms: time limit for each of at most two writes; the second one replaces a row
--- a/libburdock/dispatch.c
+++ b/libburdock/dispatch.c
@@ -122,6 +122,9 @@
   const BurdockRequest *request = &state->request;
   BurdockClaim *claim = state->claim;
   bool claiming = state->phase == BURDOCK_REQUEST_CLAIMING;
+  /* An earlier request with the key may have run. */
+  bool key_unknown = !request->idempotent && reason == BURDOCK_REASON_STORE_DOWN &&
+                     burdock_claims_is_blocked (dispatcher->claims);
   bool not_run;
 
   if (state->phase == BURDOCK_REQUEST_RUNNING)
@@ -131,7 +134,8 @@
   burdock_admission_dequeue (dispatcher->admission, state);
   state->phase = BURDOCK_REQUEST_RELEASING;
   state->refusal = reason;
-  state->refusal_ran = not_run ? BURDOCK_RAN_NOT_RUN : BURDOCK_RAN_UNKNOWN;
+  state->refusal_ran =
+      not_run && !key_unknown ? BURDOCK_RAN_NOT_RUN : BURDOCK_RAN_UNKNOWN;
   state->claim = NULL;
   if (not_run && !request->idempotent)
     burdock_outcomes_remove (dispatcher->outcomes, request->workspace, request->key,
--- a/libburdock/dispatcher.c
+++ b/libburdock/dispatcher.c
@@ -533,7 +533,7 @@
 burdock_dispatcher_tick (BurdockDispatcher *dispatcher)
 {
   uint64_t now_us = burdock_endpoint_now (&dispatcher->endpoint);
-  uint64_t store_us = burdock_store_tick (burdock_claims_store (dispatcher->claims));
+  uint64_t store_us = burdock_claims_tick (dispatcher->claims);
   uint64_t next_us;
   BurdockRequestState *next;
 
--- a/tests/fakes/fake-platform.c
+++ b/tests/fakes/fake-platform.c
@@ -1,6 +1,7 @@
 /*
  * Stand-in for the platform: table service, object store, instance list that shows
- * changes after a delay, and weight store with a limited bandwidth.
+ * changes after a delay, and weight store with a limited bandwidth. POST /copy copies the
+ * rows, POST /restore returns to the copy in a new era.
  */
 #include "fake.h"
 
@@ -11,12 +12,14 @@
 typedef struct {
   pthread_mutex_t lock;
   json_t *rows;    /* key -> row, as GET /table/KEY returns it */
+  json_t *copy;    /* rows at the last POST /copy */
   json_t *objects; /* name -> bytes, as a JSON string */
   json_t *visible; /* instance name -> entry of the list */
   json_t *pending; /* changes of the list that are not visible yet, oldest first */
   uint32_t instance_lag_ms; /* time until a change of the list is visible */
   uint32_t weights_kib_per_s;
   uint64_t weights_busy_until_us; /* when all reads of weights so far are complete */
+  uint64_t era;
   uint64_t reads;
   uint64_t writes;
   uint64_t conflicts;
@@ -178,6 +181,21 @@
   fake_sleep_us (end_us - now_us);
 }
 
+static void
+copy_rows (Platform *platform)
+{
+  json_decref (platform->copy);
+  platform->copy = json_deep_copy (platform->rows);
+}
+
+static void
+restore_rows (Platform *platform)
+{
+  json_decref (platform->rows);
+  platform->rows = json_deep_copy (platform->copy);
+  platform->era++;
+}
+
 static json_t *
 stats_json (const Platform *platform)
 {
@@ -198,7 +216,12 @@
     return;
   }
   pthread_mutex_lock (&platform->lock);
-  if (strcmp (path, "/table/transaction") == 0)
+  reply->store_era = platform->era;
+  if (strcmp (path, "/copy") == 0)
+    copy_rows (platform);
+  else if (strcmp (path, "/restore") == 0)
+    restore_rows (platform);
+  else if (strcmp (path, "/table/transaction") == 0)
     handle_transaction (platform, request->json, reply);
   else if (strncmp (path, "/table/", 7) == 0)
     handle_row_get (platform, path + 7, reply);
@@ -217,6 +240,7 @@
 main (int argc, char **argv)
 {
   Platform platform = {
+    .era = 1,
     .instance_lag_ms = fake_option_number (argc, argv, "lag-ms", 300),
     .weights_kib_per_s = fake_option_number (argc, argv, "weights-kib-per-s", 1 << 20)
   };
@@ -224,6 +248,7 @@
 
   pthread_mutex_init (&platform.lock, NULL);
   platform.rows = json_object ();
+  platform.copy = json_object ();
   platform.objects = json_object ();
   platform.visible = json_object ();
   platform.pending = json_array ();
--- a/tests/fakes/fake.c
+++ b/tests/fakes/fake.c
@@ -1,5 +1,6 @@
 #include "fake.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -163,6 +164,12 @@
     response =
         MHD_create_response_from_buffer (strlen (text), text, MHD_RESPMEM_MUST_FREE);
   }
+  if (reply->store_era > 0) {
+    char era[24];
+
+    snprintf (era, sizeof era, "%" PRIu64, reply->store_era);
+    MHD_add_response_header (response, "Burdock-Store-Era", era);
+  }
   result = MHD_queue_response (connection, reply->status, response);
   MHD_destroy_response (response);
   return result;
--- a/tests/fakes/fake.h
+++ b/tests/fakes/fake.h
@@ -40,6 +40,7 @@
  * @raw: JSON string whose value is sent unquoted as the body, used for the bytes of a
  *       stored object; the server takes over one reference
  * @stream: response that a callback produces; the server takes it over
+ * @store_era: value of the header Burdock-Store-Era, 0 for none
  *
  * The body is @raw if it is set, otherwise @stream, otherwise @json. Without any of them
  * it is an empty JSON object.
@@ -49,6 +50,7 @@
   json_t *json;
   json_t *raw;
   struct MHD_Response *stream;
+  uint64_t store_era;
 } FakeReply;
 
 typedef void (*FakeHandler) (void *ctx, const FakeRequest *request, FakeReply *reply);
--- a/tests/system/faults.py
+++ b/tests/system/faults.py
@@ -332,6 +332,36 @@
     expect(request.outcome == "answered", f"{request.outcome}: {request.reason}")
 
 
+def store_restored(trial):
+    """
+    Guards against a second run of a request whose claim the store has lost, and against two
+    holders of a lease, after the store has returned from a copy.
+
+    The key is sent again to another entry at once, and until keys are claimed again.
+    """
+    platform = trial.cluster.platform.ports[0]
+    ports = list(trial.cluster.live_entry_ports().values())
+    wait_until("a lease holder", trial.lease_holders, 20)
+    call_json(platform, "POST", "/copy", {})
+    first = trial.start_requests([booking_request("kept", idempotent=False)],
+                                 FixedDirectory(ports[0])).join()[0]
+    expect(first.outcome == "answered", f"{first.outcome}: {first.reason}")
+    time.sleep(1)
+    call_json(platform, "POST", "/restore", {})
+    until = time.monotonic() + 9
+    while time.monotonic() < until:
+        again = trial.start_requests([booking_request("kept", idempotent=False)],
+                                     FixedDirectory(ports[1])).join()[0]
+        expect(again.outcome != "answered", f"{again.key}: run again after the restore")
+        expect(len(trial.lease_holders()) <= 1, "two holders of a lease")
+        time.sleep(0.3)
+    after = [send_with_retries(booking_request("after", idempotent=False),
+                               trial.cluster.directory(), 400)]
+    trial.requests += after
+    expect(after[0].outcome == "answered", f"after the restore: {after[0].outcome}")
+    wait_until("one lease holder", lambda: len(trial.lease_holders()) == 1, SETTLE_S)
+
+
 def operators_race(trial):
     """
     Guards against a lost update when two operators submit configurations at the same time.
@@ -570,6 +600,7 @@
 
 SCENARIOS = [entry_killed, agent_killed, agent_frozen, rank_dies_mid_switch,
              coordinator_killed_mid_switch, agent_killed_mid_switch, store_down,
+             store_restored,
              lost_answer_of_accept, lost_answer_of_claim, operators_race, lease_holder_frozen,
              same_key_twice, entry_stops, entry_stop_cut_short, agent_stops, agent_stops_in_hold,
              agent_stops_before_hold, instance_list_notice, entry_and_agent_killed,
--- a/tests/test-claims.c
+++ b/tests/test-claims.c
@@ -115,7 +115,7 @@
              world->call_count * sizeof world->calls[0]);
     world->now_us += US_PER_S / 20;
     for (uint32_t i = 0; i < ENTRIES; i++)
-      burdock_store_tick (burdock_claims_store (world->entries[i].claims));
+      burdock_claims_tick (world->entries[i].claims);
   }
 }
 
@@ -141,18 +141,24 @@
   const char *name;
   uint64_t noticed_us; /* by the second entry, after the first one; the claim follows */
   uint64_t wait_us;    /* until the key is claimed again */
+  uint64_t early_us;   /* the second entry claims the key so long before the first entry
+                          has noticed; 0 for no such claim */
   bool by_claim;       /* the claim itself shows the restore to the second entry */
   bool other_key;
   bool granted;
 } RestoreCase;
 
 static const RestoreCase restore_cases[] = {
-  { "claimed again at once", 0, 0, false, false, false },
-  { "another key at once", 0, 0, false, true, false },
-  { "claimed again by an entry that has not noticed", 0, 0, true, false, false },
-  { "claimed again once all claims are written", 0, 6 * US_PER_S, false, false, false },
-  { "another key once all claims are written", 0, 6 * US_PER_S, false, true, true },
-  { "noticed late", 3 * US_PER_S, 0, false, false, false },
+  { "claimed again at once", 0, 0, 0, false, false, false },
+  { "another key at once", 0, 0, 0, false, true, false },
+  { "claimed again by an entry that has not noticed", 0, 0, 0, true, false, false },
+  { "claimed again once all claims are written", 0, 6 * US_PER_S, 0, false, false,
+    false },
+  { "another key once all claims are written", 0, 6 * US_PER_S, 0, false, true, true },
+  { "noticed late", 3 * US_PER_S, 0, 0, false, false, false },
+  { "claimed and released before the first entry has noticed", 0, 6 * US_PER_S, US_PER_S,
+    true, false, false },
+  { "claimed as the first entry notices", 0, 6 * US_PER_S, 1, true, false, false },
 };
 
 static void
@@ -160,6 +166,7 @@
 {
   for (uint32_t i = 0; i < TEST_COUNT (restore_cases); i++) {
     const RestoreCase *row = &restore_cases[i];
+    BurdockClaim *early;
     FakeStore copy;
     World world;
 
@@ -167,7 +174,15 @@
     fake_store_copy (&world.store, &copy);
     CU_ASSERT_TRUE (claims_key (&world, 0, "k"));
     fake_store_restore (&world.store, &copy);
+    early = row->early_us > 0
+                ? burdock_claims_acquire (world.entries[1].claims, "w", "k", 9, 1000)
+                : NULL;
+    run_world (&world, row->early_us);
     burdock_claims_note_era (world.entries[0].claims, 2);
+    if (early != NULL) {
+      run_world (&world, US_PER_S / 10);
+      burdock_claims_abandon (early);
+    }
     run_world (&world, row->noticed_us);
     if (!row->by_claim)
       burdock_claims_note_era (world.entries[1].claims, 2);
