Start at once in the first era of the store

A gateway waited for 0.3 s to hear of another one that is ready, also where the store had never been restored. In the first era the store has lost nothing, so there is nothing to wait for; a gateway that knows of a newer configuration still asks for it.

--- a/gateway/handover.c
+++ b/gateway/handover.c
@@ -198,6 +198,7 @@
     return BURDOCK_LOOP_NEVER_US;
   if (view->listed_us == 0 && control->config_listed && control->upstreams_listed)
     view->listed_us = now_us;
+  view->era = control->store.era;
   view->peer_ready = gateway->peer_ready;
   view->peer_version = gateway->peer_config_version;
   view->own_version = control->config.version;
--- a/libburdock/handover-policy.c
+++ b/libburdock/handover-policy.c
@@ -2,6 +2,9 @@
 
 #define US_PER_MS UINT64_C (1000)
 
+/* Era of a store that has not been restored yet. */
+#define FIRST_ERA 1
+
 /* Gateways answer the first heartbeat of another one at once. */
 #define PEER_WAIT_US (300 * US_PER_MS)
 
@@ -32,6 +35,8 @@
     return BURDOCK_HANDOVER_WAIT;
   if (now_us >= view->listed_us + BEHIND_MAX_US)
     return BURDOCK_HANDOVER_DONE;
+  if (!behind && view->era <= FIRST_ERA)
+    return BURDOCK_HANDOVER_DONE;
   if (!behind && (view->taken_over || view->failures >= FAILURES_MAX))
     return BURDOCK_HANDOVER_DONE;
   if (!behind && !view->peer_ready)
--- a/libburdock/handover-policy.h
+++ b/libburdock/handover-policy.h
@@ -12,6 +12,7 @@
 
 /**
  * struct BurdockHandoverView - what a gateway that starts knows
+ * @era: era of the store, 0 if it names none
  * @listed_us: time at which the store had been read, 0 if it has not been read yet
  * @peer_ready: another gateway that is ready was heard
  * @own_version: version of its configuration, 0 for none
@@ -21,6 +22,7 @@
  * @asked_us: time of the last call, 0 before the first one
  */
 typedef struct {
+  uint64_t era;
   uint64_t listed_us;
   bool peer_ready;
   uint64_t own_version;
@@ -42,8 +44,10 @@
  * progress
  * @due_us: set to the time at which to ask again; UINT64_MAX until something changes
  *
- * Without another gateway that is ready, the state in the store is all there is, and the
- * gateway waits for 0.3 s only. With an older configuration than another gateway, it
+ * A store that has not been restored yet has lost nothing, so the gateway starts with
+ * what it has read, unless it has an older configuration than another gateway. In a later
+ * era, without another gateway that is ready, the state in the store is all there is, and
+ * the gateway waits for 0.3 s only. With an older configuration than another gateway, it
  * waits for up to 10 s after it has read the store.
  */
 BurdockHandoverStep burdock_handover_next (const BurdockHandoverView *view,
