Show by which change of the upstreams a request was placed

A request to an upstream that had left long before could not be told from one placed with an old list, and nothing alerted. request ended has the version of the last change that the gateway knew when it sent the request, upstream leaving has the version of the row, a row that makes an upstream available again is logged, and four metrics tell the version and the age of what the gateway has read.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -283,6 +283,7 @@
   forward->http_status = 0;
   forward->body_bytes = 0;
   forward->attempt_event_count = 0;
+  forward->upstream_version = forward->gateway->upstream_version;
   forward->sent_us = forward->last_activity_us = now_us;
   burdock_event_stream_restart (&forward->event_stream);
   forward->send_count++;
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -464,12 +464,13 @@
   burdock_log_subject (
       BURDOCK_LOG_INFO, "request ended", forward->caller.request_id,
       forward->send_count > 0 ? forward->upstream.id : "-",
-      "outcome %s status %u route %s pool %s generation %u delivered %d sent %u ran %u "
+      "outcome %s status %u route %s pool %s generation %u upstreams %" PRIu64
+      " delivered %d sent %u ran %u "
       "reason %s first_ms %u total_ms %u placed_ms %u events %u pause_ms %u "
       "digest %016" PRIx64,
       forward->outcome != NULL ? forward->outcome : "abandoned", forward->final_status,
       forward->route->name, forward->pool->name, (uint32_t)forward->table->version,
-      delivered, forward->send_count, forward->run_count,
+      forward->upstream_version, delivered, forward->send_count, forward->run_count,
       burdock_reason_name (forward->reason), (uint32_t)first_ms,
       (uint32_t)((now_us - forward->received_us) / US_PER_MS),
       forward->send_count > 0
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -30,6 +30,8 @@
  * @answer_started: a part of a stream was passed to the HTTP server
  * @attempt_event_count: events of the current attempt that were delivered
  * @reason: why the request was not placed
+ * @upstream_version: version of the last change of the upstreams that was known when the
+ *   current or last attempt was sent
  * @sent_us: start of the current or last attempt
  * @first_event_us: time of the first event, 0 before it
  * @last_event_us: time of the last event
@@ -67,6 +69,7 @@
   uint32_t attempt_event_count;
   BurdockReason reason;
   BurdockEventStream event_stream;
+  uint64_t upstream_version;
   uint64_t sent_us;
   uint64_t first_event_us;
   uint64_t last_event_us;
--- a/gateway/local-endpoints.c
+++ b/gateway/local-endpoints.c
@@ -12,6 +12,8 @@
  * that shuts down continues to serve for longer than that (DRAIN_MIN_US). */
 #define DIRECTORY_TTL_S 1
 
+#define US_PER_MS UINT64_C (1000)
+
 bool
 burdock_gateway_has_state (const BurdockGateway *gateway)
 {
@@ -53,6 +55,12 @@
   burdock_exchange_answer_resolve (request, addresses, count, DIRECTORY_TTL_S);
 }
 
+static uint64_t
+answer_age_ms (const BurdockTableWatch *watch)
+{
+  return (burdock_loop_now_us () - burdock_table_watch_answered_us (watch)) / US_PER_MS;
+}
+
 static void
 answer_metrics (BurdockGateway *gateway, BurdockHttpRequest *request)
 {
@@ -87,6 +95,12 @@
     { "burdock_store_calls_total", gateway->control.store.calls },
     { "burdock_store_failures_total", gateway->control.store.failures },
     { "burdock_store_era", gateway->control.store.era },
+    { "burdock_upstreams_version", gateway->upstream_version },
+    { "burdock_upstreams_leaving", stats.leaving },
+    { "burdock_upstreams_answer_age_ms",
+      answer_age_ms (gateway->control.upstream_watch) },
+    { "burdock_configuration_answer_age_ms",
+      answer_age_ms (gateway->control.config_watch) },
   };
   char *process_metrics = burdock_runtime_metrics ();
 
--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -657,7 +657,11 @@
 {
   BurdockBalancerStats stats = balancer->stats;
 
-  for (uint32_t i = 0; i < balancer->node_count; i++)
-    stats.outstanding_all += outstanding (balancer->nodes[i]);
+  for (uint32_t i = 0; i < balancer->node_count; i++) {
+    const Node *node = balancer->nodes[i];
+
+    stats.outstanding_all += outstanding (node);
+    stats.leaving += node->listed && node->info.leaving;
+  }
   return stats;
 }
--- a/libburdock/balancer.h
+++ b/libburdock/balancer.h
@@ -104,6 +104,7 @@
  * struct BurdockBalancerStats - counters for metrics and logs
  * @waiting: requests in the queues
  * @upstreams: upstreams in the current list
+ * @leaving: upstreams in the current list that take no new requests
  * @outstanding_own: requests that this gateway has at upstreams
  * @outstanding_all: requests that all known gateways have at upstreams
  * @retries: retries granted by burdock_balancer_take_retry()
@@ -112,6 +113,7 @@
 typedef struct {
   uint32_t waiting;
   uint32_t upstreams;
+  uint32_t leaving;
   uint32_t outstanding_own;
   uint32_t outstanding_all;
   uint64_t placed;
--- a/libburdock/upstream-registry.c
+++ b/libburdock/upstream-registry.c
@@ -3,6 +3,7 @@
 #include "gone-upstreams.h"
 #include "hash-table.h"
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -242,14 +243,16 @@
            uint64_t version, uint64_t now_us)
 {
   Entry *entry = find_entry (registry, upstream->id);
-  char detail[BURDOCK_NAME_BYTES + 8];
+  char detail[BURDOCK_NAME_BYTES + 40];
 
   burdock_gone_upstreams_remove (registry->gone, upstream->id);
   if (entry == NULL) {
     entry = add_entry (registry, upstream);
-  } else if (upstream->leaving && !entry->upstream.leaving) {
-    snprintf (detail, sizeof detail, "pool %s", upstream->pool);
-    registry->log (registry->ctx, "upstream leaving", upstream->id, detail);
+  } else if (upstream->leaving != entry->upstream.leaving) {
+    snprintf (detail, sizeof detail, "pool %s version %" PRIu64, upstream->pool, version);
+    registry->log (registry->ctx,
+                   upstream->leaving ? "upstream leaving" : "upstream available again",
+                   upstream->id, detail);
   }
   entry->upstream = *upstream;
   entry->era = registry->era;
