--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -5,6 +5,7 @@
 request: one request that comes again crashes each upstream that runs it.
 limit: most upstreams name a limit of requests a second, and a gateway is started meanwhile.
 silent-poll: open connections of some gateways to the store go silent for good.
+silent-poll-no-era: the same with a store that names no era.
 restored: the store returns from a copy some seconds old, twice.
 """
 import argparse
@@ -243,6 +244,12 @@
 class SilentPollScenario(Scenario):
     """An upstream leaves while a third of the gateways get no answer to their long polls."""
 
+    names_era = True
+
+    async def start(self):
+        self.store.names_era = self.names_era
+        await super().start()
+
     async def run(self):
         self.began = time.monotonic()
         end_time = self.began + self.options.seconds
@@ -259,9 +266,15 @@
         await asyncio.gather(*callers)
 
 
+class SilentPollNoEraScenario(SilentPollScenario):
+    """The store names no era, as one that was never restored."""
+
+    names_era = False
+
+
 SCENARIOS = {"limit": LimitScenario, "prompt-part": PromptPartScenario,
              "request": RequestScenario, "restored": RestoredScenario,
-             "silent-poll": SilentPollScenario}
+             "silent-poll": SilentPollScenario, "silent-poll-no-era": SilentPollNoEraScenario}
 
 
 async def main():
--- a/tests/soak/standin.py
+++ b/tests/soak/standin.py
@@ -116,6 +116,7 @@
         self.era = 1
         self.oldest_known = 0
         self.mode = "up"
+        self.names_era = True
         self.delay_s = 0.0
         self.changed = asyncio.Condition()
         self.http = HttpServer(ip, port, self.handle)
@@ -154,7 +155,8 @@
         await self.http.start()
 
     def answer(self, status, body):
-        return answer(status, json.dumps(body).encode(), [("Store-Era", str(self.era))])
+        era = [("Store-Era", str(self.era))] if self.names_era else []
+        return answer(status, json.dumps(body).encode(), era)
 
     def row(self, table, key, data, version):
         item = {"tableName": table, "part": "", "key": key, "schemaVersion": version}
