Tell the other gateways what was read from a store that names no era

What callers saw: nothing; upstreams that had left got requests for up to 28 s from a gateway whose long poll had no answer (DRAIN).

Cause: era 0, a store that names no era, was taken for a store that has not been read, so the message that tells the others of a later change was never sent.

--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,7 @@
 	python3 tests/soak/scenarios.py request --build $(BUILD) --seed $(SEED) --seconds 30
 	python3 tests/soak/scenarios.py limit --build $(BUILD) --seed $(SEED) --seconds 25 --callers 40
 	python3 tests/soak/scenarios.py silent-poll --build $(BUILD) --seed $(SEED) --seconds 12
+	python3 tests/soak/scenarios.py silent-poll-no-era --build $(BUILD) --seed $(SEED) --seconds 12
 	python3 tests/soak/scenarios.py restored --build $(BUILD) --seed $(SEED) --seconds 24
 
 load: build
--- a/libburdock/store-share.c
+++ b/libburdock/store-share.c
@@ -29,7 +29,7 @@
   if (state->era != share->state.era ||
       state->upstream_version != share->state.upstream_version)
     begin_state (share, state, gateways, now_us);
-  if (state->era == 0 || now_us < share->next_us)
+  if ((state->era == 0 && state->upstream_version == 0) || now_us < share->next_us)
     return false;
   share->next_us = now_us + REPEAT_INTERVAL_US * gateways;
   return true;
--- a/libburdock/store-share.h
+++ b/libburdock/store-share.h
@@ -14,8 +14,9 @@
 
 /**
  * struct BurdockStoreState - what a gateway has read from the store
- * @era: highest era of the store that it knows, 0 for none
- * @upstream_version: version of the last change of the upstreams in this era
+ * @era: highest era of the store that it knows, 0 if the store names none
+ * @upstream_version: version of the last change of the upstreams in this era, 0 before the
+ *   first one
  */
 typedef struct {
   uint64_t era;
