--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -246,8 +246,14 @@
 
     names_era = True
 
+    def log_path(self, k):
+        return os.path.join(self.logs, f"gateway-{k}.log")
+
     async def start(self):
         self.store.names_era = self.names_era
+        # A folder of logs may have those of an earlier run.
+        self.log_offsets = [os.path.getsize(path) if os.path.exists(path) else 0
+                            for path in map(self.log_path, range(GATEWAYS))]
         await super().start()
 
     async def run(self):
@@ -264,6 +270,16 @@
         await self.store.put("servers", runner.id, runner.store_row())
         runner.left_at = time.monotonic()
         await asyncio.gather(*callers)
+        for k in range(GATEWAYS // 3):
+            self.check_repeats(k)
+
+    def check_repeats(self, k):
+        """The repeated call does not use another connection that has gone silent."""
+        with open(self.log_path(k), encoding="utf-8") as log:
+            log.seek(self.log_offsets[k])
+            repeats = sum('step="upstreams behind"' in line for line in log)
+        if repeats != 1:
+            self.check.add_violation("STORE", f"gateway-{k} repeated its call {repeats} times")
 
 
 class SilentPollNoEraScenario(SilentPollScenario):
