Add failing scenarios of leaving upstreams and of Retry-After

The stand-ins name the start of an upstream, and an upstream of the soak that has left comes back as a new start, as on the platform.

--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -4,6 +4,9 @@
 prompt-part: requests with one part in their prompts crash each upstream that runs them.
 request: one request that comes again crashes each upstream that runs it.
 limit: most upstreams name a limit of requests a second, and a gateway is started meanwhile.
+late-row: a row from before the notice of an upstream that leaves is written after it.
+leaving-answers: an upstream says in its answers that it leaves, and the store is silent.
+retry-after: an upstream rejects requests and names a time in which it wants none.
 silent-poll: open connections of some gateways to the store go silent for good.
 silent-poll-no-era: the same with a store that names no era.
 restored: the store returns from a copy some seconds old, twice.
@@ -16,6 +19,7 @@
 import time
 
 import soak
+from leaving import LateRowScenario, LeavingAnswersScenario, RetryAfterScenario
 from restored import RestoredScenario
 from standin import CRASHING_PART, CRASHING_PATH, Runner
 
@@ -288,8 +292,10 @@
     names_era = False
 
 
-SCENARIOS = {"limit": LimitScenario, "prompt-part": PromptPartScenario,
+SCENARIOS = {"late-row": LateRowScenario, "leaving-answers": LeavingAnswersScenario,
+             "limit": LimitScenario, "prompt-part": PromptPartScenario,
              "request": RequestScenario, "restored": RestoredScenario,
+             "retry-after": RetryAfterScenario,
              "silent-poll": SilentPollScenario, "silent-poll-no-era": SilentPollNoEraScenario}
 
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,7 +15,7 @@
 import time
 
 from standin import (EXPERTS, LAYERS, EXPERT_SLOTS, LOADS_MAX, Group, HttpServer, Proxy, Runner,
-                     Store, body_of, event_count, read_body, read_head)
+                     Store, attempt_id, body_of, event_count, read_body, read_head)
 
 GROUP_COUNT, RANK_COUNT, PLAIN_RUNNER_COUNT = 2, 4, 2
 # API key: name of its workspace.
@@ -207,7 +207,6 @@
 
     async def request(self, kind, connection, addresses):
         """Sends one request; returns the connection if it can be reused, otherwise None."""
-        attempt = f"{self.random.getrandbits(64):016x}"
         started = time.monotonic()
         outcome, reusable = "no connection", None
         try:
@@ -216,8 +215,9 @@
                 ip, port = address.split(":")
                 connection = (*await asyncio.wait_for(
                     asyncio.open_connection(ip, int(port)), 1), address)
+            gateway = int(connection[2].split(":")[0].split(".")[3]) - 1
             outcome, reusable = await asyncio.wait_for(
-                self.exchange(kind, attempt, connection), REQUEST_KINDS[kind][2] / 1000 + 1)
+                self.exchange(kind, attempt_id(self.random, gateway), connection), REQUEST_KINDS[kind][2] / 1000 + 1)
         except asyncio.TimeoutError:
             outcome = "timeout"
         except (OSError, asyncio.IncompleteReadError, ValueError):
@@ -375,8 +375,10 @@
             await self.store.put("servers", runner.id, runner.store_row())
         runner.left_at = time.monotonic()
         await asyncio.sleep(DRAIN_S + 3)
+        await self.store.remove("servers", runner.id)
         runner.left_at = None
         runner.state = "available"
+        runner.assign_new_id()
         await self.store.put("servers", runner.id, runner.store_row())
 
     async def run(self):
--- a/tests/soak/standin.py
+++ b/tests/soak/standin.py
@@ -29,6 +29,19 @@
 LIMITED_REJECT_RATE = 0.2
 
 
+# A gateway may have sent this many requests within this time of a rejection, in s.
+PAUSE_SLACK_S, PAUSE_ARRIVALS_MAX = 0.5, 2
+
+
+def attempt_id(rng, gateway):
+    """Id of a request that is sent to a gateway, which gateway_of() returns."""
+    return f"{gateway:02x}{rng.getrandbits(56):014x}"
+
+
+def gateway_of(attempt):
+    return int(attempt[:2], 16)
+
+
 async def read_head(reader):
     """Returns (first line, headers) of a message, or None at the end of the connection."""
     try:
@@ -293,7 +306,11 @@
                                                                     group, rank)
         self.slots, self.running, self.sequence = slots, 0, 0
         self.state, self.error_rate, self.hung = "available", 0.0, False
-        self.left_at = None
+        # Start of a shutdown that gateways were told of; whether answers tell it as well.
+        self.left_at, self.says_leaving = None, False
+        # Seconds for which it wants nothing from a gateway whose request it has rejected.
+        self.retry_after_s = None
+        self.pauses = {}  # gateway: times of the rejections, and of the requests since the last
         self.crash_times, self.crashing_arrivals = [], []
         self.store, self.down = None, False
         # Requests a second from all gateways that it names in its answers; None for no limit.
@@ -303,11 +320,12 @@
 
     def assign_new_id(self):
         self.id = f"i-{random.getrandbits(40):010x}"
+        self.born_ms = int(time.time() * 1000)
 
     def store_row(self):
         return {"service": self.service, "address": f"{self.ip}:9000", "zone": "z",
                 "version": "v1", "slots": self.slots, "state": self.state,
-                "coldLeftMs": 0, "sequence": 1}
+                "coldLeftMs": 0, "sequence": 1, "born": self.born_ms}
 
     async def handle(self, method, target, headers, body, writer):
         path = urlsplit(target).path
@@ -327,12 +345,31 @@
         if headers.get("burdockwind-expect-instance") != self.id:
             writer.write(answer(421, headers=[("Burdockwind-Instance-Id", self.id)]))
             return True
+        if self.retry_after_s is not None:
+            return self.reject(attempt, writer)
         if (self.running >= self.slots or (self.group and not self.group.open)
                 or (self.limit is not None and random.random() < LIMITED_REJECT_RATE)):
             writer.write(answer(503, headers=[("Burdockwind-Not-Executed", "1")]))
             return True
         return await self.run(path, attempt, headers, writer)
 
+    def reject(self, attempt, writer):
+        """Rejects a request and names a time in which its gateway has to send nothing."""
+        now = time.monotonic()
+        rejected_at, arrivals = self.pauses.get(gateway_of(attempt), (None, []))
+        if rejected_at is None or now > rejected_at + self.retry_after_s:
+            self.pauses[gateway_of(attempt)] = (now, [])
+        elif now > rejected_at + PAUSE_SLACK_S:
+            arrivals.append(now)
+            if len(arrivals) == PAUSE_ARRIVALS_MAX + 1:
+                self.check.add_violation("BUDGET", f"gateway-{gateway_of(attempt)} sent "
+                                                   f"{len(arrivals)} requests to {self.id}, which "
+                                                   f"wanted none for {self.retry_after_s} s")
+        writer.write(answer(503, headers=[("Burdockwind-Not-Executed", "1"),
+                                          ("Burdockwind-Attempt-Id", attempt),
+                                          ("Retry-After", str(self.retry_after_s))]))
+        return True
+
     async def run(self, path, attempt, headers, writer):
         self.check.record_run(self, path, attempt, headers)
         self.running += 1
@@ -356,9 +393,12 @@
             self.running -= 1
 
     def answer_headers(self, attempt):
-        limit = [("Server-Limit", str(self.limit))] if self.limit is not None else []
+        more = [("Server-Limit", str(self.limit))] if self.limit is not None else []
+        if self.says_leaving:
+            more.append(("Server-Leaving", "1"))
+            self.left_at = self.left_at or time.monotonic()
         return [("Burdockwind-Attempt-Id", attempt),
-                ("Burdockwind-Instance-Signature", self.id)] + limit
+                ("Burdockwind-Instance-Signature", self.id)] + more
 
     def stream_head(self, attempt, unframed=False):
         headers_text = "".join(f"{n}: {v}\r\n" for n, v in self.answer_headers(attempt))
