Hold an upstream to its notice until it starts again

What callers saw: requests reached upstreams long after they had said that they leave (DRAIN); all gateways may use such an upstream again.

Cause: the notice was a property of the last row read. A row from before it, by a late write or from a copy of the store once its hold of 10 s was over, made the upstream available again. A notice now belongs to a start (id and time of start) and is kept for 10 minutes by the traffic thread, which marks the upstreams of each list; only a later start ends it.

--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "datagram.h"
 #include "handover-policy.h"
 #include "http-server.h"
+#include "leaving-upstreams.h"
 #include "part-quarantine.h"
 #include "row-decoder.h"
 #include "row-writer.h"
@@ -158,6 +159,7 @@
  * @buffered_bytes: memory of the answers that are buffered until they are complete
  * @mean_first_event_us: moving average of the time from sending a request to its first
  *   event, 0 before the first one
+ * @leaving_upstreams: starts of upstreams that have said that they leave
  * @quarantine: prompt parts that crash upstreams
  * @quarantine_loaded: the stored quarantine was received from the control thread
  * @upstreams_received: a list of upstreams was received from the control thread
@@ -182,6 +184,7 @@
   BurdockHttpServer *peer_server;
   BurdockDatagramSocket *datagrams;
   BurdockBalancer *balancer;
+  BurdockLeavingUpstreams *leaving_upstreams;
   BurdockPartQuarantine *quarantine;
   BurdockRouteTable *table;
   BurdockForward *forwards;
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -1,6 +1,7 @@
 #include "gateway.h"
 
 #include "handover.h"
+#include "leaving.h"
 #include "log.h"
 #include "quarantine.h"
 #include "stop.h"
@@ -89,6 +90,7 @@
     return;
   traffic->upstreams_received = true;
   list_agents (gateway, list);
+  burdock_gateway_leaving_apply (gateway, list);
   burdock_balancer_set_upstreams (traffic->balancer, list->items, list->count,
                                   burdock_loop_now_us ());
   free (traffic->gone);
@@ -220,7 +222,9 @@
   memcpy (settings.failure_domain, gateway->settings.library.failure_domain,
           sizeof settings.failure_domain);
   traffic->balancer = burdock_balancer_new (&settings, &handler);
-  if (traffic->balancer == NULL || burdock_gateway_quarantine_init (gateway) < 0)
+  traffic->leaving_upstreams = burdock_leaving_upstreams_new ();
+  if (traffic->balancer == NULL || traffic->leaving_upstreams == NULL ||
+      burdock_gateway_quarantine_init (gateway) < 0)
     return -ENOMEM;
   burdock_loop_add_hook (traffic->runtime.loop, traffic_hook, gateway);
   return listen_on_all (gateway);
@@ -238,6 +242,7 @@
   burdock_http_server_free (traffic->peer_server);
   burdock_datagram_socket_free (traffic->datagrams);
   burdock_balancer_free (traffic->balancer);
+  burdock_leaving_upstreams_free (traffic->leaving_upstreams);
   burdock_part_quarantine_free (traffic->quarantine);
   burdock_route_table_unref (traffic->table);
   free (traffic->gone);
