Read from answers that an upstream leaves, and tell the other gateways

What callers saw: an upstream that said in its answers that it leaves went on getting requests while the store was silent (DRAIN by the new rule).

Cause: Server-Leaving was read nowhere, so the only notice was the row in the store, and a gateway without answers of the store knew of none. A gateway that starts is told at once. Answers of another request or of another upstream at the address (421) are not taken.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -1,6 +1,7 @@
 /* One attempt: sends a request to an upstream and handles its answer. */
 #include "forward.h"
 
+#include "leaving.h"
 #include "log.h"
 
 #include <errno.h>
@@ -92,8 +93,12 @@
     *keep_alive_max_s = keep_alive_s - KEEP_ALIVE_MARGIN_S;
   if (forward->answer_kind == BURDOCK_ANSWER_INVALID)
     return -EPROTO;
-  if (forward->answer_kind != BURDOCK_ANSWER_MISDIRECTED)
-    record_limit (forward, transfer);
+  /* A misdirected answer comes from another upstream. */
+  if (forward->answer_kind == BURDOCK_ANSWER_MISDIRECTED)
+    return 0;
+  record_limit (forward, transfer);
+  if (burdock_exchange_is_leaving (transfer))
+    burdock_gateway_leaving_note (forward->gateway, &forward->upstream);
   return 0;
 }
 
--- a/gateway/leaving.h
+++ b/gateway/leaving.h
@@ -14,4 +14,19 @@
  */
 void burdock_gateway_leaving_apply (BurdockGateway *gateway, BurdockUpstreamList *list);
 
+/** burdock_gateway_leaving_note() - an answer of @upstream says that it leaves */
+void burdock_gateway_leaving_note (BurdockGateway *gateway,
+                                   const BurdockUpstream *upstream);
+
+/** burdock_gateway_leaving_merge() - takes over what another gateway knows */
+void burdock_gateway_leaving_merge (BurdockGateway *gateway,
+                                    const BurdockUpstreamsLeavingMessage *message);
+
+/** burdock_gateway_leaving_tell() - puts what a gateway that has just started has to know
+ * into the outgoing message; returns whether there is anything */
+bool burdock_gateway_leaving_tell (BurdockGateway *gateway, uint64_t now_us);
+
+/** burdock_gateway_leaving_share() - sends notices to the other gateways when due */
+void burdock_gateway_leaving_share (BurdockGateway *gateway, uint64_t now_us);
+
 #endif
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -1,5 +1,6 @@
 #include "gateway.h"
 
+#include "leaving.h"
 #include "log.h"
 #include "quarantine.h"
 
@@ -218,8 +219,11 @@
   burdock_balancer_set_peer_load (traffic->balancer, peer->id,
                                   load->interval_ms * US_PER_MS, load->items,
                                   load->item_count, now_us);
-  if (first)
-    send_heartbeat (gateway, &from, 1, now_us);
+  if (!first)
+    return;
+  send_heartbeat (gateway, &from, 1, now_us);
+  if (burdock_gateway_leaving_tell (gateway, now_us))
+    send_message (gateway, BURDOCK_MSG_UPSTREAMS_LEAVING, &from, 1);
 }
 
 static void
@@ -256,6 +260,8 @@
                                    burdock_loop_now_us ());
   else if (message->header.type == BURDOCK_MSG_STORE_STATE)
     handle_store_state (gateway, &message->store_state);
+  else if (message->header.type == BURDOCK_MSG_UPSTREAMS_LEAVING)
+    burdock_gateway_leaving_merge (gateway, &message->upstreams_leaving);
   else if (message->header.type == BURDOCK_MSG_RANK_STATE)
     burdock_balancer_set_rank_state (gateway->traffic.balancer, &message->rank_state,
                                      burdock_loop_now_us ());
@@ -389,6 +395,7 @@
   }
   burdock_gateway_quarantine_share (gateway, due, now_us);
   send_store_state (gateway, now_us);
+  burdock_gateway_leaving_share (gateway, now_us);
   if (traffic->table != NULL)
     send_rosters (gateway, now_us);
   return traffic->next_heartbeat_us < traffic->next_roster_us ? traffic->next_heartbeat_us
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -222,7 +222,7 @@
   memcpy (settings.failure_domain, gateway->settings.library.failure_domain,
           sizeof settings.failure_domain);
   traffic->balancer = burdock_balancer_new (&settings, &handler);
-  traffic->leaving_upstreams = burdock_leaving_upstreams_new ();
+  traffic->leaving_upstreams = burdock_leaving_upstreams_new (gateway->id);
   if (traffic->balancer == NULL || traffic->leaving_upstreams == NULL ||
       burdock_gateway_quarantine_init (gateway) < 0)
     return -ENOMEM;
--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -463,6 +463,18 @@
   return true;
 }
 
+const char *
+burdock_balancer_set_leaving (BurdockBalancer *balancer, uint64_t upstream,
+                              uint64_t born_ms)
+{
+  Node *node = burdock_balancer_node (balancer, upstream);
+
+  if (node == NULL || !node->listed || node->info.leaving || node->info.born_ms > born_ms)
+    return NULL;
+  node->info.leaving = true;
+  return node->info.id;
+}
+
 uint32_t
 burdock_balancer_own_load (const BurdockBalancer *balancer, BurdockLoadItem *items,
                            uint32_t limit)
--- a/libburdock/balancer.h
+++ b/libburdock/balancer.h
@@ -195,6 +195,16 @@
 bool burdock_balancer_address (const BurdockBalancer *balancer, uint64_t upstream,
                                BurdockAddress *out);
 
+/**
+ * burdock_balancer_set_leaving() - an upstream has said that it leaves: it gets no new
+ * requests
+ * @born_ms: start of the upstream; a later start is not meant
+ *
+ * Returns its id, NULL if it is not listed or was known to leave.
+ */
+const char *burdock_balancer_set_leaving (BurdockBalancer *balancer, uint64_t upstream,
+                                          uint64_t born_ms);
+
 /**
  * burdock_balancer_own_load() - outstanding requests of this gateway, for its heartbeat
  * Returns the number of entries written to @items, at most @limit.
--- a/libburdock/message-fields.c
+++ b/libburdock/message-fields.c
@@ -243,6 +243,18 @@
               rate_item_table),
 };
 
+static const BurdockField leaving_item_fields[] = {
+  FIELD (BURDOCK_FIELD_U64, BurdockLeavingItem, upstream_id),
+  FIELD (BURDOCK_FIELD_U64, BurdockLeavingItem, born_ms),
+};
+static const BurdockFieldTable leaving_item_table =
+    FIELD_TABLE (BurdockLeavingItem, leaving_item_fields);
+
+static const BurdockField upstreams_leaving_fields[] = {
+  LIST_FIELD (BurdockUpstreamsLeavingMessage, items, item_count,
+              BURDOCK_LEAVING_ITEMS_MAX, leaving_item_table),
+};
+
 static const BurdockField store_state_fields[] = {
   FIELD (BURDOCK_FIELD_U64, BurdockStoreStateMessage, era),
   FIELD (BURDOCK_FIELD_U64, BurdockStoreStateMessage, upstream_version),
@@ -370,6 +382,9 @@
                                                 upstream_rates_fields) },
   [BURDOCK_MSG_STORE_STATE] = { "STORE_STATE", FIELD_TABLE (BurdockStoreStateMessage,
                                                             store_state_fields) },
+  [BURDOCK_MSG_UPSTREAMS_LEAVING] = { "UPSTREAMS_LEAVING",
+                                      FIELD_TABLE (BurdockUpstreamsLeavingMessage,
+                                                   upstreams_leaving_fields) },
 };
 
 const BurdockMessageSchema *
--- a/libburdock/message.h
+++ b/libburdock/message.h
@@ -33,6 +33,7 @@
 #define BURDOCK_GATEWAY_ITEMS_MAX 16
 #define BURDOCK_PART_ITEMS_MAX 32
 #define BURDOCK_RATE_ITEMS_MAX 32
+#define BURDOCK_LEAVING_ITEMS_MAX 32
 
 typedef enum {
   BURDOCK_MSG_ATTEMPT = 1,
@@ -66,6 +67,7 @@
   BURDOCK_MSG_PROMPT_PARTS,
   BURDOCK_MSG_UPSTREAM_RATES,
   BURDOCK_MSG_STORE_STATE,
+  BURDOCK_MSG_UPSTREAMS_LEAVING,
   BURDOCK_MSG_TYPE_COUNT,
 } BurdockMessageType;
 
@@ -462,6 +464,23 @@
   uint64_t upstream_version;
 } BurdockStoreStateMessage;
 
+/**
+ * struct BurdockLeavingItem - start of an upstream that has said that it leaves
+ * @upstream_id: burdock_member_id() of the id of the upstream
+ * @born_ms: time of day at which it started, 0 if it is not known
+ */
+typedef struct {
+  uint64_t upstream_id;
+  uint64_t born_ms;
+} BurdockLeavingItem;
+
+/** struct BurdockUpstreamsLeavingMessage - upstreams that leave, from one gateway to the
+ * others */
+typedef struct {
+  uint32_t item_count;
+  BurdockLeavingItem items[BURDOCK_LEAVING_ITEMS_MAX];
+} BurdockUpstreamsLeavingMessage;
+
 /** struct BurdockRosterRank - model runner (engine process) of a rank, at @address */
 typedef struct {
   BurdockAddress address;
@@ -590,6 +609,7 @@
     BurdockPromptPartsMessage prompt_parts;
     BurdockUpstreamRatesMessage upstream_rates;
     BurdockStoreStateMessage store_state;
+    BurdockUpstreamsLeavingMessage upstreams_leaving;
   };
 } BurdockMessage;
 
--- a/tests/test-platform-client.c
+++ b/tests/test-platform-client.c
@@ -28,6 +28,7 @@
   char seen[TEXT_BYTES];
   const char *expected_text;
   BurdockAnswerKind kind;
+  bool leaving;
   int32_t status;
   BurdockRankReport report;
   uint64_t since_us;
@@ -306,6 +307,48 @@
   }
 }
 
+typedef struct {
+  const char *name;
+  const char *answer;
+  bool leaving;
+} LeavingCase;
+
+static const LeavingCase leaving_cases[] = {
+  { "it leaves", "HTTP/1.1 200 OK\r\n" ID SIGNED "Server-Leaving: 1\r\n" EMPTY, true },
+  { "an error", "HTTP/1.1 500 x\r\n" ID SIGNED "server-leaving: 1\r\n" EMPTY, true },
+  { "it stays", "HTTP/1.1 200 OK\r\n" ID SIGNED "Server-Leaving: 0\r\n" EMPTY, false },
+  { "nothing is said", "HTTP/1.1 200 OK\r\n" ID SIGNED EMPTY, false },
+};
+
+static int
+leaving_head (void *ctx, BurdockHttpTransfer *transfer, int32_t http_status)
+{
+  Fixture *fixture = ctx;
+
+  fixture->leaving = burdock_exchange_is_leaving (transfer);
+  return 0;
+}
+
+static void
+the_notice_of_an_upstream_is_read_from_its_answer (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (leaving_cases); i++) {
+    Fixture fixture;
+    BurdockHttpCall call = { .method = "POST",
+                             .head = leaving_head,
+                             .done = record_status };
+
+    open_fixture (&fixture, &leaving_cases[i].answer, 1);
+    call.url = fixture.url;
+    call.ctx = &fixture;
+    CU_ASSERT_EQUAL (burdock_http_client_start (fixture.client, &call), 0);
+    burdock_loop_run (fixture.loop);
+    if (fixture.leaving != leaving_cases[i].leaving)
+      CU_FAIL (leaving_cases[i].name);
+    close_fixture (&fixture);
+  }
+}
+
 typedef struct {
   const char *name;
   const char *answer;
@@ -549,6 +592,8 @@
   { "a row removed long after an outage is taken for an expired one",
     reachability_dates_from_the_start_of_the_call },
   { "a change of a table is lost or reverted", watch_delivers_the_table },
+  { "an upstream that says that it leaves gets requests, or one that stays gets none",
+    the_notice_of_an_upstream_is_read_from_its_answer },
   { "an answer to another request, or an unproven refusal, is forwarded",
     answers_are_classified_by_their_headers },
   { "an order with an unknown result is reported as rejected",
