Leave an upstream alone for the time that it names in a rejection

Cause: Retry-After of a 503 was read nowhere, and a full upstream was tried again after 60 ms. Its gateway now sends it nothing until the time is over or the upstream starts again. If no upstream of the pool takes a request before its queue deadline, it is refused at once, with the end of the first pause as its Retry-After. The other gateways are not told: the time is meant for the gateway that asked.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -78,6 +78,20 @@
                  "names no limit any more");
 }
 
+static void
+record_pause (const BurdockForward *forward, BurdockHttpTransfer *transfer)
+{
+  uint32_t pause_ms = burdock_exchange_pause_ms (transfer, forward->http_status,
+                                                 forward->caller.request_id);
+
+  if (pause_ms == 0)
+    return;
+  burdock_balancer_pause (forward->gateway->traffic.balancer, forward->upstream.key,
+                          pause_ms * US_PER_MS, burdock_loop_now_us ());
+  burdock_log (BURDOCK_LOG_INFO, "upstream paused", forward->upstream.id,
+               "wants no requests for %u ms", pause_ms);
+}
+
 static int
 answer_head (void *ctx, BurdockHttpTransfer *transfer, int32_t http_status)
 {
@@ -91,6 +105,7 @@
   if (keep_alive_s > KEEP_ALIVE_MARGIN_S &&
       (*keep_alive_max_s == 0 || keep_alive_s - KEEP_ALIVE_MARGIN_S < *keep_alive_max_s))
     *keep_alive_max_s = keep_alive_s - KEEP_ALIVE_MARGIN_S;
+  record_pause (forward, transfer);
   if (forward->answer_kind == BURDOCK_ANSWER_INVALID)
     return -EPROTO;
   /* A misdirected answer comes from another upstream. */
--- a/libburdock/balancer-private.h
+++ b/libburdock/balancer-private.h
@@ -71,6 +71,7 @@
   uint32_t peer_outstanding; /* reported by other gateways */
   double failure_rate;
   uint64_t ejected_until_us;
+  uint64_t paused_until_us; /* by its own word */
   BurdockRateShare rate;
   uint32_t rate_reports_left; /* reports of a new statement of the upstream */
   uint64_t unreachable_us;    /* when it last refused a connection */
--- a/libburdock/balancer-queue.c
+++ b/libburdock/balancer-queue.c
@@ -164,7 +164,8 @@
              const BurdockPlacement *placement)
 {
   return is_usable (node, pool) && node->ejected_until_us <= balancer->now_us &&
-         !is_silent (balancer, node) && outstanding (node) < node->info.slots &&
+         node->paused_until_us <= balancer->now_us && !is_silent (balancer, node) &&
+         outstanding (node) < node->info.slots &&
          burdock_rate_share_allows (&node->rate, report_interval_us (balancer)) &&
          !is_excluded (placement, node->info.key) &&
          group_has_capacity (balancer, node, is_late (balancer, placement));
@@ -343,6 +344,23 @@
   return true;
 }
 
+/* End of the first pause of an upstream of @pool, 0 if one has none or all belong to
+ * groups that are broken or stalled. */
+static uint64_t
+first_pause_end_us (const BurdockBalancer *balancer, const Pool *pool)
+{
+  uint64_t first_us = UINT64_MAX;
+
+  for (uint32_t i = 0; i < balancer->node_count; i++) {
+    const Node *node = balancer->nodes[i];
+
+    if (is_usable (node, pool) && !is_suspended (balancer, node) &&
+        node->paused_until_us < first_us)
+      first_us = node->paused_until_us;
+  }
+  return first_us != UINT64_MAX ? first_us : 0;
+}
+
 static void
 refuse_request (BurdockBalancer *balancer, uint64_t handle, BurdockReason reason,
                 uint32_t retry_after_ms)
@@ -375,6 +393,7 @@
 {
   Pool *pool = burdock_balancer_pool (balancer, placement->pool);
   QueuedRequest *queued;
+  uint64_t pause_end_us;
 
   balancer->now_us = now_us;
   balancer->submitted += placement->excluded_count == 0;
@@ -392,6 +411,12 @@
                     RETRY_AFTER_SUSPENDED_MS);
     return;
   }
+  pause_end_us = first_pause_end_us (balancer, pool);
+  if (pause_end_us > placement->queue_deadline_us) {
+    refuse_request (balancer, placement->handle, BURDOCK_REASON_OVERLOAD,
+                    (uint32_t)((pause_end_us - balancer->now_us) / 1000));
+    return;
+  }
   if (would_miss_queue_deadline (balancer, pool, placement)) {
     refuse_request (balancer, placement->handle, BURDOCK_REASON_OVERLOAD,
                     RETRY_AFTER_OVERLOAD_MS);
--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -282,6 +282,8 @@
     if (node == NULL)
       node = add_node (balancer, &upstreams[i]);
     burdock_balancer_subtract_from_group (node);
+    if (node->info.born_ms != upstreams[i].born_ms)
+      node->paused_until_us = 0;
     node->info = upstreams[i];
     node->pool = burdock_balancer_pool (balancer, upstreams[i].pool);
     node->listed = true;
@@ -475,6 +477,16 @@
   return node->info.id;
 }
 
+void
+burdock_balancer_pause (BurdockBalancer *balancer, uint64_t upstream, uint64_t time_us,
+                        uint64_t now_us)
+{
+  Node *node = burdock_balancer_node (balancer, upstream);
+
+  if (node != NULL && node->paused_until_us < now_us + time_us)
+    node->paused_until_us = now_us + time_us;
+}
+
 uint32_t
 burdock_balancer_own_load (const BurdockBalancer *balancer, BurdockLoadItem *items,
                            uint32_t limit)
--- a/libburdock/balancer.h
+++ b/libburdock/balancer.h
@@ -205,6 +205,14 @@
 const char *burdock_balancer_set_leaving (BurdockBalancer *balancer, uint64_t upstream,
                                           uint64_t born_ms);
 
+/**
+ * burdock_balancer_pause() - an upstream wants no requests of this gateway for a time
+ *
+ * Ends early if the upstream starts again; a shorter time does not replace a longer one.
+ */
+void burdock_balancer_pause (BurdockBalancer *balancer, uint64_t upstream,
+                             uint64_t time_us, uint64_t now_us);
+
 /**
  * burdock_balancer_own_load() - outstanding requests of this gateway, for its heartbeat
  * Returns the number of entries written to @items, at most @limit.
--- a/tests/test-platform-client.c
+++ b/tests/test-platform-client.c
@@ -29,6 +29,7 @@
   const char *expected_text;
   BurdockAnswerKind kind;
   bool leaving;
+  uint32_t pause_ms;
   int32_t status;
   BurdockRankReport report;
   uint64_t since_us;
@@ -284,6 +285,21 @@
   fixture->finished = true;
 }
 
+/* Sends a request and runs until its transfer ends. */
+static void
+read_head (Fixture *fixture,
+           int (*head) (void *ctx, BurdockHttpTransfer *transfer, int32_t http_status))
+{
+  BurdockHttpCall call = { .method = "POST",
+                           .url = fixture->url,
+                           .ctx = fixture,
+                           .head = head,
+                           .done = record_status };
+
+  CU_ASSERT_EQUAL (burdock_http_client_start (fixture->client, &call), 0);
+  burdock_loop_run (fixture->loop);
+}
+
 /* Guards against forwarding an answer that belongs to another request or does not come
  * from an upstream, and against taking a refusal without the Not-Executed header as proof
  * that the request did not run. */
@@ -292,15 +308,9 @@
 {
   for (uint32_t i = 0; i < sizeof answer_cases / sizeof answer_cases[0]; i++) {
     Fixture fixture;
-    BurdockHttpCall call = { .method = "POST",
-                             .head = classify_head,
-                             .done = record_status };
 
     open_fixture (&fixture, &answer_cases[i].answer, 1);
-    call.url = fixture.url;
-    call.ctx = &fixture;
-    CU_ASSERT_EQUAL (burdock_http_client_start (fixture.client, &call), 0);
-    burdock_loop_run (fixture.loop);
+    read_head (&fixture, classify_head);
     if (fixture.kind != answer_cases[i].kind)
       CU_FAIL (answer_cases[i].name);
     close_fixture (&fixture);
@@ -334,21 +344,59 @@
 {
   for (uint32_t i = 0; i < TEST_COUNT (leaving_cases); i++) {
     Fixture fixture;
-    BurdockHttpCall call = { .method = "POST",
-                             .head = leaving_head,
-                             .done = record_status };
 
     open_fixture (&fixture, &leaving_cases[i].answer, 1);
-    call.url = fixture.url;
-    call.ctx = &fixture;
-    CU_ASSERT_EQUAL (burdock_http_client_start (fixture.client, &call), 0);
-    burdock_loop_run (fixture.loop);
+    read_head (&fixture, leaving_head);
     if (fixture.leaving != leaving_cases[i].leaving)
       CU_FAIL (leaving_cases[i].name);
     close_fixture (&fixture);
   }
 }
 
+typedef struct {
+  const char *name;
+  const char *answer;
+  uint32_t pause_ms;
+} PauseCase;
+
+#define REJECTED "HTTP/1.1 503 x\r\nBurdockwind-Not-Executed: 1\r\n"
+
+static const PauseCase pause_cases[] = {
+  { "whole seconds", REJECTED ID "Retry-After: 2\r\n" EMPTY, 2000 },
+  { "a fraction", REJECTED ID "Retry-After: 0.25\r\n" EMPTY, 250 },
+  { "no time", REJECTED ID EMPTY, 0 },
+  { "a date", REJECTED ID "Retry-After: Fri, 31 Dec 2027 23:59:59 GMT\r\n" EMPTY, 0 },
+  { "a negative time", REJECTED ID "Retry-After: -3\r\n" EMPTY, 0 },
+  { "no number", REJECTED ID "Retry-After: nan\r\n" EMPTY, 0 },
+  { "longer than an hour", REJECTED ID "Retry-After: 1e12\r\n" EMPTY, 3600000 },
+  { "an answer to another request",
+    REJECTED "Burdockwind-Attempt-Id: b2\r\nRetry-After: 2\r\n" EMPTY, 0 },
+  { "another status", "HTTP/1.1 429 x\r\n" ID "Retry-After: 2\r\n" EMPTY, 0 },
+};
+
+static int
+pause_head (void *ctx, BurdockHttpTransfer *transfer, int32_t http_status)
+{
+  Fixture *fixture = ctx;
+
+  fixture->pause_ms = burdock_exchange_pause_ms (transfer, http_status, "a1");
+  return 0;
+}
+
+static void
+the_pause_of_an_upstream_is_read_from_its_rejection (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (pause_cases); i++) {
+    Fixture fixture;
+
+    open_fixture (&fixture, &pause_cases[i].answer, 1);
+    read_head (&fixture, pause_head);
+    if (fixture.pause_ms != pause_cases[i].pause_ms)
+      CU_FAIL (pause_cases[i].name);
+    close_fixture (&fixture);
+  }
+}
+
 typedef struct {
   const char *name;
   const char *answer;
@@ -594,6 +642,8 @@
   { "a change of a table is lost or reverted", watch_delivers_the_table },
   { "an upstream that says that it leaves gets requests, or one that stays gets none",
     the_notice_of_an_upstream_is_read_from_its_answer },
+  { "the time in which an upstream wants no requests is ignored or misread",
+    the_pause_of_an_upstream_is_read_from_its_rejection },
   { "an answer to another request, or an unproven refusal, is forwarded",
     answers_are_classified_by_their_headers },
   { "an order with an unknown result is reported as rejected",
