Add a failing scenario of upstreams that repeat refusals and cut heads

From reports of other operators: refusals written once more on a kept connection, heads that end in the middle, errors where a stream is to be resumed.

--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -4,6 +4,7 @@
 prompt-part: requests with one part in their prompts crash each upstream that runs them.
 request: one request that comes again crashes each upstream that runs it.
 limit: most upstreams name a limit of requests a second, and a gateway is started meanwhile.
+faulty-answers: refusals written twice, heads cut, errors where a stream is to be resumed.
 late-row: a row from before the notice of an upstream that leaves is written after it.
 leaving-answers: an upstream says in its answers that it leaves, and the store is silent.
 retry-after: an upstream rejects requests and names a time in which it wants none.
@@ -19,6 +20,7 @@
 import time
 
 import soak
+from faulty import FaultyAnswersScenario
 from leaving import LateRowScenario, LeavingAnswersScenario, RetryAfterScenario
 from restored import RestoredScenario
 from standin import CRASHING_PART, CRASHING_PATH, Runner
@@ -292,7 +294,7 @@
     names_era = False
 
 
-SCENARIOS = {"late-row": LateRowScenario, "leaving-answers": LeavingAnswersScenario,
+SCENARIOS = {"faulty-answers": FaultyAnswersScenario, "late-row": LateRowScenario, "leaving-answers": LeavingAnswersScenario,
              "limit": LimitScenario, "prompt-part": PromptPartScenario,
              "request": RequestScenario, "restored": RestoredScenario,
              "retry-after": RetryAfterScenario,
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -104,6 +104,8 @@
 
 
 class Soak:
+    runner_class = Runner
+
     def __init__(self, options):
         self.options, self.check = options, InvariantChecker()
         self.random = random.Random(options.seed)
@@ -122,10 +124,10 @@
     async def start(self):
         os.makedirs(self.logs, exist_ok=True)
         self.groups = [Group(self.check, f"g{g}", RANK_COUNT) for g in range(GROUP_COUNT)]
-        self.runners = [Runner(self.check, "model", f"{self.net}.2.{g * RANK_COUNT + r + 1}", group,
-                               r)
+        self.runners = [self.runner_class(self.check, "model",
+                                          f"{self.net}.2.{g * RANK_COUNT + r + 1}", group, r)
                         for g, group in enumerate(self.groups) for r in range(RANK_COUNT)]
-        self.plain_runners = [Runner(self.check, "plain", f"{self.net}.3.{k + 1}")
+        self.plain_runners = [self.runner_class(self.check, "plain", f"{self.net}.3.{k + 1}")
                               for k in range(PLAIN_RUNNER_COUNT)]
         self.proxies = [Proxy(self.gateway_ip(k), 8600, (f"{self.net}.9.1", 8000))
                         for k in range(self.options.gateways)]
