Take a refusal on a kept connection only if it names its request

What callers saw: 503 (not run, try again) for requests that an upstream had run or was running (REFUSED), or a second run of such a request (TWICE).

Cause: an upstream wrote an earlier refusal once more on a kept connection; it named no request, and the header that says that a request was not run counted by itself.

--- a/daemon/http-client.c
+++ b/daemon/http-client.c
@@ -446,6 +446,15 @@
   return header->value;
 }
 
+bool
+burdock_http_transfer_is_first (const BurdockHttpTransfer *transfer)
+{
+  long connections = 0;
+
+  curl_easy_getinfo (transfer->handle.easy, CURLINFO_NUM_CONNECTS, &connections);
+  return connections > 0;
+}
+
 void
 burdock_http_transfer_each_header (BurdockHttpTransfer *transfer,
                                    void (*function) (void *ctx, const char *name,
--- a/daemon/http-client.h
+++ b/daemon/http-client.h
@@ -116,6 +116,10 @@
 const char *burdock_http_transfer_header (BurdockHttpTransfer *transfer,
                                           const char *name);
 
+/** burdock_http_transfer_is_first() - whether no other request was sent on the connection
+ * of a transfer before; valid in the callbacks */
+bool burdock_http_transfer_is_first (const BurdockHttpTransfer *transfer);
+
 /** burdock_http_transfer_each_header() - calls @function for each response header */
 void burdock_http_transfer_each_header (BurdockHttpTransfer *transfer,
                                         void (*function) (void *ctx, const char *name,
--- a/tests/test-platform-client.c
+++ b/tests/test-platform-client.c
@@ -28,6 +28,7 @@
   char seen[TEXT_BYTES];
   const char *expected_text;
   BurdockAnswerKind kind;
+  bool first; /* on its connection */
   bool leaving;
   uint32_t pause_ms;
   int32_t status;
@@ -272,6 +273,7 @@
 {
   Fixture *fixture = ctx;
 
+  fixture->first = burdock_http_transfer_is_first (transfer);
   fixture->kind = burdock_exchange_classify_answer (transfer, http_status, "a1");
   return 0;
 }
@@ -296,6 +298,7 @@
                            .head = head,
                            .done = record_status };
 
+  fixture->finished = false;
   CU_ASSERT_EQUAL (burdock_http_client_start (fixture->client, &call), 0);
   burdock_loop_run (fixture->loop);
 }
@@ -317,6 +320,42 @@
   }
 }
 
+/* Second answers on a connection. */
+static const AnswerCase kept_cases[] = {
+  { "a refusal of this request",
+    "HTTP/1.1 503 x\r\nBurdockwind-Not-Executed: 1\r\n" ID EMPTY,
+    BURDOCK_ANSWER_NOT_RUN },
+  { "a refusal of another request",
+    "HTTP/1.1 503 x\r\nBurdockwind-Not-Executed: 1\r\nBurdockwind-Attempt-Id: "
+    "b2\r\n" EMPTY,
+    BURDOCK_ANSWER_INVALID },
+  { "a refusal of an unknown request",
+    "HTTP/1.1 503 x\r\nBurdockwind-Not-Executed: 1\r\n" EMPTY, BURDOCK_ANSWER_INVALID },
+  { "another upstream, for an unknown request",
+    "HTTP/1.1 421 x\r\nBurdockwind-Instance-Id: i-2\r\n" EMPTY, BURDOCK_ANSWER_INVALID },
+  { "another upstream", "HTTP/1.1 421 x\r\n" ID EMPTY, BURDOCK_ANSWER_MISDIRECTED },
+};
+
+/* Guards against an earlier refusal, written once more on a kept connection, that is
+ * taken as proof that a later request did not run. */
+static void
+refusals_on_a_kept_connection_name_their_request (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (kept_cases); i++) {
+    const char *const answers[] = { "HTTP/1.1 200 OK\r\n" ID SIGNED EMPTY,
+                                    kept_cases[i].answer };
+    Fixture fixture;
+
+    open_fixture (&fixture, answers, 2);
+    read_head (&fixture, classify_head);
+    read_head (&fixture, classify_head);
+    CU_ASSERT_FALSE (fixture.first);
+    if (fixture.kind != kept_cases[i].kind)
+      CU_FAIL (kept_cases[i].name);
+    close_fixture (&fixture);
+  }
+}
+
 typedef struct {
   const char *name;
   const char *answer;
@@ -644,6 +683,8 @@
     the_notice_of_an_upstream_is_read_from_its_answer },
   { "the time in which an upstream wants no requests is ignored or misread",
     the_pause_of_an_upstream_is_read_from_its_rejection },
+  { "a refusal of an earlier request is taken for that of the next one",
+    refusals_on_a_kept_connection_name_their_request },
   { "an answer to another request, or an unproven refusal, is forwarded",
     answers_are_classified_by_their_headers },
   { "an order with an unknown result is reported as rejected",
