--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -3,6 +3,7 @@
 
 prompt-part: requests with one part in their prompts crash each upstream that runs them.
 request: one request that comes again crashes each upstream that runs it.
+stream-request: the same with a stream, at upstreams of two groups.
 limit: most upstreams name a limit of requests a second, and a gateway is started meanwhile.
 faulty-answers: refusals written twice, heads cut, errors where a stream is to be resumed.
 late-row: a row from before the notice of an upstream that leaves is written after it.
@@ -23,7 +24,7 @@
 from faulty import FaultyAnswersScenario
 from leaving import LateRowScenario, LeavingAnswersScenario, RetryAfterScenario
 from restored import RestoredScenario
-from standin import CRASHING_PART, CRASHING_PATH, Runner
+from standin import CRASHING_PART, CRASHING_PATH, CRASHING_STREAM_PATH, Runner
 
 # Bounds of the users' pages.
 STABILITY_S = 3.0
@@ -210,6 +211,59 @@
                 await self.send(CRASHING_PATH[:-1])
 
 
+class StreamRequestScenario(PromptPartScenario):
+    """A caller sends the same crashing stream again and again; the other group goes on.
+
+    Of the streams that start in any WINDOW_S, the share WORST_SHARE has to be served.
+    """
+
+    WINDOW_S, WORST_SHARE = 2.0, 0.5
+    CRASHES_ALLOWED = 2
+
+    async def kill_all_gateways(self):
+        pass
+
+    def start_callers(self, end_time):
+        return [*super().start_callers(end_time), self.crashing_caller(end_time)]
+
+    def prompt(self):
+        return f"5c1e07a2:40,{self.random.getrandbits(64):016x}:674"
+
+    async def crashing_caller(self, end_time):
+        while time.monotonic() < end_time:
+            await asyncio.sleep(0.2 + self.random.random() * 0.6)
+            if self.crashing:
+                await self.send_crashing_stream()
+
+    async def send_crashing_stream(self):
+        attempt, connection, status = f"{self.random.getrandbits(64):016x}", None, "cut"
+        try:
+            connection = (*await asyncio.open_connection(
+                self.gateway_ip(self.pick_gateway()), 8080), "")
+            request = self.exchange("stream", attempt, connection,
+                                    own_prefix=CRASHING_STREAM_PATH[:-1],
+                                    own_key=next(iter(soak.WORKSPACES_BY_KEY)))
+            status = (await asyncio.wait_for(request, 3))[0]
+        except (OSError, asyncio.IncompleteReadError, ValueError, asyncio.TimeoutError):
+            pass
+        if connection is not None:
+            connection[1].close()
+        self.outcome_counts[f"crash {status}"] = self.outcome_counts.get(f"crash {status}", 0) + 1
+
+    def check_sound_requests(self):
+        crashes = self.crash_times()
+        if not crashes or len(crashes) > self.CRASHES_ALLOWED:
+            self.check.add_violation("BUDGET", f"one request ended {len(crashes)} upstreams")
+        starts = sorted(self.sound_requests)
+        windows = [[served for t, served in starts if begin <= t < begin + self.WINDOW_S]
+                   for begin, _ in starts if begin < starts[-1][0] - self.WINDOW_S]
+        shares = [sum(served) / len(served) for served in windows]
+        print(f"worst window: {min(shares):.2f} of the streams served")
+        if min(shares) < self.WORST_SHARE:
+            self.check.add_violation("LOST", f"{min(shares):.2f} of the streams of one window were "
+                                             "served")
+
+
 class LimitScenario(Scenario):
     """More requests than the upstreams take; half of the callers use one gateway only."""
 
@@ -299,6 +353,7 @@
              "limit": LimitScenario, "prompt-part": PromptPartScenario,
              "request": RequestScenario, "restored": RestoredScenario,
              "retry-after": RetryAfterScenario,
+             "stream-request": StreamRequestScenario,
              "silent-poll": SilentPollScenario, "silent-poll-no-era": SilentPollNoEraScenario}
 
 
--- a/tests/soak/standin.py
+++ b/tests/soak/standin.py
@@ -23,6 +23,8 @@
 # Path of a request that crashes each plain runner that runs it, and the time in s for which
 # the runner works on it before.
 CRASHING_PATH = "/safe/crash/p"
+# Path of a stream that crashes each model runner that begins to answer it.
+CRASHING_STREAM_PATH = "/stream/crash/p"
 CRASH_WORK_S = 0.05
 
 # Share of the requests that a runner with a limit rejects, without naming the limit.
@@ -340,7 +342,7 @@
         attempt = headers.get("burdockwind-attempt-id", "")
         self.arrivals.append(time.monotonic())
         crashing = CRASHING_PART in headers.get("burdockwind-prompt-prefix", "")
-        if crashing or path == CRASHING_PATH:
+        if crashing or path in (CRASHING_PATH, CRASHING_STREAM_PATH):
             self.crashing_arrivals.append(time.monotonic())
         if headers.get("burdockwind-expect-instance") != self.id:
             writer.write(answer(421, headers=[("Burdockwind-Instance-Id", self.id),
@@ -383,7 +385,7 @@
                 writer.transport.abort()
                 return False
             if path.startswith("/stream/"):
-                return await self.stream(attempt, headers, writer)
+                return await self.stream(path, attempt, headers, writer)
             if path == CRASHING_PATH:
                 await self.crash_plain()
                 return False
@@ -447,8 +449,9 @@
         self.down = False
         await self.store.put("servers", self.id, self.store_row())
 
-    async def stream(self, attempt, headers, writer):
-        if CRASHING_PART in headers.get("burdockwind-prompt-prefix", ""):
+    async def stream(self, path, attempt, headers, writer):
+        if (CRASHING_PART in headers.get("burdockwind-prompt-prefix", "")
+                or path == CRASHING_STREAM_PATH):
             return await self.crash(attempt, writer)
         writer.write(self.stream_head(attempt))
         epoch = self.group.epoch
