Refuse a request at once under which an upstream has ended after it began

Cause: evidence was asked for from three crashes, so each of two groups was lost once before the quarantine, the second one by the gateway itself, which sent the request to the other group within 40 to 300 ms. The crash can be told from the first one: the upstream had begun the answer to that request (its head was received), had sent no event, and its process ended; the requests beside it had no answer yet. Such a request is quarantined at once for 30 s, then tried by one request at a time; the next crash makes it 5 minutes. The gateway waits 0.15 s for the check of the upstream before it sends such a request to another one. Not blamed: requests beside it, parts of prompts, a request of which a copy was answered in the last 10 minutes (the last 1,024 answers of the gateway), a group that breaks while the process goes on, an upstream that leaves.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -261,19 +261,33 @@
   return result->sent && result->status != -ETIMEDOUT;
 }
 
-/* Tells the quarantine how an attempt ended that passed no event on. */
+static bool
+is_leaving (const BurdockForward *forward, uint64_t now_us)
+{
+  return burdock_leaving_upstreams_contains (forward->gateway->traffic.leaving_upstreams,
+                                             forward->upstream.key,
+                                             forward->upstream.born_ms, now_us);
+}
+
+/* Tells the quarantine how an attempt ended that passed no event on. An event of an
+ * earlier attempt shows that the request crashes nothing. */
 static void
-record_outcome (const BurdockForward *forward, BurdockAttemptResult attempt_result,
+record_outcome (BurdockForward *forward, BurdockAttemptResult attempt_result,
                 const BurdockHttpResult *result)
 {
+  bool begun =
+      !forward->answer_started && (forward->answer_kind == BURDOCK_ANSWER_STREAM ||
+                                   forward->answer_kind == BURDOCK_ANSWER_COMPLETE);
   BurdockPartQuarantine *quarantine = forward->gateway->traffic.quarantine;
   uint64_t now_us = burdock_loop_now_us ();
+  bool broken = has_broken_off (attempt_result, result) && !is_leaving (forward, now_us);
 
+  forward->attempt_broke = broken && begun;
   if (attempt_result == BURDOCK_ATTEMPT_COMPLETE)
     burdock_part_quarantine_record_answer (quarantine, &forward->caller.prompt, now_us);
-  else if (has_broken_off (attempt_result, result))
+  else if (broken)
     burdock_part_quarantine_record_break (quarantine, &forward->caller.prompt,
-                                          forward->upstream.key, now_us);
+                                          forward->upstream.key, begun, now_us);
 }
 
 static void
@@ -299,6 +313,7 @@
 begin_attempt (BurdockForward *forward, uint64_t now_us)
 {
   forward->phase = BURDOCK_FORWARD_SENT;
+  forward->attempt_broke = false;
   forward->answer_kind = 0;
   forward->http_status = 0;
   forward->body_bytes = 0;
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -36,6 +36,10 @@
 /* With less time left until the deadline, another attempt cannot complete. */
 #define RETRY_TIME_MIN_MS 150
 
+/* A connection to an upstream is tried at once and after 0.1 s. The first one may still
+ * be accepted, as the connections of a process that ends close one after the other. */
+#define CHECK_MS 150
+
 /* Delay that is suggested to callers unless the balancer computed one; a new process gets
  * its configuration within about this time. */
 #define RETRY_AFTER_DEFAULT_MS 1000
@@ -248,9 +252,25 @@
     deliver_answer (forward);
   forward->transfer = NULL;
   burdock_balancer_finish (traffic->balancer, forward->upstream.key, outcome, now_us);
+  if (action == BURDOCK_ACTION_RETRY && forward->attempt_broke) {
+    forward->phase = BURDOCK_FORWARD_CHECKING;
+    forward->check_until_us = now_us + CHECK_MS * US_PER_MS;
+    return;
+  }
   apply_action (forward, action);
 }
 
+/* A request under which an upstream has ended is not sent to another one, which it may
+ * end as well. */
+static void
+decide_retry (BurdockForward *forward, uint64_t now_us)
+{
+  if (is_quarantined (forward))
+    refuse_quarantined (forward, RETRY_AFTER_DEFAULT_MS);
+  else if (now_us >= forward->check_until_us)
+    resubmit (forward);
+}
+
 static BurdockForward *
 find_forward (BurdockGatewayTraffic *traffic, uint64_t handle)
 {
@@ -595,6 +615,8 @@
     next = forward->next;
     if (forward->phase != BURDOCK_FORWARD_DONE && now_us >= forward->deadline_us)
       time_out (forward);
+    else if (forward->phase == BURDOCK_FORWARD_CHECKING)
+      decide_retry (forward, now_us);
     else if (quarantines && forward->phase == BURDOCK_FORWARD_SENT &&
              !forward->answer_started && is_quarantined (forward))
       withdraw_quarantined (forward);
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -12,6 +12,7 @@
 typedef enum {
   BURDOCK_FORWARD_WAITING = 1, /* queued by the balancer */
   BURDOCK_FORWARD_SENT,        /* sent to an upstream */
+  BURDOCK_FORWARD_CHECKING,    /* waits to know whether its upstream has ended */
   BURDOCK_FORWARD_DONE,        /* its final answer was passed to the HTTP server */
 } BurdockForwardPhase;
 
@@ -28,6 +29,10 @@
  * @answer_kind: kind of the attempt's answer, 0 before its headers were received
  * @http_status: HTTP status of the attempt's answer, 0 before its headers were received
  * @answer_started: a part of a stream was passed to the HTTP server
+ * @attempt_broke: the connection of the last attempt ended between the head of its answer
+ *   and the first event
+ * @check_until_us: time at which a request that waits for the check of its upstream is
+ *   retried
  * @attempt_event_count: events of the current attempt that were delivered
  * @reason: why the request was not placed
  * @upstream_version: version of the last change of the upstreams that was known when the
@@ -66,6 +71,8 @@
   int32_t http_status;
   bool answer_started;
   bool attempt_sent; /* a part of the last attempt may have reached its upstream */
+  bool attempt_broke;
+  uint64_t check_until_us;
   uint32_t attempt_event_count;
   BurdockReason reason;
   BurdockEventStream event_stream;
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -56,7 +56,7 @@
   return evidence;
 }
 
-/* {"crashes":[{"upstream":"00f1…","depth":1,"atMs":1764860000000}]} */
+/* {"crashes":[{"upstream":"00f1…","depth":1,"begun":false,"atMs":1764860000000}]} */
 static char *
 encode_row (const Evidence *evidence)
 {
@@ -70,9 +70,11 @@
     char upstream[20];
 
     snprintf (upstream, sizeof upstream, "%016" PRIx64, item->upstream_id);
-    json_array_append_new (crashes, json_pack ("{s:s,s:I,s:I}", "upstream", upstream,
-                                               "depth", (json_int_t)item->depth, "atMs",
-                                               (json_int_t)(now_ms - item->age_ms)));
+    json_array_append_new (crashes,
+                           json_pack ("{s:s,s:I,s:b,s:I}", "upstream", upstream, "depth",
+                                      (json_int_t)item->depth, "begun",
+                                      item->kind == BURDOCK_PART_CRASHED_BEGUN, "atMs",
+                                      (json_int_t)(now_ms - item->age_ms)));
   }
   if (row != NULL)
     text = json_dumps (row, JSON_COMPACT);
@@ -99,13 +101,14 @@
 
     if (upstream == NULL || at_ms == 0 || evidence->count == BURDOCK_PART_CRASHES_MAX)
       continue;
-    evidence->items[evidence->count++] =
-        (BurdockPartItem){ .part = evidence->part,
-                           .kind = BURDOCK_PART_CRASHED,
-                           .upstream_id = strtoull (upstream, NULL, 16),
-                           .depth = burdock_json_u32 (crash, "depth", 0),
-                           .age_ms =
-                               age_ms < UINT32_MAX ? (uint32_t)age_ms : UINT32_MAX };
+    evidence->items[evidence->count++] = (BurdockPartItem){
+      .part = evidence->part,
+      .kind = json_is_true (json_object_get (crash, "begun")) ? BURDOCK_PART_CRASHED_BEGUN
+                                                              : BURDOCK_PART_CRASHED,
+      .upstream_id = strtoull (upstream, NULL, 16),
+      .depth = burdock_json_u32 (crash, "depth", 0),
+      .age_ms = age_ms < UINT32_MAX ? (uint32_t)age_ms : UINT32_MAX
+    };
   }
   json_decref (value);
   return evidence->count > 0 ? 0 : -EINVAL;
--- a/libburdock/message.h
+++ b/libburdock/message.h
@@ -399,8 +399,10 @@
 
 /** enum BurdockPartEvidence - what a gateway saw of a prompt part */
 typedef enum {
-  BURDOCK_PART_CRASHED = 1, /* an upstream ended as it began to answer */
-  BURDOCK_PART_ANSWERED,    /* an upstream answered; older crashes do not count */
+  BURDOCK_PART_CRASHED = 1,   /* an upstream ended as it began to answer */
+  BURDOCK_PART_ANSWERED,      /* an upstream answered; older crashes do not count */
+  BURDOCK_PART_CRASHED_BEGUN, /* an upstream ended between the head of its answer and the
+                                 first event */
 } BurdockPartEvidence;
 
 /**
--- a/libburdock/part-exchange.c
+++ b/libburdock/part-exchange.c
@@ -16,11 +16,13 @@
 write_items (const Record *record, uint64_t now_us, BurdockPartItem *items)
 {
   for (uint32_t i = 0; i < record->crash_count; i++)
-    items[i] = (BurdockPartItem){ .part = record->part,
-                                  .kind = BURDOCK_PART_CRASHED,
-                                  .upstream_id = record->crashes[i].upstream,
-                                  .depth = record->depth,
-                                  .age_ms = age_ms (record->crashes[i].at_us, now_us) };
+    items[i] =
+        (BurdockPartItem){ .part = record->part,
+                           .kind = record->crashes[i].begun ? BURDOCK_PART_CRASHED_BEGUN
+                                                            : BURDOCK_PART_CRASHED,
+                           .upstream_id = record->crashes[i].upstream,
+                           .depth = record->depth,
+                           .age_ms = age_ms (record->crashes[i].at_us, now_us) };
   if (record->crash_count > 0 || record->answered_us == 0)
     return record->crash_count;
   items[0] = (BurdockPartItem){ .part = record->part,
@@ -102,16 +104,17 @@
 {
   uint64_t since_us = item->age_ms * US_PER_MS;
   uint64_t at_us = now_us > since_us ? now_us - since_us : 0;
+  Crash crash = { item->upstream_id, at_us, item->kind == BURDOCK_PART_CRASHED_BEGUN };
   Record *record;
 
   if (item->kind == BURDOCK_PART_ANSWERED)
     return merge_answer (quarantine, item, at_us);
-  if (item->kind != BURDOCK_PART_CRASHED)
+  if (item->kind != BURDOCK_PART_CRASHED && item->kind != BURDOCK_PART_CRASHED_BEGUN)
     return false;
   record = burdock_part_record (quarantine, item->part);
   if (at_us > record->changed_us)
     record->changed_us = at_us;
-  return burdock_part_add_crash (record, item->upstream_id, item->depth, at_us);
+  return burdock_part_add_crash (record, &crash, item->depth);
 }
 
 void
--- a/libburdock/part-quarantine-private.h
+++ b/libburdock/part-quarantine-private.h
@@ -15,6 +15,7 @@
 
 #define RECORDS_MAX 512
 #define BREAKS_MAX 64
+#define ANSWERS_MAX 1024
 
 /* Datagrams may be lost, so evidence is sent in several heartbeats. */
 #define SHARE_REPEATS 5
@@ -26,6 +27,7 @@
 typedef struct {
   uint64_t upstream;
   uint64_t at_us;
+  bool begun; /* the answer had begun */
 } Crash;
 
 /* Evidence about one part. */
@@ -46,11 +48,18 @@
 typedef struct {
   uint64_t upstream;
   uint64_t at_us;
-  uint32_t checks;     /* connections that were tried since */
+  uint32_t checks; /* connections that were tried since */
+  bool begun;
   bool parts_recorded; /* the group has broken; the request awaits the upstream itself */
   BurdockPromptParts parts;
 } Break;
 
+/* A request that was answered. */
+typedef struct {
+  uint64_t request;
+  uint64_t at_us;
+} Answer;
+
 struct BurdockPartQuarantine {
   uint64_t seed;
   BurdockPartQuarantineHandler handler;
@@ -58,6 +67,8 @@
   Record records[RECORDS_MAX];
   uint32_t break_count;
   Break breaks[BREAKS_MAX];
+  uint32_t next_answer;
+  Answer answers[ANSWERS_MAX]; /* the last ones, in a ring */
   uint64_t next_repeat_us;
   uint32_t repeat_at;
 };
@@ -72,9 +83,9 @@
  * important one */
 Record *burdock_part_record (BurdockPartQuarantine *quarantine, uint64_t part);
 
-/** burdock_part_add_crash() - adds a crash; returns whether it was not known */
-bool burdock_part_add_crash (Record *record, uint64_t upstream, uint32_t depth,
-                             uint64_t at_us);
+/** burdock_part_add_crash() - adds a crash; returns whether it was not known, or not that
+ * the answer had begun */
+bool burdock_part_add_crash (Record *record, const Crash *crash, uint32_t depth);
 
 /** burdock_part_duration_us() - duration of a quarantine after the last crash */
 uint64_t burdock_part_duration_us (uint32_t crash_count);
--- a/libburdock/part-quarantine.c
+++ b/libburdock/part-quarantine.c
@@ -18,6 +18,9 @@
 /* Duration of a quarantine after the last crash. It doubles with each further crash. */
 #define QUARANTINE_MIN_US (5 * US_PER_MIN)
 
+/* Duration after a single crash, which one of the requests beside it may have caused. */
+#define QUARANTINE_FIRST_US (30 * US_PER_S)
+
 /* Share of the duration by which gateways try a part at different times. */
 #define QUARANTINE_JITTER_RATIO 0.25
 
@@ -132,7 +135,7 @@
   uint32_t doublings =
       crash_count > QUARANTINE_CRASHES ? crash_count - QUARANTINE_CRASHES : 0;
 
-  return QUARANTINE_MIN_US << doublings;
+  return crash_count <= 1 ? QUARANTINE_FIRST_US : QUARANTINE_MIN_US << doublings;
 }
 
 /* End of the quarantine of a part at this gateway. */
@@ -155,6 +158,16 @@
   return crash->upstream == upstream && distance_us < SAME_CRASH_US;
 }
 
+static Crash *
+find_crash (Record *record, uint64_t upstream, uint64_t at_us)
+{
+  for (uint32_t i = 0; i < record->crash_count; i++) {
+    if (is_same_crash (&record->crashes[i], upstream, at_us))
+      return &record->crashes[i];
+  }
+  return NULL;
+}
+
 static bool
 has_crash (const Record *record, uint64_t upstream, uint64_t at_us)
 {
@@ -165,22 +178,35 @@
   return false;
 }
 
+/* A free place for a crash, or else that of the oldest one. */
+static Crash *
+crash_to_replace (Record *record)
+{
+  Crash *oldest = &record->crashes[0];
+
+  if (record->crash_count < BURDOCK_PART_CRASHES_MAX)
+    return &record->crashes[record->crash_count++];
+  for (uint32_t i = 1; i < BURDOCK_PART_CRASHES_MAX; i++)
+    oldest = record->crashes[i].at_us < oldest->at_us ? &record->crashes[i] : oldest;
+  return oldest;
+}
+
 bool
-burdock_part_add_crash (Record *record, uint64_t upstream, uint32_t depth, uint64_t at_us)
+burdock_part_add_crash (Record *record, const Crash *crash, uint32_t depth)
 {
-  Crash *slot = &record->crashes[0];
+  Crash *known = find_crash (record, crash->upstream, crash->at_us);
 
   if (depth > record->depth)
     record->depth = depth;
-  if (at_us <= record->answered_us || has_crash (record, upstream, at_us))
+  if (crash->at_us <= record->answered_us)
     return false;
-  if (record->crash_count < BURDOCK_PART_CRASHES_MAX) {
-    slot = &record->crashes[record->crash_count++];
-  } else {
-    for (uint32_t i = 1; i < BURDOCK_PART_CRASHES_MAX; i++)
-      slot = record->crashes[i].at_us < slot->at_us ? &record->crashes[i] : slot;
+  if (known != NULL) {
+    bool news = crash->begun && !known->begun;
+
+    known->begun = known->begun || crash->begun;
+    return news;
   }
-  *slot = (Crash){ .upstream = upstream, .at_us = at_us };
+  *crash_to_replace (record) = *crash;
   return true;
 }
 
@@ -207,14 +233,30 @@
          last_crash_us (record) >= first_crash_us (record) + QUARANTINE_SPAN_US;
 }
 
+/* Whether an upstream ended after it had begun the answer to a request, which has not
+ * been answered since. */
+static bool
+has_begun_crash (const Record *record)
+{
+  for (uint32_t i = 0; i < record->crash_count; i++) {
+    if (record->crashes[i].begun)
+      return is_request (record);
+  }
+  return false;
+}
+
 /* Whether crashes that both records have are due to @other. A request explains those of
- * its parts, and of requests that ran beside it less often. */
+ * its parts, and of requests that ran beside it less often or whose answers had not
+ * begun.
+ */
 static bool
 explains (const Record *other, const Record *record)
 {
+  if (is_request (other) && is_request (record))
+    return (has_enough_crashes (other) && other->crash_count > record->crash_count) ||
+           (has_begun_crash (other) && !has_begun_crash (record));
   if (is_request (other))
-    return has_enough_crashes (other) &&
-           (!is_request (record) || other->crash_count > record->crash_count);
+    return has_enough_crashes (other);
   return !is_request (record) && other->depth > record->depth &&
          other->crash_count >= EXPLAINING_CRASHES;
 }
@@ -240,8 +282,9 @@
 static bool
 should_be_quarantined (const BurdockPartQuarantine *quarantine, const Record *record)
 {
-  return has_enough_crashes (record) &&
-         unexplained_crashes (quarantine, record) >= QUARANTINE_CRASHES;
+  return has_begun_crash (record) ||
+         (has_enough_crashes (record) &&
+          unexplained_crashes (quarantine, record) >= QUARANTINE_CRASHES);
 }
 
 static void
@@ -356,15 +399,31 @@
   return false;
 }
 
+static bool
+was_answered (const BurdockPartQuarantine *quarantine, uint64_t request, uint64_t now_us)
+{
+  for (uint32_t i = 0; i < ANSWERS_MAX; i++) {
+    const Answer *answer = &quarantine->answers[i];
+
+    if (answer->request == request && answer->at_us != 0 &&
+        now_us < answer->at_us + SUSPECT_US)
+      return true;
+  }
+  return false;
+}
+
 void
 burdock_part_quarantine_record_break (BurdockPartQuarantine *quarantine,
                                       const BurdockPromptParts *parts, uint64_t upstream,
-                                      uint64_t now_us)
+                                      bool begun, uint64_t now_us)
 {
   if (burdock_prompt_parts_all (parts) == 0 || quarantine->break_count == BREAKS_MAX)
     return;
   quarantine->breaks[quarantine->break_count++] =
-      (Break){ .upstream = upstream, .at_us = now_us, .parts = *parts };
+      (Break){ .upstream = upstream,
+               .at_us = now_us,
+               .begun = begun && !was_answered (quarantine, parts->request, now_us),
+               .parts = *parts };
 }
 
 static void
@@ -372,8 +431,9 @@
               uint32_t depth)
 {
   Record *record = burdock_part_record (quarantine, part);
+  Crash crash = { broken->upstream, broken->at_us, broken->begun };
 
-  if (!burdock_part_add_crash (record, broken->upstream, depth, broken->at_us))
+  if (!burdock_part_add_crash (record, &crash, depth))
     return;
   record->changed_us = broken->at_us;
   record->shares_left = SHARE_REPEATS;
@@ -388,6 +448,8 @@
 {
   bool changed = false;
 
+  quarantine->answers[quarantine->next_answer++ % ANSWERS_MAX] =
+      (Answer){ .request = parts->request, .at_us = now_us };
   for (uint32_t i = 0;
        i < burdock_prompt_parts_all (parts) && quarantine->record_count > 0; i++) {
     Record *record = burdock_part_known (quarantine, burdock_prompt_parts_id (parts, i));
--- a/libburdock/part-quarantine.h
+++ b/libburdock/part-quarantine.h
@@ -10,7 +10,9 @@
  * A request that comes again, also one without a prompt, counts as a part that only its
  * copies share. An upstream often ends while it runs several requests, so a request is
  * blamed only for an upstream whose own process has ended, and not for crashes that a
- * request with more crashes explains.
+ * request with more crashes explains. A request whose answer had begun, without an event,
+ * when its upstream ended is blamed at once, as the next try may end another group,
+ * unless a copy of it was answered lately.
  *
  * Every gateway derives the quarantine from the evidence alone. The evidence of a
  * quarantined part is also stored, for gateways that start. Performs no I/O and belongs
@@ -90,12 +92,14 @@
 /**
  * burdock_part_quarantine_record_break() - records a connection that ended before the
  * first event of an answer
+ * @begun: the head of the answer had been received
  *
  * Becomes a crash if the upstream turns out to have ended.
  */
 void burdock_part_quarantine_record_break (BurdockPartQuarantine *quarantine,
                                            const BurdockPromptParts *parts,
-                                           uint64_t upstream, uint64_t now_us);
+                                           uint64_t upstream, bool begun,
+                                           uint64_t now_us);
 
 /** burdock_part_quarantine_record_answer() - records that an upstream answered a prompt:
  * none of its parts crashes upstreams */
--- a/tests/test-part-quarantine.c
+++ b/tests/test-part-quarantine.c
@@ -72,7 +72,7 @@
 {
   BurdockPromptParts parts = prompt (first, second);
 
-  burdock_part_quarantine_record_break (gateway->quarantine, &parts, upstream,
+  burdock_part_quarantine_record_break (gateway->quarantine, &parts, upstream, false,
                                         gateway->now_us);
   burdock_part_quarantine_tick (gateway->quarantine, gateway->now_us);
 }
@@ -370,7 +370,7 @@
 
     for (uint32_t k = 0; k < parts.count; k++)
       parts.ids[k] = 0x10000 + i * BURDOCK_PROMPT_PARTS_MAX + k;
-    burdock_part_quarantine_record_break (gateway.quarantine, &parts, 100 + i,
+    burdock_part_quarantine_record_break (gateway.quarantine, &parts, 100 + i, false,
                                           gateway.now_us);
     advance (&gateway, 10 * US_PER_MS);
   }
@@ -405,7 +405,8 @@
 typedef enum {
   EVENT_CRASH = 1, /* it ends while it runs the requests */
   EVENT_ANSWER,    /* it answers the first request */
-  EVENT_BREAK,     /* its group breaks while it runs the requests */
+  EVENT_BREAK,     /* its group breaks after it has begun to answer the requests */
+  EVENT_BEGUN,     /* it ends after it has begun to answer the first request */
 } Event;
 
 typedef struct {
@@ -484,6 +485,30 @@
     true,
     false,
     false },
+  { "its answer had begun, those of the others had not",
+    { { EVENT_BEGUN, 0, { POISON, SOUND, EQUAL }, 0 } },
+    1,
+    true,
+    false,
+    false },
+  { "its answer had begun, and its part is sound",
+    { { EVENT_BEGUN, 0, { POISON }, SHARED } },
+    1,
+    true,
+    false,
+    false },
+  { "its answer had begun, and it is answered later",
+    { { EVENT_BEGUN, 0, { POISON }, 0 }, { EVENT_ANSWER, 500, { POISON }, 0 } },
+    2,
+    false,
+    false,
+    false },
+  { "its answer had begun, and a copy was answered before",
+    { { EVENT_ANSWER, 0, { POISON }, 0 }, { EVENT_BEGUN, 5000, { POISON }, 0 } },
+    2,
+    false,
+    false,
+    false },
   { "a part crashes, and each request with it comes twice",
     { { EVENT_CRASH, 0, { SOUND }, SHARED },
       { EVENT_CRASH, 50, { SOUND }, SHARED },
@@ -516,6 +541,8 @@
                                              gateway->now_us);
     else
       burdock_part_quarantine_record_break (gateway->quarantine, &parts, upstream,
+                                            event->event == EVENT_BREAK ||
+                                                (event->event == EVENT_BEGUN && i == 0),
                                             gateway->now_us);
   }
   advance (gateway, US_PER_MS);
@@ -556,6 +583,26 @@
   }
 }
 
+/* A sound request may have run beside the crash of its upstream. */
+static void
+request_is_tried_again_after_a_single_crash (void)
+{
+  const RequestEvent begun = { EVENT_BEGUN, 0, { POISON }, 0 };
+  Gateway gateway;
+
+  set_up (&gateway, 1);
+  play_event (&gateway, &begun, 100);
+  advance (&gateway, 29 * US_PER_S);
+  CU_ASSERT_TRUE (refuses (&gateway, POISON, 0));
+  advance (&gateway, 9 * US_PER_S);
+  CU_ASSERT_FALSE (refuses (&gateway, POISON, 0));
+  CU_ASSERT_TRUE (refuses (&gateway, POISON, 0));
+  play_event (&gateway, &begun, 101);
+  advance (&gateway, 4 * US_PER_MIN);
+  CU_ASSERT_TRUE (refuses (&gateway, POISON, 0));
+  tear_down (&gateway);
+}
+
 static void
 stored_request_is_refused (void)
 {
@@ -590,7 +637,8 @@
   set_up (&gateway, 1);
   gateway.upstreams_end = false;
   for (uint32_t i = 0; i < 3; i++)
-    burdock_part_quarantine_record_break (gateway.quarantine, &parts, 7, gateway.now_us);
+    burdock_part_quarantine_record_break (gateway.quarantine, &parts, 7, false,
+                                          gateway.now_us);
   for (uint32_t i = 0; i < 200; i++) {
     while (burdock_part_quarantine_next_check (gateway.quarantine, gateway.now_us,
                                                &upstream))
@@ -605,6 +653,8 @@
 static const Test tests[] = {
   { "a request that comes again keeps crashing upstreams, or a sound one is blamed",
     crashing_request_is_refused },
+  { "a request is refused for long after a single crash, or not after the second one",
+    request_is_tried_again_after_a_single_crash },
   { "a gateway that starts sends a quarantined request", stored_request_is_refused },
   { "an upstream that has ended is not noticed", upstreams_are_checked_after_a_break },
   { "a part keeps crashing upstreams", crashing_part_is_refused },
