--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -11,6 +11,7 @@
 retry-after: an upstream rejects requests and names a time in which it wants none.
 silent-poll: open connections of some gateways to the store go silent for good.
 silent-poll-no-era: the same with a store that names no era.
+silent-poll-all: the same at all gateways.
 restored: the store returns from a copy some seconds old, twice.
 """
 import argparse
@@ -304,7 +305,7 @@
 class SilentPollScenario(Scenario):
     """An upstream leaves while a third of the gateways get no answer to their long polls."""
 
-    names_era = True
+    names_era, silent_gateways = True, GATEWAYS // 3
 
     def log_path(self, k):
         return os.path.join(self.logs, f"gateway-{k}.log")
@@ -322,7 +323,7 @@
         callers = [asyncio.create_task(self.caller(lambda: end_time))
                    for _ in range(self.options.callers)]
         await asyncio.sleep(3)
-        for proxy in self.proxies[:GATEWAYS // 3]:
+        for proxy in self.proxies[:self.silent_gateways]:
             proxy.silence_open()
         await asyncio.sleep(1)
         runner = self.plain_runners[0]
@@ -330,7 +331,10 @@
         await self.store.put("servers", runner.id, runner.store_row())
         runner.left_at = time.monotonic()
         await asyncio.gather(*callers)
-        for k in range(GATEWAYS // 3):
+        self.check_logs()
+
+    def check_logs(self):
+        for k in range(self.silent_gateways):
             self.check_repeats(k)
 
     def check_repeats(self, k):
@@ -348,13 +352,23 @@
     names_era = False
 
 
+class SilentPollAllScenario(SilentPollNoEraScenario):
+    """All gateways get no answer to their long polls."""
+
+    silent_gateways = GATEWAYS
+
+    def check_logs(self):
+        pass
+
+
 SCENARIOS = {"faulty-answers": FaultyAnswersScenario, "late-row": LateRowScenario,
              "leaving-answers": LeavingAnswersScenario,
              "limit": LimitScenario, "prompt-part": PromptPartScenario,
              "request": RequestScenario, "restored": RestoredScenario,
              "retry-after": RetryAfterScenario,
              "stream-request": StreamRequestScenario,
-             "silent-poll": SilentPollScenario, "silent-poll-no-era": SilentPollNoEraScenario}
+             "silent-poll": SilentPollScenario, "silent-poll-no-era": SilentPollNoEraScenario,
+             "silent-poll-all": SilentPollAllScenario}
 
 
 async def main():
