Let the gateways take turns in repeating their calls to the store

What callers saw: upstreams that had left got requests for up to 28 s while the long polls of all gateways had no answer (DRAIN).

Cause: a gateway learns that it is behind from another one that has read more; with all polls silent nobody has. Two gateways a second, whatever their number (a lone one every 2 s), now replace their calls by new ones over new connections, and tell the others what they read.

--- a/gateway/control.c
+++ b/gateway/control.c
@@ -26,6 +26,9 @@
 /* Time in which the gateways read a change after each other, beside that delay. */
 #define UPSTREAM_LAG_MS 300
 
+/* The store answers a call that is not a long poll well within this time. */
+#define POLL_MIN_US UINT64_C (1000000)
+
 static uint32_t
 changes_delay_ms (double drain_limit_ms)
 {
@@ -228,6 +231,21 @@
   return due_us;
 }
 
+/* The long polls of all gateways may be without an answer at once. */
+static uint64_t
+take_store_turn (BurdockGateway *gateway, uint64_t now_us)
+{
+  BurdockGatewayControl *control = &gateway->control;
+
+  if (!control->upstreams_listed || gateway->gateway_count == 0)
+    return BURDOCK_LOOP_NEVER_US;
+  if (burdock_store_turn_is_due (&control->store_turn, gateway->gateway_count, now_us)) {
+    burdock_table_watch_call_again (control->config_watch, POLL_MIN_US, now_us);
+    burdock_table_watch_call_again (control->upstream_watch, POLL_MIN_US, now_us);
+  }
+  return control->store_turn.next_us;
+}
+
 static void
 quarantine_reachable (void *ctx, bool reachable, uint64_t since_us, const char *reason)
 {
@@ -285,6 +303,7 @@
   follow_era (gateway);
   next_us = earlier (next_us, burdock_gateway_configuration_check (gateway, now_us));
   next_us = earlier (next_us, check_upstream_lag (gateway, now_us));
+  next_us = earlier (next_us, take_store_turn (gateway, now_us));
   next_us = earlier (next_us, burdock_table_watch_tick (control->config_watch, now_us));
   next_us = earlier (next_us, burdock_table_watch_tick (control->upstream_watch, now_us));
   next_us = earlier (next_us, tick_quarantine (control, now_us));
@@ -325,6 +344,7 @@
   control->config_watch =
       burdock_table_watch_new (&control->store, BURDOCK_PLATFORM_CONFIG_TABLE,
                                CONFIG_CHANGES_DELAY_MS, &config);
+  control->store_turn.gateway = gateway->id;
   control->upstream_lag_us =
       (changes_delay_ms (gateway->settings.drain_limit_ms) + UPSTREAM_LAG_MS) * US_PER_MS;
   control->upstream_watch =
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -121,6 +121,7 @@
  * @config_lag: how long another gateway has had a newer configuration
  * @upstream_lag: how long another gateway has read a later change of the upstreams
  * @upstream_lag_us: time in which this gateway normally reads such a change
+ * @store_turn: when this gateway repeats its calls to the store
  * @followed_era: era of the store for which this gateway has written its rows again
  * @config_listed: the table of the configuration was read at least once
  * @upstreams_listed: the table of upstreams was read at least once
@@ -140,6 +141,7 @@
   BurdockStoreLag config_lag;
   BurdockStoreLag upstream_lag;
   uint64_t upstream_lag_us;
+  BurdockStoreTurn store_turn;
   uint64_t followed_era;
   bool config_listed;
   bool upstreams_listed;
@@ -230,6 +232,8 @@
  *   that another gateway has reported
  * @upstream_version: version of the last change of the upstreams that was read in the
  *   present era, from the control to the traffic thread
+ * @gateway_count: number of gateways, this one included, from the traffic to the control
+ *   thread; 0 before the first heartbeat
  * @published_upstreams: &BurdockUpstreamList from the control to the traffic thread
  */
 typedef struct {
@@ -246,6 +250,7 @@
   _Atomic uint64_t peer_store_era;
   _Atomic uint64_t peer_upstream_version;
   _Atomic uint64_t upstream_version;
+  _Atomic uint32_t gateway_count;
 } BurdockGateway;
 
 /**
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -390,6 +390,7 @@
     for (uint32_t i = 0; i < library->seed_count; i++)
       add_peer (gateway, (BurdockAddress){ library->seeds[i].ipv4,
                                            library->control_address.port });
+    gateway->gateway_count = traffic->peer_count + 1;
     send_heartbeat (gateway, to, peer_addresses (traffic, to), now_us);
     send_upstream_rates (gateway, now_us);
   }
--- a/libburdock/store-share.c
+++ b/libburdock/store-share.c
@@ -8,6 +8,9 @@
 /* Time between repeats of any gateway. */
 #define REPEAT_INTERVAL_US UINT64_C (500000)
 
+/* Least time between turns of one gateway. */
+#define TURN_MIN_US UINT64_C (2000000)
+
 static void
 begin_state (BurdockStoreShare *share, const BurdockStoreState *state, uint32_t gateways,
              uint64_t now_us)
@@ -53,3 +56,24 @@
   *due_us = now_us + limit_us;
   return true;
 }
+
+bool
+burdock_store_turn_is_due (BurdockStoreTurn *turn, uint32_t gateways, uint64_t now_us)
+{
+  uint64_t interval_us = REPEAT_INTERVAL_US * gateways;
+
+  if (interval_us < TURN_MIN_US)
+    interval_us = TURN_MIN_US;
+  /* Gateways that start together take their turns at different times. */
+  if (turn->next_us == 0)
+    turn->next_us =
+        now_us + (uint64_t)(burdock_hash_unit (burdock_hash_mix (turn->gateway)) *
+                            (double)interval_us);
+  /* A gateway that has just started hears of the others within a second. */
+  if (turn->next_us > now_us + interval_us)
+    turn->next_us = now_us + interval_us;
+  if (now_us < turn->next_us)
+    return false;
+  turn->next_us = now_us + interval_us;
+  return true;
+}
--- a/tests/test-store-share.c
+++ b/tests/test-store-share.c
@@ -96,7 +96,48 @@
   }
 }
 
+typedef struct {
+  uint32_t gateways;
+  double gap_max_s; /* without a turn of any gateway */
+  double per_s_max; /* turns of all gateways */
+} TurnCase;
+
+static const TurnCase turn_cases[] = {
+  { 1, 2, 0.5 }, { 3, 2, 1.5 }, { 9, 2, 2 }, { 99, 3, 2 }, { 330, 4, 2 },
+};
+
+static void
+one_gateway_after_the_other_repeats_its_call (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (turn_cases); i++) {
+    const TurnCase *row = &turn_cases[i];
+    BurdockStoreTurn turns[GATEWAYS_MAX] = { { 0 } };
+    uint64_t last_us = 0;
+    uint64_t gap_us = 0;
+    uint32_t count = 0;
+
+    for (uint32_t k = 0; k < row->gateways; k++)
+      turns[k].gateway = burdock_hash_mix (k + 1);
+    for (uint64_t now_us = STEP_US; now_us <= 400 * US_PER_S; now_us += STEP_US) {
+      for (uint32_t k = 0; k < row->gateways; k++) {
+        if (!burdock_store_turn_is_due (&turns[k], row->gateways, now_us))
+          continue;
+        count++;
+        if (now_us - last_us > gap_us)
+          gap_us = now_us - last_us;
+        last_us = now_us;
+      }
+    }
+    CU_ASSERT_TRUE ((double)gap_us <= row->gap_max_s * (double)US_PER_S);
+    CU_ASSERT_TRUE (count <= row->per_s_max * 400 + row->gateways);
+  }
+}
+
 static const Test tests[] = {
+  { "a change is missed while the calls of all gateways have no answer, or the store "
+    "gets "
+    "too many calls",
+    one_gateway_after_the_other_repeats_its_call },
   { "a gateway that is behind never calls the store again, or does so all the time",
     a_gateway_that_is_behind_calls_again },
   { "a gateway without answers of the store never hears of a change",
