Hold an older start to a notice for a minute only

An upstream takes the time of its start from the clock of its instance, which may have gone back: a later start under the same id then looked like one from before the notice and got no requests for 10 minutes. Found by reading; a case of test-leaving-upstreams failed before (a start that a clock put before it).

--- a/libburdock/leaving-upstreams.c
+++ b/libburdock/leaving-upstreams.c
@@ -7,7 +7,8 @@
 #define NOTICES_MAX 1024
 #define KEPT_US UINT64_C (600000000)
 
-/* A restarted upstream whose start is not known cannot be told from the one that left. */
+/* A start that is not known, or lies before that of the notice, may be a later one: an
+ * upstream takes the time from the clock of its instance. */
 #define KEPT_UNKNOWN_START_US UINT64_C (60000000)
 
 /* Most upstreams have gone a minute after their notice. */
@@ -67,20 +68,17 @@
   return NULL;
 }
 
-static bool
-is_kept (const Notice *notice, uint64_t now_us)
-{
-  return now_us <
-         notice->at_us + (notice->born_ms != 0 ? KEPT_US : KEPT_UNKNOWN_START_US);
-}
-
 bool
 burdock_leaving_upstreams_contains (const BurdockLeavingUpstreams *set, uint64_t upstream,
                                     uint64_t born_ms, uint64_t now_us)
 {
   const Notice *notice = find_notice (set, upstream);
+  bool same_start;
 
-  return notice != NULL && is_kept (notice, now_us) && born_ms <= notice->born_ms;
+  if (notice == NULL || born_ms > notice->born_ms)
+    return false;
+  same_start = born_ms == notice->born_ms && born_ms != 0;
+  return now_us < notice->at_us + (same_start ? KEPT_US : KEPT_UNKNOWN_START_US);
 }
 
 /* The notice about @upstream, or else a free one or the oldest. */
--- a/libburdock/leaving-upstreams.h
+++ b/libburdock/leaving-upstreams.h
@@ -45,7 +45,8 @@
  * burdock_leaving_upstreams_contains() - whether this start of an upstream, or a later
  * one, has said that it leaves
  *
- * A notice is kept for 10 minutes, for one minute if its start is not known.
+ * A notice is kept for 10 minutes, for a start that is not known or before it for one
+ * minute.
  */
 bool burdock_leaving_upstreams_contains (const BurdockLeavingUpstreams *set,
                                          uint64_t upstream, uint64_t born_ms,
--- a/tests/test-leaving-upstreams.c
+++ b/tests/test-leaving-upstreams.c
@@ -19,6 +19,7 @@
   { "the same start", 100, 100, 0, true },
   { "the same start, minutes later", 100, 100, 590, true },
   { "a start before it", 100, 90, 0, true },
+  { "a start that a clock put before it", 100, 90, 61, false },
   { "a row without its start", 100, 0, 0, true },
   { "a later start under its id", 100, 101, 0, false },
   { "the same start, long after it has gone", 100, 100, 601, false },
@@ -66,24 +67,24 @@
   uint32_t gateways;
   BurdockNoticeSource source; /* a row: all gateways but the last read it */
   uint32_t upstreams;
+  uint32_t first_max; /* messages to a gateway in the first step */
   double lost;        /* share of the messages that are lost */
   double deaf_s;      /* the last gateway receives nothing for this time */
   double told_max_s;  /* until the last gateway knows all, after that */
-  uint32_t first_max; /* messages to a gateway in the first step */
   double per_s_max;   /* messages to a gateway a second, from 5 s on */
 } ShareCase;
 
 static const ShareCase share_cases[] = {
-  { "an answer", 9, BURDOCK_NOTICE_ANSWER, 1, 0, 0, 0.2, 1, 4 },
-  { "an answer, messages lost", 9, BURDOCK_NOTICE_ANSWER, 1, 0.3, 0, 1, 1, 4 },
-  { "an answer, 99 gateways", 99, BURDOCK_NOTICE_ANSWER, 1, 0.3, 0, 1, 1, 4 },
-  { "an answer, 330 gateways", 330, BURDOCK_NOTICE_ANSWER, 1, 0.3, 0, 1, 1, 4 },
-  { "an answer, a gateway cut off", 9, BURDOCK_NOTICE_ANSWER, 1, 0, 20, 1.5, 1, 4 },
-  { "a row", 9, BURDOCK_NOTICE_ROW, 1, 0, 0, 1, 9, 4 },
-  { "a row, 99 gateways", 99, BURDOCK_NOTICE_ROW, 1, 0, 0, 1, 12, 4 },
-  { "a row, 330 gateways", 330, BURDOCK_NOTICE_ROW, 1, 0, 0, 1, 12, 4 },
-  { "twenty rows at once", 99, BURDOCK_NOTICE_ROW, 20, 0, 0, 1.5, 99, 4 },
-  { "a hundred answers at once", 9, BURDOCK_NOTICE_ANSWER, 100, 0, 0, 1, 1, 4 },
+  { "an answer", 9, BURDOCK_NOTICE_ANSWER, 1, 1, 0, 0, 0.2, 4 },
+  { "an answer, messages lost", 9, BURDOCK_NOTICE_ANSWER, 1, 1, 0.3, 0, 1, 4 },
+  { "an answer, 99 gateways", 99, BURDOCK_NOTICE_ANSWER, 1, 1, 0.3, 0, 1, 4 },
+  { "an answer, 330 gateways", 330, BURDOCK_NOTICE_ANSWER, 1, 1, 0.3, 0, 1, 4 },
+  { "an answer, a gateway cut off", 9, BURDOCK_NOTICE_ANSWER, 1, 1, 0, 20, 1.5, 4 },
+  { "a row", 9, BURDOCK_NOTICE_ROW, 1, 9, 0, 0, 1, 4 },
+  { "a row, 99 gateways", 99, BURDOCK_NOTICE_ROW, 1, 12, 0, 0, 1, 4 },
+  { "a row, 330 gateways", 330, BURDOCK_NOTICE_ROW, 1, 12, 0, 0, 1, 4 },
+  { "twenty rows at once", 99, BURDOCK_NOTICE_ROW, 20, 99, 0, 0, 1.5, 4 },
+  { "a hundred answers at once", 9, BURDOCK_NOTICE_ANSWER, 100, 1, 0, 0, 1, 4 },
 };
 
 typedef struct {
