Log which requests a planned stop takes and which it cuts off

A request that the end of the process cuts off was logged as abandoned, like one whose caller has left, and nothing said how much of a stop had passed when a request was taken. 'request ended' now has the outcome 'cut' and stop_ms, 'stopped' the requests taken in the stop, those cut off, and the connections that were closed with unread bytes, which resets them. Metric: burdock_stop_requests_total. No decision changes.

--- a/daemon/http-server-private.h
+++ b/daemon/http-server-private.h
@@ -18,6 +18,13 @@
   char name[];
 } Header;
 
+/** struct Connection - connection of a peer, with or without a request */
+typedef struct Connection {
+  struct Connection *next;
+  struct Connection *previous;
+  int descriptor;
+} Connection;
+
 /**
  * struct BurdockHttpRequest - request and its response
  * @body: request body received so far, with a terminating zero
@@ -68,6 +75,7 @@
  * @keepalive_disabled: responses end their connections
  * @quiesced: the listening socket is closed
  * @next_check_us: time of the next check for disconnected peers
+ * @connections: list of all open connections
  * @open_requests: list of the requests that have not ended, @open_count in number
  * @slots: open request by the lower half of its id, NULL for a free slot
  * @generations: number of uses of each slot, the upper half of the id
@@ -82,6 +90,7 @@
   bool keepalive_disabled;
   bool quiesced;
   uint64_t next_check_us;
+  Connection *connections;
   uint32_t open_count;
   BurdockHttpRequest *open_requests;
   BurdockHttpRequest **slots;
--- a/daemon/http-server.c
+++ b/daemon/http-server.c
@@ -5,6 +5,7 @@
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -123,6 +124,47 @@
   free (request);
 }
 
+static void
+add_connection (BurdockHttpServer *server, struct MHD_Connection *peer, void **data)
+{
+  const union MHD_ConnectionInfo *info =
+      MHD_get_connection_info (peer, MHD_CONNECTION_INFO_CONNECTION_FD);
+  Connection *connection = info != NULL ? calloc (1, sizeof *connection) : NULL;
+
+  *data = connection;
+  if (connection == NULL)
+    return;
+  connection->descriptor = info->connect_fd;
+  connection->next = server->connections;
+  if (server->connections != NULL)
+    server->connections->previous = connection;
+  server->connections = connection;
+}
+
+static void
+remove_connection (BurdockHttpServer *server, Connection *connection)
+{
+  if (connection == NULL)
+    return;
+  if (connection->previous != NULL)
+    connection->previous->next = connection->next;
+  else
+    server->connections = connection->next;
+  if (connection->next != NULL)
+    connection->next->previous = connection->previous;
+  free (connection);
+}
+
+static void
+notify_connection (void *ctx, struct MHD_Connection *peer, void **data,
+                   enum MHD_ConnectionNotificationCode code)
+{
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    add_connection (ctx, peer, data);
+  else
+    remove_connection (ctx, *data);
+}
+
 /* Called by libmicrohttpd with the request target, before any other callback of a
  * request. */
 static void *
@@ -382,11 +424,12 @@
       flags, 0, NULL, NULL, handle_request, server, MHD_OPTION_EXTERNAL_LOGGER,
       discard_log, NULL, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&local,
       MHD_OPTION_URI_LOG_CALLBACK, begin_request, server, MHD_OPTION_NOTIFY_COMPLETED,
-      end_request, server, MHD_OPTION_CONNECTION_LIMIT,
-      (unsigned)server->limits.connections, MHD_OPTION_CONNECTION_TIMEOUT,
-      (unsigned)server->limits.idle_s, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      (size_t)server->limits.connection_memory_bytes, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-      (unsigned)BACKLOG, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_ARRAY,
+      end_request, server, MHD_OPTION_NOTIFY_CONNECTION, notify_connection, server,
+      MHD_OPTION_CONNECTION_LIMIT, (unsigned)server->limits.connections,
+      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)server->limits.idle_s,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)server->limits.connection_memory_bytes,
+      MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned)BACKLOG,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_ARRAY,
       tls != NULL ? tls_options : no_options, MHD_OPTION_END);
   if (server->daemon == NULL) {
     free (server);
@@ -444,6 +487,21 @@
   return server->open_count;
 }
 
+uint32_t
+burdock_http_server_unread_count (const BurdockHttpServer *server)
+{
+  uint32_t count = 0;
+
+  for (const Connection *connection = server->connections; connection != NULL;
+       connection = connection->next) {
+    int unread_bytes = 0;
+
+    if (ioctl (connection->descriptor, FIONREAD, &unread_bytes) == 0 && unread_bytes > 0)
+      count++;
+  }
+  return count;
+}
+
 void
 burdock_http_server_each (BurdockHttpServer *server,
                           void (*function) (void *ctx, BurdockHttpRequest *request),
--- a/daemon/http-server.h
+++ b/daemon/http-server.h
@@ -80,6 +80,10 @@
 /** burdock_http_server_open_count() - number of requests that have not ended */
 uint32_t burdock_http_server_open_count (const BurdockHttpServer *server);
 
+/** burdock_http_server_unread_count() - number of connections with bytes that have not
+ * been read; closing them resets the connections */
+uint32_t burdock_http_server_unread_count (const BurdockHttpServer *server);
+
 /** burdock_http_server_each() - calls @function for each request that the handler
  * received and whose response is incomplete */
 void burdock_http_server_each (BurdockHttpServer *server,
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -449,6 +449,8 @@
   uint32_t status;
 
   traffic->counters.requests++;
+  if (traffic->leaving)
+    traffic->counters.stop_requests++;
   burdock_exchange_parse_request (request, &caller);
   if (!burdock_gateway_has_state (gateway)) {
     reject (gateway, request, &caller, 503, "no configuration yet");
@@ -473,6 +475,18 @@
   start_forward (forward);
 }
 
+/* Time from the start of a planned stop to the receipt of a request, -1 for a request
+ * that was received before it or without one. */
+static int64_t
+received_in_stop_ms (const BurdockForward *forward)
+{
+  const BurdockGatewayTraffic *traffic = &forward->gateway->traffic;
+
+  if (!traffic->leaving || forward->received_us < traffic->drain_started_us)
+    return -1;
+  return (int64_t)((forward->received_us - traffic->drain_started_us) / US_PER_MS);
+}
+
 static void
 log_request (const BurdockForward *forward, bool delivered)
 {
@@ -487,17 +501,29 @@
       "outcome %s status %u route %s pool %s generation %u upstreams %" PRIu64
       " delivered %d sent %u ran %u "
       "reason %s first_ms %u total_ms %u placed_ms %u events %u pause_ms %u "
-      "digest %016" PRIx64,
-      forward->outcome != NULL ? forward->outcome : "abandoned", forward->final_status,
-      forward->route->name, forward->pool->name, (uint32_t)forward->table->version,
-      forward->upstream_version, delivered, forward->send_count, forward->run_count,
-      burdock_reason_name (forward->reason), (uint32_t)first_ms,
-      (uint32_t)((now_us - forward->received_us) / US_PER_MS),
+      "digest %016" PRIx64 " stop_ms %" PRId64,
+      forward->outcome, forward->final_status, forward->route->name, forward->pool->name,
+      (uint32_t)forward->table->version, forward->upstream_version, delivered,
+      forward->send_count, forward->run_count, burdock_reason_name (forward->reason),
+      (uint32_t)first_ms, (uint32_t)((now_us - forward->received_us) / US_PER_MS),
       forward->send_count > 0
           ? (uint32_t)((forward->sent_us - forward->received_us) / US_PER_MS)
           : 0,
       forward->attempt_event_count, (uint32_t)(forward->longest_gap_us / US_PER_MS),
-      forward->digest);
+      forward->digest, received_in_stop_ms (forward));
+}
+
+/* A request without a final answer has lost its caller, unless the process ends. */
+static void
+count_unanswered (BurdockForward *forward)
+{
+  BurdockGatewayTraffic *traffic = &forward->gateway->traffic;
+
+  if (traffic->ended)
+    traffic->counters.stop_cut++;
+  else
+    traffic->counters.abandoned++;
+  forward->outcome = traffic->ended ? "cut" : "abandoned";
 }
 
 void
@@ -511,7 +537,7 @@
   if (forward->phase == BURDOCK_FORWARD_WAITING)
     burdock_balancer_withdraw (gateway->traffic.balancer, forward->placement.handle);
   if (forward->phase != BURDOCK_FORWARD_DONE)
-    gateway->traffic.counters.abandoned++;
+    count_unanswered (forward);
   log_request (forward, complete);
   forward->phase = BURDOCK_FORWARD_DONE;
   burdock_forward_cancel (forward, BURDOCK_UPSTREAM_ABANDONED);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -98,6 +98,10 @@
  * @events: stream events delivered
  * @connections: connections opened to upstreams
  * @quarantined: requests refused because a part of their prompt crashes upstreams
+ * @stop_requests: requests received in a planned stop
+ * @stop_cut: requests that the end of the process has cut off
+ * @stop_unread: connections that the end of the process has reset, with bytes of a caller
+ *   that had not been read
  * @first_event_ms: histogram of the time from a request to its first event
  */
 typedef struct {
@@ -112,6 +116,9 @@
   uint64_t events;
   uint64_t connections;
   uint64_t quarantined;
+  uint64_t stop_requests;
+  uint64_t stop_cut;
+  uint64_t stop_unread;
   uint64_t first_event_ms[BURDOCK_HISTOGRAM_BUCKETS];
 } BurdockGatewayCounters;
 
@@ -170,6 +177,7 @@
  * @keep_alive_max_s: idle time after which a connection to an upstream is not reused, 0
  *   before an upstream has sent a keep-alive timeout
  * @leaving: the gateway is shutting down
+ * @ended: the process ends; requests that are still open are cut off
  * @store_share: when the state of the store is sent to the other gateways
  * @roster_round: number of times that rosters were sent to all agents
  * @heartbeats_sent: number of heartbeats sent since the start
@@ -201,6 +209,7 @@
   bool handover_done;
   uint32_t keep_alive_max_s;
   bool leaving;
+  bool ended;
   uint64_t drain_started_us;
   uint64_t next_heartbeat_us;
   uint64_t next_roster_us;
--- a/gateway/local-endpoints.c
+++ b/gateway/local-endpoints.c
@@ -83,6 +83,7 @@
     { "burdock_events_total", counters->events },
     { "burdock_upstream_connections_total", counters->connections },
     { "burdock_requests_quarantined_total", counters->quarantined },
+    { "burdock_stop_requests_total", counters->stop_requests },
     { "burdock_parts_quarantined", burdock_part_quarantine_count (traffic->quarantine) },
     { "burdock_requests_waiting", stats.waiting },
     { "burdock_upstreams", stats.upstreams },
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -5,6 +5,7 @@
 
 #include <apr_general.h>
 #include <curl/curl.h>
+#include <inttypes.h>
 #include <sodium.h>
 #include <stdlib.h>
 
@@ -33,6 +34,7 @@
 static int
 run (BurdockGateway *gateway)
 {
+  const BurdockGatewayCounters *counters = &gateway->traffic.counters;
   bool drained;
 
   if (burdock_gateway_traffic_init (gateway) < 0 ||
@@ -50,7 +52,10 @@
   free_published (gateway);
   burdock_gateway_control_clear (gateway);
   burdock_gateway_traffic_clear (gateway);
-  burdock_log (BURDOCK_LOG_INFO, "stopped", "-", "drained %d", drained);
+  burdock_log (counters->stop_cut > 0 ? BURDOCK_LOG_WARNING : BURDOCK_LOG_INFO, "stopped",
+               "-", "drained %d taken %" PRIu64 " cut %" PRIu64 " unread %" PRIu64,
+               drained, counters->stop_requests, counters->stop_cut,
+               counters->stop_unread);
   return EXIT_SUCCESS;
 }
 
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -235,6 +235,10 @@
 {
   BurdockGatewayTraffic *traffic = &gateway->traffic;
 
+  traffic->ended = true;
+  if (traffic->caller_server != NULL)
+    traffic->counters.stop_unread =
+        burdock_http_server_unread_count (traffic->caller_server);
   burdock_http_server_free (traffic->caller_server);
   burdock_http_server_free (traffic->ready_server);
   burdock_http_server_free (traffic->directory_server);
