--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -12,6 +12,7 @@
 silent-poll: open connections of some gateways to the store go silent for good.
 silent-poll-no-era: the same with a store that names no era.
 silent-poll-all: the same at all gateways.
+planned-stop: gateways are stopped while callers stay with them and upstreams are slow.
 restored: the store returns from a copy some seconds old, twice.
 """
 import argparse
@@ -26,6 +27,7 @@
 from leaving import LateRowScenario, LeavingAnswersScenario, RetryAfterScenario
 from restored import RestoredScenario
 from standin import CRASHING_PART, CRASHING_PATH, CRASHING_STREAM_PATH, Runner
+from stops import StopScenario
 
 # Bounds of the users' pages.
 STABILITY_S = 3.0
@@ -361,9 +363,13 @@
         pass
 
 
+class PlannedStopScenario(StopScenario, soak.Soak):
+    gateway_count = 3
+
+
 SCENARIOS = {"faulty-answers": FaultyAnswersScenario, "late-row": LateRowScenario,
              "leaving-answers": LeavingAnswersScenario,
-             "limit": LimitScenario, "prompt-part": PromptPartScenario,
+             "limit": LimitScenario, "planned-stop": PlannedStopScenario, "prompt-part": PromptPartScenario,
              "request": RequestScenario, "restored": RestoredScenario,
              "retry-after": RetryAfterScenario,
              "stream-request": StreamRequestScenario,
@@ -382,8 +388,10 @@
     parser.add_argument("--net", type=int, default=0,
                         help="second number of the loopback addresses, for runs side by side")
     options = parser.parse_args()
-    options.gateways, options.sabotage, options.verbose = GATEWAYS, None, False
-    scenario = SCENARIOS[options.scenario](options)
+    scenario_class = SCENARIOS[options.scenario]
+    options.gateways = getattr(scenario_class, "gateway_count", GATEWAYS)
+    options.sabotage, options.verbose = None, False
+    scenario = scenario_class(options)
     await scenario.start()
     try:
         await scenario.run()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,6 +16,7 @@
 
 from standin import (EXPERTS, LAYERS, EXPERT_SLOTS, LOADS_MAX, Group, HttpServer, Proxy, Runner,
                      Store, attempt_id, body_of, event_count, gateway_of, read_body, read_head)
+from stops import StopCheck, stop_process
 
 GROUP_COUNT, RANK_COUNT, PLAIN_RUNNER_COUNT = 2, 4, 2
 # API key: name of its workspace.
@@ -39,6 +40,7 @@
 
     def __init__(self):
         self.run_counts, self.refusal_status, self.violations = {}, {}, []
+        self.runs = {}  # by attempt: [start, end or None, whether the upstream broke off]
         self.disturbed_at = {}  # by name of the process
 
     def add_violation(self, rule, text):
@@ -50,6 +52,7 @@
 
     def record_run(self, runner, path, attempt, headers):
         count = self.run_counts[attempt] = self.run_counts.get(attempt, 0) + 1
+        self.runs.setdefault(attempt, []).append([time.monotonic(), None, False])
         if path.startswith("/once/") and count > 1:
             self.add_violation("TWICE", f"{attempt} ran {count} times")
         if attempt in self.refusal_status and count > 0:
@@ -63,6 +66,10 @@
                 and not self.was_disturbed(attempt, runner.left_at)):
             self.add_violation("DRAIN", f"{attempt} was sent to {runner.id} after its drain time")
 
+    def record_run_end(self, attempt, broke_off):
+        run = next(run for run in self.runs[attempt] if run[1] is None)
+        run[1], run[2] = time.monotonic(), broke_off
+
     def record_refusal(self, attempt, status, kind):
         if kind != "safe" and self.run_counts.get(attempt):
             self.add_violation("REFUSED", f"{attempt} was refused with {status} but ran before")
@@ -120,6 +127,8 @@
 
     def __init__(self, options):
         self.options, self.check = options, InvariantChecker()
+        self.stops = StopCheck(self.check)
+        self.kinds, self.streams_resume = REQUEST_KINDS, True
         self.random = random.Random(options.seed)
         random.seed(options.seed)
         self.logs = options.logs
@@ -178,10 +187,10 @@
         routes = [{"name": kind, "host": "h", "prefix": prefix, "priority": 1,
                    "service": "model" if kind == "stream" else "plain",
                    "timeoutMs": limit, "sloMs": 400, "maxAttempts": 2,
-                   "resumable": kind == "stream", "itlTargetMs": 120,
+                   "resumable": kind == "stream" and self.streams_resume, "itlTargetMs": 120,
                    "routeType": {"stream": "streaming", "once": "non_idempotent",
                                  "safe": "idempotent"}[kind]}
-                  for kind, (prefix, _, limit) in REQUEST_KINDS.items()]
+                  for kind, (prefix, _, limit) in self.kinds.items()]
         engine = {"layerSets": LAYERS, "experts": EXPERTS, "placements": EXPERT_SLOTS,
                   "spares": LOADS_MAX, "expertMb": 10.0, "linkMbps": 800.0}
         return {"version": self.version, "routes": routes,
@@ -231,7 +240,8 @@
                     asyncio.open_connection(ip, int(port)), 1), address)
             gateway = int(connection[2].split(":")[0].split(".")[3]) - 1
             outcome, reusable = await asyncio.wait_for(
-                self.exchange(kind, attempt_id(self.random, gateway), connection), REQUEST_KINDS[kind][2] / 1000 + 1)
+                self.exchange(kind, attempt_id(self.random, gateway), connection),
+                self.kinds[kind][2] / 1000 + 1)
         except asyncio.TimeoutError:
             outcome = "timeout"
         except (OSError, asyncio.IncompleteReadError, ValueError):
@@ -247,8 +257,28 @@
 
     async def exchange(self, kind, attempt, connection, header_lines="", own_prefix=None,
                        own_key=None):
+        """Sends a request and reads its answer; returns the status and the connection, None if it
+        cannot be used again."""
+        sent = self.stops.begin(attempt, kind, gateway_of(attempt), self.kinds[kind][2] / 1000)
+        try:
+            result = await self.send_and_receive(sent, connection, header_lines, own_prefix,
+                                                 own_key)
+        except asyncio.CancelledError:
+            sent.end("left")
+            raise
+        except (OSError, asyncio.IncompleteReadError, ValueError):
+            sent.end("cut")
+            raise
+        if result[0] == "cut":
+            sent.end("cut")
+        else:
+            sent.end_with_status(int(result[0]))
+        return result
+
+    async def send_and_receive(self, sent, connection, header_lines, own_prefix, own_key):
         reader, writer, _ = connection
-        prefix, method, limit = REQUEST_KINDS[kind]
+        kind, attempt = sent.kind, sent.attempt
+        prefix, method, limit = self.kinds[kind]
         prefix = own_prefix or prefix
         key = own_key or self.random.choice(list(WORKSPACES_BY_KEY))
         body = "x" * 20 if method == "POST" else ""
@@ -257,6 +287,7 @@
                       f"Burdockwind-Deadline-Ms: {limit}\r\nAuthorization: Bearer {key}\r\n"
                       f"{header_lines}Content-Length: {len(body)}\r\n\r\n{body}").encode())
         await writer.drain()
+        sent.sent_at = time.monotonic()
         head = await read_head(reader)
         if head is None:
             return "cut", None
@@ -409,6 +440,12 @@
         runner.assign_new_id()
         await self.store.put("servers", runner.id, runner.store_row())
 
+    async def stop_when_calm(self):
+        """Stops a gateway when all are calm. With --sabotage stop it is killed at once, so that
+        the check of lost requests has to fail."""
+        await asyncio.sleep(STABILITY_S + 1)
+        await stop_process(self.random.choice(self.gateways), self.options.sabotage == "stop")
+
     async def run(self):
         self.began = time.monotonic()
         end = [self.began + self.options.seconds + RECOVERY_S + 6]
@@ -421,11 +458,13 @@
         if pending:
             await asyncio.wait(pending)
         self.faults_ended_at = time.monotonic()
+        self.stops.disturbances.append((self.began, self.faults_ended_at))
         end[0] = self.faults_ended_at + RECOVERY_S + 6
         for task in pending:
             if task.exception():
                 raise task.exception()
-        await asyncio.gather(self.drain_when_calm(), *callers)
+        await asyncio.gather(self.drain_when_calm(), self.stop_when_calm(), *callers)
+        self.stops.report()
         served, asked = self.late_requests
         if asked == 0 or served < 0.9 * asked:
             self.check.add_violation("RECOVER", f"{served} of {asked} requests succeeded after the "
@@ -449,7 +488,7 @@
     parser.add_argument("--logs", default="/tmp/burdock-soak")
     parser.add_argument("--net", type=int, default=0,
                         help="second number of the loopback addresses, for runs side by side")
-    parser.add_argument("--sabotage", choices=("drain",),
+    parser.add_argument("--sabotage", choices=("drain", "stop"),
                         help="break a promise, to show that its check can fail")
     parser.add_argument("--verbose", action="store_true")
     options = parser.parse_args()
--- a/tests/soak/standin.py
+++ b/tests/soak/standin.py
@@ -30,6 +30,8 @@
 # Share of the requests that a runner with a limit rejects, without naming the limit.
 LIMITED_REJECT_RATE = 0.2
 
+# Share of the events of a stream before which a runner with pauses makes one.
+PAUSE_RATE = 0.3
 
 # A gateway may have sent this many requests within this time of a rejection, in s.
 PAUSE_SLACK_S, PAUSE_ARRIVALS_MAX = 0.5, 2
@@ -308,6 +310,9 @@
                                                                     group, rank)
         self.slots, self.running, self.sequence = slots, 0, 0
         self.state, self.error_rate, self.hung = "available", 0.0, False
+        # Time in s that a plain request takes, at least and at most; longest pause between two
+        # events of a stream, which PAUSE_RATE of the events have.
+        self.work_s, self.pause_s = (0.03, 0.03), 0.0
         # Start of a shutdown that gateways were told of; whether answers tell it as well.
         self.left_at, self.says_leaving = None, False
         # Seconds for which it wants nothing from a gateway whose request it has rejected.
@@ -378,24 +383,33 @@
     async def run(self, path, attempt, headers, writer):
         self.check.record_run(self, path, attempt, headers)
         self.running += 1
+        broke_off = False
         try:
-            if self.hung:
-                await asyncio.sleep(10)
-                return False
-            if not path.startswith("/stream/") and random.random() < self.error_rate:
-                writer.transport.abort()
-                return False
-            if path.startswith("/stream/"):
-                return await self.stream(path, attempt, headers, writer)
-            if path == CRASHING_PATH:
-                await self.crash_plain()
-                return False
-            await asyncio.sleep(0.03)
-            writer.write(answer(200, body_of(attempt), self.answer_headers(attempt)))
-            await writer.drain()
-            return True
+            complete = await self.work(path, attempt, headers, writer)
+            broke_off = not complete
+            return complete
         finally:
             self.running -= 1
+            self.check.record_run_end(attempt, broke_off)
+
+    async def work(self, path, attempt, headers, writer):
+        """Returns true after a whole answer, false if it breaks it off; raises ConnectionError
+        if the gateway does."""
+        if self.hung:
+            await asyncio.sleep(10)
+            return False
+        if not path.startswith("/stream/") and random.random() < self.error_rate:
+            writer.transport.abort()
+            return False
+        if path.startswith("/stream/"):
+            return await self.stream(path, attempt, headers, writer)
+        if path == CRASHING_PATH:
+            await self.crash_plain()
+            return False
+        await asyncio.sleep(random.uniform(*self.work_s))
+        writer.write(answer(200, body_of(attempt), self.answer_headers(attempt)))
+        await writer.drain()
+        return True
 
     def answer_headers(self, attempt):
         more = [("Server-Limit", str(self.limit))] if self.limit is not None else []
@@ -461,7 +475,11 @@
             step = self.group.step
             while self.group.step == step and self.group.epoch == epoch:
                 await asyncio.sleep(STEP_S / 4)
-            if self.group.epoch != epoch or writer.is_closing():
+            if random.random() < PAUSE_RATE:
+                await asyncio.sleep(random.random() * self.pause_s)
+            if writer.is_closing():
+                raise ConnectionResetError
+            if self.group.epoch != epoch:
                 writer.transport.abort()
                 return False
             event = f"id: {number}\ndata: {attempt}-{number}\n\n"
--- /dev/null
+++ b/tests/soak/stops.py
@@ -0,0 +1,178 @@
+"""Planned stops: which requests a gateway that stops has to answer, and a scenario of them."""
+import asyncio
+import signal
+import time
+
+from standin import Runner
+
+# Bounds of the users' pages, in s: from SIGTERM to SIGKILL; from the last byte of a request until
+# the end of its connection counts as a loss though it was not passed on; time of SIGTERM within
+# which a request may be sent that is cut off at the end of the grace time.
+GRACE_S, LOSS_SLACK_S, EARLY_S = 8.0, 0.2, 3.0
+# A request whose upstream still works in the last part of the grace time may be cut off.
+LAST_PART_S = GRACE_S / 6
+# Answers are measured by callers that share one thread.
+TIME_UP_SLACK_S = 0.05
+# A request is not judged if something unplanned happened for this time before it.
+STABILITY_S = 3.0
+
+
+class SentRequest:
+    """A request as its caller sees it; ending is whole, refused, failed, left or cut."""
+
+    def __init__(self, attempt, kind, gateway, timeout_s):
+        self.attempt, self.kind, self.gateway, self.timeout_s = attempt, kind, gateway, timeout_s
+        self.sent_at = self.ended_at = self.ending = None
+
+    def end(self, ending):
+        self.ended_at, self.ending = time.monotonic(), ending
+
+    def end_with_status(self, status):
+        self.end("refused" if status in (408, 421, 429, 503) else
+                 "failed" if status in (502, 504) else "whole")
+
+
+class StopCheck:
+    """Finds requests that a gateway has lost around a planned stop."""
+
+    def __init__(self, check):
+        self.check, self.requests, self.stops, self.disturbances = check, [], [], []
+
+    def begin(self, attempt, kind, gateway, timeout_s):
+        request = SentRequest(attempt, kind, gateway, timeout_s)
+        self.requests.append(request)
+        return request
+
+    def stop_of(self, request):
+        """Time of the SIGTERM that the request falls under, or None."""
+        for gateway, at in self.stops:
+            if (gateway == request.gateway and request.ended_at >= at
+                    and request.sent_at <= at + GRACE_S + 1):
+                return at
+        return None
+
+    def is_disturbed(self, request):
+        return any(began <= request.ended_at and ended >= request.sent_at - STABILITY_S
+                   for began, ended in self.disturbances)
+
+    def may_be_cut(self, request, stopped_at):
+        """The connection may end without a whole answer."""
+        runs = self.check.runs.get(request.attempt, [])
+        if not runs:
+            return request.ended_at <= request.sent_at + LOSS_SLACK_S
+        if any(broke for _, _, broke in runs):
+            return True
+        return request.sent_at <= stopped_at + EARLY_S and any(
+            ended is None or ended >= stopped_at + GRACE_S - LAST_PART_S
+            for _, ended, _ in runs)
+
+    def loss(self, request):
+        """What was lost, or None."""
+        if request.ending in ("whole", "refused", "left", None) or request.sent_at is None:
+            return None
+        stopped_at = self.stop_of(request)
+        if (stopped_at is None or self.is_disturbed(request)
+                or request.ended_at >= request.sent_at + request.timeout_s - TIME_UP_SLACK_S):
+            return None
+        if request.ending == "failed":
+            runs = self.check.runs.get(request.attempt, [])
+            lost = request.sent_at > stopped_at and not any(broke for _, _, broke in runs)
+        else:
+            lost = not self.may_be_cut(request, stopped_at)
+        if not lost:
+            return None
+        return (f"{request.attempt} ({request.kind}), sent {request.sent_at - stopped_at:.2f} s "
+                f"after SIGTERM to gateway-{request.gateway}, ended without a whole answer "
+                f"({request.ending}) at {request.ended_at - stopped_at:.2f} s")
+
+    def report(self):
+        for request in self.requests:
+            loss = self.loss(request)
+            if loss is not None:
+                self.check.add_violation("LOST", loss)
+
+    def summary(self):
+        judged = [request for request in self.requests
+                  if request.ending is not None and request.sent_at is not None
+                  and any(gateway == request.gateway and at <= request.sent_at <= at + GRACE_S
+                          for gateway, at in self.stops)]
+        endings = [request.ending for request in judged]
+        return (f"stops: {len(self.stops)}, requests sent in them: {len(judged)}"
+                + "".join(f" {ending}:{endings.count(ending)}" for ending in sorted(set(endings))))
+
+
+async def stop_process(process, sabotage=False):
+    """Stops a process as the platform does, and starts it again. With sabotage it is killed
+    long before the grace time is over, so that the check has to fail."""
+    async with process.lock:
+        process.note_disturbance()
+        process.soak.stops.stops.append((int(process.name.split("-")[1]), time.monotonic()))
+        process.send_signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(process.process.wait(), 0.3 if sabotage else GRACE_S)
+        except asyncio.TimeoutError:
+            process.send_signal(signal.SIGKILL)
+            await process.process.wait()
+            if not sabotage:
+                process.soak.check.add_violation("LOST", f"{process.name} was still there at the "
+                                                         "end of the grace time")
+        await process.start()
+        process.note_disturbance()
+
+
+class StopScenario:
+    """Callers keep their connections and their answers of the directory while gateways are
+    stopped, one at a time or all together, and upstreams are slow."""
+
+    SLOW_WORK_S, LONG_PAUSE_S, PLAIN_SLOTS = (0.03, 4.5), 1.4, 64
+    TIMEOUTS_MS = {"stream": 8000, "once": 6000, "safe": 6000}
+    # Until all processes know each other.
+    START_S = 2.0
+
+    def __init__(self, options):
+        super().__init__(options)
+        self.kinds = {kind: (prefix, method, self.TIMEOUTS_MS[kind])
+                      for kind, (prefix, method, _) in self.kinds.items()}
+        self.has_pauses = options.seed % 2 == 0
+        self.streams_resume = options.seed % 3 != 0
+
+    def runner_class(self, check, service, *arguments):
+        if service == "plain":
+            runner = Runner(check, service, *arguments, slots=self.PLAIN_SLOTS)
+            runner.work_s = self.SLOW_WORK_S
+        else:
+            runner = Runner(check, service, *arguments)
+            runner.pause_s = self.LONG_PAUSE_S if self.has_pauses else 0.0
+        return runner
+
+    async def sticky_caller(self, end_time):
+        """Stays with its connection, and with the addresses that it was given at first."""
+        addresses, connection = await self.resolve(), None
+        while time.monotonic() < end_time:
+            kind = self.random.choice(("stream", "stream", "once", "safe"))
+            connection = await self.request(kind, connection, addresses)
+            await asyncio.sleep(self.random.random() * 0.3)
+
+    async def change_configuration(self, end_time):
+        while time.monotonic() < end_time:
+            await asyncio.sleep(1 + 4 * self.random.random())
+            self.version += 1
+            await self.store.put("op", "config", self.configuration())
+            self.random.choice(self.gateways).send_signal(signal.SIGHUP)
+
+    async def run(self):
+        self.began = time.monotonic()
+        end_time = self.began + self.options.seconds
+        stops_end = end_time - GRACE_S - 1
+        tasks = [asyncio.create_task(self.sticky_caller(end_time))
+                 for _ in range(self.options.callers)]
+        tasks.append(asyncio.create_task(self.change_configuration(stops_end)))
+        await asyncio.sleep(self.START_S)
+        while time.monotonic() < stops_end:
+            count = self.random.choice((1, 1, 1, 2, len(self.gateways)))
+            for gateway in self.random.sample(self.gateways, count):
+                tasks.append(asyncio.create_task(stop_process(gateway)))
+            await asyncio.sleep(3 + 9 * self.random.random())
+        await asyncio.gather(*tasks)
+        self.stops.report()
+        print(self.stops.summary())
