Answer the requests that still run at the end of a planned stop

Callers saw their connections close without an answer: at the stop limit the gateway stopped its threads and freed the server, also for requests that no upstream had seen. Now the main thread has the traffic thread give them up and waits up to 250 ms for the last answers: 503 for a request of which nothing was sent to an upstream, 502 for one that may have run; a stream that has begun is broken off, so that it does not look complete. The same at a second signal.

--- a/agent/main.c
+++ b/agent/main.c
@@ -38,6 +38,9 @@
 static int
 run (BurdockAgent *agent)
 {
+  BurdockStop stop = { .ctx = agent,
+                       .limit_ms = agent->settings.library.stop_limit_ms,
+                       .drain = start_planned_stop };
   bool drained;
 
   if (burdock_agent_traffic_init (agent) < 0) {
@@ -54,8 +57,7 @@
   if (burdock_runtime_start (&agent->traffic.runtime) < 0 ||
       burdock_runtime_start (&agent->control.runtime) < 0)
     return EXIT_FAILURE;
-  drained = burdock_stop_wait (agent->settings.library.stop_limit_ms, start_planned_stop,
-                               agent);
+  drained = burdock_stop_wait (&stop);
   burdock_runtime_stop (&agent->control.runtime);
   burdock_runtime_stop (&agent->traffic.runtime);
   /* Functions that one thread has posted to the other still refer to the objects that are
--- a/daemon/http-client.c
+++ b/daemon/http-client.c
@@ -139,19 +139,26 @@
   }
 }
 
+bool
+burdock_http_transfer_is_sent (const BurdockHttpTransfer *transfer)
+{
+  long sent_bytes = 0;
+
+  curl_easy_getinfo (transfer->handle.easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
+  return sent_bytes > 0;
+}
+
 static void
 finish_transfer (Transfer *transfer, CURLcode code)
 {
   BurdockHttpResult result = { .status = curl_status (code), .body = "" };
   long http_status = 0;
-  long sent_bytes = 0;
   long connections = 0;
 
   curl_easy_getinfo (transfer->handle.easy, CURLINFO_RESPONSE_CODE, &http_status);
-  curl_easy_getinfo (transfer->handle.easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
   curl_easy_getinfo (transfer->handle.easy, CURLINFO_NUM_CONNECTS, &connections);
   result.http_status = (int32_t)http_status;
-  result.sent = sent_bytes > 0;
+  result.sent = burdock_http_transfer_is_sent (transfer);
   result.new_connection = connections > 0;
   if (code == CURLE_OPERATION_TIMEDOUT && !result.sent)
     result.status = -ECONNREFUSED;
@@ -356,10 +363,9 @@
 refuse_resend (void *ctx, char *peer_ip, char *local_ip, int peer_port, int local_port)
 {
   const Transfer *transfer = ctx;
-  long sent_bytes = 0;
 
-  curl_easy_getinfo (transfer->handle.easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
-  return sent_bytes == 0 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+  return !burdock_http_transfer_is_sent (transfer) ? CURL_PREREQFUNC_OK
+                                                   : CURL_PREREQFUNC_ABORT;
 }
 
 static void
--- a/daemon/http-client.h
+++ b/daemon/http-client.h
@@ -120,6 +120,10 @@
  * of a transfer before; valid in the callbacks */
 bool burdock_http_transfer_is_first (const BurdockHttpTransfer *transfer);
 
+/** burdock_http_transfer_is_sent() - whether a part of the request may have reached the
+ * peer */
+bool burdock_http_transfer_is_sent (const BurdockHttpTransfer *transfer);
+
 /** burdock_http_transfer_each_header() - calls @function for each response header */
 void burdock_http_transfer_each_header (BurdockHttpTransfer *transfer,
                                         void (*function) (void *ctx, const char *name,
--- a/daemon/stop.c
+++ b/daemon/stop.c
@@ -73,8 +73,23 @@
   }
 }
 
+static void
+give_up (const BurdockStop *stop, const sigset_t *set, const char *why)
+{
+  int signo;
+
+  burdock_log (BURDOCK_LOG_WARNING, "planned stop", "-", "cut short by %s", why);
+  if (stop->finish == NULL)
+    return;
+  stop->finish (stop->ctx);
+  signo = wait_signal (set, now_ms () + stop->finish_ms);
+  if (signo != SIGUSR1)
+    burdock_log (BURDOCK_LOG_WARNING, "planned stop", "-",
+                 "last answers not written after %u ms", stop->finish_ms);
+}
+
 bool
-burdock_stop_wait (uint32_t limit_ms, void (*start_drain) (void *ctx), void *ctx)
+burdock_stop_wait (const BurdockStop *stop)
 {
   sigset_t set = stop_signals ();
   int signo = 0;
@@ -87,14 +102,13 @@
           BURDOCK_LOG_INFO, "reload", "-",
           "SIGHUP ignored: settings are read from flags and environment at start only");
   }
-  burdock_log (BURDOCK_LOG_INFO, "planned stop", "-", "limit %u ms", limit_ms);
-  start_drain (ctx);
-  signo = wait_signal (&set, now_ms () + limit_ms);
+  burdock_log (BURDOCK_LOG_INFO, "planned stop", "-", "limit %u ms", stop->limit_ms);
+  stop->drain (stop->ctx);
+  signo = wait_signal (&set, now_ms () + stop->limit_ms);
   if (signo == SIGUSR1) {
     burdock_log (BURDOCK_LOG_INFO, "planned stop", "-", "drained");
     return true;
   }
-  burdock_log (BURDOCK_LOG_WARNING, "planned stop", "-", "cut short by %s",
-               signo == 0 ? "the stop limit" : "a second signal");
+  give_up (stop, &set, signo == 0 ? "the stop limit" : "a second signal");
   return false;
 }
--- a/daemon/stop.h
+++ b/daemon/stop.h
@@ -2,8 +2,9 @@
  * DOC: stop.h - signals and graceful shutdown ("planned stop") of a daemon
  *
  * The main thread only waits for signals. The first SIGTERM or SIGINT starts a planned
- * stop, in which the process drains its requests; a second one or the stop limit ends it
- * early. SIGHUP is ignored, and logged unless a stop is in progress.
+ * stop, in which the process drains its requests; at a second one or at the stop limit it
+ * gives up those that still run. SIGHUP is ignored, and logged unless a stop is in
+ * progress.
  */
 #ifndef BURDOCK_STOP_H
 #define BURDOCK_STOP_H
@@ -20,12 +21,27 @@
  * callable from any thread */
 void burdock_stop_notify_drained (void);
 
+/**
+ * struct BurdockStop - what a daemon does in a planned stop; the functions are called on
+ * the thread of burdock_stop_wait()
+ * @limit_ms: time from the first signal until requests that still run are given up
+ * @finish_ms: time for the last answers to be written after that
+ * @drain: called at the first signal
+ * @finish: called if the process is not drained at the limit, or at a second signal; ends
+ *   the open requests and has burdock_stop_notify_drained() called. May be NULL
+ */
+typedef struct {
+  void *ctx;
+  uint32_t limit_ms;
+  uint32_t finish_ms;
+  void (*drain) (void *ctx);
+  void (*finish) (void *ctx);
+} BurdockStop;
+
 /**
  * burdock_stop_wait() - waits for a signal to stop and then for the end of the stop
- * @limit_ms: longest time from the first signal to the return
- * @start_drain: called once, on the calling thread, at the first signal
- * Returns true if the process was drained, false if the stop ended early.
+ * Returns true if the process was drained, false if requests were given up.
  */
-bool burdock_stop_wait (uint32_t limit_ms, void (*start_drain) (void *ctx), void *ctx);
+bool burdock_stop_wait (const BurdockStop *stop);
 
 #endif
--- a/entry/main.c
+++ b/entry/main.c
@@ -54,6 +54,9 @@
 static int
 run (BurdockEntry *entry)
 {
+  BurdockStop stop = { .ctx = entry,
+                       .limit_ms = entry->settings.library.stop_limit_ms,
+                       .drain = start_planned_stop };
   bool drained;
 
   if (burdock_entry_traffic_init (entry) < 0) {
@@ -69,8 +72,7 @@
   if (burdock_runtime_start (&entry->traffic.runtime) < 0 ||
       burdock_runtime_start (&entry->control.runtime) < 0)
     return EXIT_FAILURE;
-  drained = burdock_stop_wait (entry->settings.library.stop_limit_ms, start_planned_stop,
-                               entry);
+  drained = burdock_stop_wait (&stop);
   if (!drained)
     abandon_requests (entry);
   burdock_runtime_stop (&entry->control.runtime);
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -44,6 +44,9 @@
  * its configuration within about this time. */
 #define RETRY_AFTER_DEFAULT_MS 1000
 
+/* Delay that is suggested to callers whom another gateway can serve now. */
+#define RETRY_ELSEWHERE_MS 1
+
 #define TICK_INTERVAL_US UINT64_C (20000)
 
 static void
@@ -567,6 +570,42 @@
   burdock_forward_cancel (forward, BURDOCK_UPSTREAM_ABANDONED);
 }
 
+/* Ends a request at the end of a shutdown. One that no upstream may have run is refused.
+ */
+static void
+give_up (BurdockForward *forward)
+{
+  BurdockGatewayTraffic *traffic = &forward->gateway->traffic;
+  bool sent =
+      forward->transfer != NULL && burdock_http_transfer_is_sent (forward->transfer);
+
+  if (forward->phase == BURDOCK_FORWARD_WAITING)
+    burdock_balancer_withdraw (traffic->balancer, forward->placement.handle);
+  forward->reason = BURDOCK_REASON_LEAVING;
+  if (forward->answer_started)
+    abort_forward (forward);
+  else if (sent || forward->run_count > 0)
+    fail_forward (forward, 502);
+  else
+    refuse_forward (forward, RETRY_ELSEWHERE_MS);
+  if (forward->final_status != 503)
+    traffic->counters.stop_cut++;
+  burdock_forward_cancel (forward, BURDOCK_UPSTREAM_ABANDONED);
+}
+
+void
+burdock_forward_give_up_all (BurdockGateway *gateway)
+{
+  BurdockForward *next;
+
+  for (BurdockForward *forward = gateway->traffic.forwards; forward != NULL;
+       forward = next) {
+    next = forward->next;
+    if (forward->phase != BURDOCK_FORWARD_DONE)
+      give_up (forward);
+  }
+}
+
 static bool
 is_stalled (const BurdockForward *forward, uint64_t now_us)
 {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -99,7 +99,8 @@
  * @connections: connections opened to upstreams
  * @quarantined: requests refused because a part of their prompt crashes upstreams
  * @stop_requests: requests received in a planned stop
- * @stop_cut: requests that the end of the process has cut off
+ * @stop_cut: requests that may have run and that the end of the process has ended without
+ *   a whole answer
  * @stop_unread: connections that the end of the process has reset, with bytes of a caller
  *   that had not been read
  * @first_event_ms: histogram of the time from a request to its first event
@@ -177,6 +178,7 @@
  * @keep_alive_max_s: idle time after which a connection to an upstream is not reused, 0
  *   before an upstream has sent a keep-alive timeout
  * @leaving: the gateway is shutting down
+ * @finishing: requests that still ran at the end of the shutdown were given up
  * @ended: the process ends; requests that are still open are cut off
  * @store_share: when the state of the store is sent to the other gateways
  * @roster_round: number of times that rosters were sent to all agents
@@ -209,6 +211,7 @@
   bool handover_done;
   uint32_t keep_alive_max_s;
   bool leaving;
+  bool finishing;
   bool ended;
   uint64_t drain_started_us;
   uint64_t next_heartbeat_us;
@@ -296,6 +299,10 @@
  * thread */
 void burdock_gateway_traffic_drain (void *ctx);
 
+/** burdock_gateway_traffic_finish() - gives up the requests that still run at the end of
+ * a shutdown and answers them; runs on the traffic thread */
+void burdock_gateway_traffic_finish (void *ctx);
+
 /** burdock_gateway_is_ready() - whether callers may be directed to this gateway */
 bool burdock_gateway_is_ready (const BurdockGateway *gateway);
 
@@ -340,6 +347,10 @@
 void burdock_forward_refuse (void *ctx, uint64_t handle, BurdockReason reason,
                              uint32_t retry_after_ms);
 
+/** burdock_forward_give_up_all() - gives all open requests their final answer: a refusal
+ * if they have not run, otherwise a failure; a stream that has begun is broken off */
+void burdock_forward_give_up_all (BurdockGateway *gateway);
+
 /** burdock_forward_tick() - ends requests that exceed their deadline and retries stalled
  * attempts; returns the time of the next call */
 uint64_t burdock_forward_tick (BurdockGateway *gateway, uint64_t now_us);
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -11,6 +11,9 @@
 
 #define PROGRAM "burdock-gateway"
 
+/* Time for the last answers of a planned stop. */
+#define FINISH_MS 250
+
 static void
 post_drain (void *ctx)
 {
@@ -20,6 +23,15 @@
                      gateway);
 }
 
+static void
+post_finish (void *ctx)
+{
+  BurdockGateway *gateway = ctx;
+
+  burdock_loop_post (gateway->traffic.runtime.loop, burdock_gateway_traffic_finish,
+                     gateway);
+}
+
 /* Frees what the traffic thread has not taken before it ended. */
 static void
 free_published (BurdockGateway *gateway)
@@ -35,6 +47,11 @@
 run (BurdockGateway *gateway)
 {
   const BurdockGatewayCounters *counters = &gateway->traffic.counters;
+  BurdockStop stop = { .ctx = gateway,
+                       .limit_ms = gateway->settings.library.stop_limit_ms,
+                       .finish_ms = FINISH_MS,
+                       .drain = post_drain,
+                       .finish = post_finish };
   bool drained;
 
   if (burdock_gateway_traffic_init (gateway) < 0 ||
@@ -45,8 +62,7 @@
     return EXIT_FAILURE;
   burdock_log (BURDOCK_LOG_INFO, "started", "-", "failure domain %s store %s",
                gateway->settings.library.failure_domain, gateway->settings.store_url);
-  drained =
-      burdock_stop_wait (gateway->settings.library.stop_limit_ms, post_drain, gateway);
+  drained = burdock_stop_wait (&stop);
   burdock_runtime_stop (&gateway->control.runtime);
   burdock_runtime_stop (&gateway->traffic.runtime);
   free_published (gateway);
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -123,6 +123,24 @@
                traffic->forward_count);
 }
 
+void
+burdock_gateway_traffic_finish (void *ctx)
+{
+  BurdockGateway *gateway = ctx;
+
+  gateway->traffic.finishing = true;
+  burdock_forward_give_up_all (gateway);
+}
+
+/* Whether all requests of a shutdown have been answered. */
+static bool
+is_drained (const BurdockGatewayTraffic *traffic, uint64_t now_us)
+{
+  return traffic->leaving &&
+         burdock_http_server_open_count (traffic->caller_server) == 0 &&
+         (traffic->finishing || now_us >= traffic->drain_started_us + DRAIN_MIN_US);
+}
+
 static uint64_t
 traffic_hook (void *ctx, uint64_t now_us)
 {
@@ -133,8 +151,7 @@
   uint64_t forward_us = burdock_forward_tick (gateway, now_us);
   uint64_t peers_us = burdock_gateway_peers_tick (gateway, now_us);
 
-  if (traffic->leaving && burdock_http_server_open_count (traffic->caller_server) == 0 &&
-      now_us >= traffic->drain_started_us + DRAIN_MIN_US)
+  if (is_drained (traffic, now_us))
     burdock_stop_notify_drained ();
   next_us = quarantine_us < next_us ? quarantine_us : next_us;
   next_us = forward_us < next_us ? forward_us : next_us;
--- a/rank/main.c
+++ b/rank/main.c
@@ -253,6 +253,7 @@
 main (int argc, char **argv)
 {
   static Rank rank;
+  BurdockStop stop = { .ctx = &rank, .drain = begin_stop };
 
   burdock_stop_block_signals ();
   if (sodium_init () < 0 || apr_initialize () != APR_SUCCESS ||
@@ -267,7 +268,8 @@
     return EXIT_FAILURE;
   burdock_log (BURDOCK_LOG_INFO, "started", rank.settings.upstream_url,
                "failure domain %s", rank.settings.library.failure_domain);
-  burdock_stop_wait (rank.settings.library.stop_limit_ms, begin_stop, &rank);
+  stop.limit_ms = rank.settings.library.stop_limit_ms;
+  burdock_stop_wait (&stop);
   burdock_runtime_stop (&rank.runtime);
   burdock_log (BURDOCK_LOG_INFO, "stopped", "-", "orders %u",
                (uint32_t)burdock_map_agent_stats (rank.agent).orders);
