Take a request in a planned stop only if it ends before the stop

Callers lost requests that had just been accepted: after SIGTERM the gateway took every request, whatever time was left, and what ran at the stop limit got no whole answer, among them requests that must not be repeated. A request whose deadline is after the end of the stop is now refused at once with 503 and the hint to go to another gateway (stop-policy.c decides); all others end by themselves before the limit.

--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -90,12 +90,23 @@
   burdock_http_respond_bytes (request, status, body);
 }
 
+/* Another gateway can serve a caller at once, unless all of them are stopped. */
+static uint32_t
+retry_after_stop_ms (const BurdockGateway *gateway)
+{
+  return burdock_gateway_has_ready_peer (gateway, burdock_loop_now_us ())
+             ? RETRY_ELSEWHERE_MS
+             : RETRY_AFTER_DEFAULT_MS;
+}
+
 /* Answers a request with an error before it is submitted to the balancer. */
 static void
 reject (BurdockGateway *gateway, BurdockHttpRequest *request,
         const BurdockCallerRequest *caller, uint32_t status, const char *reason)
 {
   BurdockGatewayTraffic *traffic = &gateway->traffic;
+  uint32_t retry_after_ms =
+      traffic->leaving ? retry_after_stop_ms (gateway) : RETRY_AFTER_DEFAULT_MS;
 
   traffic->counters.rejected++;
   burdock_log_subject (BURDOCK_LOG_INFO, "request rejected", caller->request_id, "-",
@@ -104,7 +115,7 @@
                        traffic->table != NULL ? (uint32_t)traffic->table->version : 0,
                        caller->host, burdock_http_path (request));
   answer_error (request, status, "{\"error\":\"rejected\"}\n",
-                status == 503 ? RETRY_AFTER_DEFAULT_MS : 0);
+                status == 503 ? retry_after_ms : 0);
 }
 
 static void
@@ -372,6 +383,16 @@
   forward->placement.objective_deadline_us = now_us + objective_wait_us (forward);
 }
 
+/* Whether a request is answered before the end of a planned stop, if there is one. */
+static bool
+ends_before_stop (const BurdockGateway *gateway, const BurdockForward *forward)
+{
+  uint64_t limit_us = time_limit_ms (forward->route, &forward->caller) * US_PER_MS;
+
+  return burdock_stop_policy_admits (&gateway->traffic.stop,
+                                     burdock_loop_now_us () + limit_us);
+}
+
 /* Finds the route and workspace of a request. Returns 0, or the HTTP status to reject the
  * request with and @reason for the log. */
 static uint32_t
@@ -398,6 +419,10 @@
     if (workspace->has_priority)
       forward->placement.priority = workspace->priority;
   }
+  if (!ends_before_stop (gateway, forward)) {
+    *reason = "planned stop ends before the request";
+    return 503;
+  }
   return 0;
 }
 
@@ -485,9 +510,9 @@
 {
   const BurdockGatewayTraffic *traffic = &forward->gateway->traffic;
 
-  if (!traffic->leaving || forward->received_us < traffic->drain_started_us)
+  if (!traffic->leaving || forward->received_us < traffic->stop.began_us)
     return -1;
-  return (int64_t)((forward->received_us - traffic->drain_started_us) / US_PER_MS);
+  return (int64_t)((forward->received_us - traffic->stop.began_us) / US_PER_MS);
 }
 
 static void
@@ -587,7 +612,7 @@
   else if (sent || forward->run_count > 0)
     fail_forward (forward, 502);
   else
-    refuse_forward (forward, RETRY_ELSEWHERE_MS);
+    refuse_forward (forward, retry_after_stop_ms (forward->gateway));
   if (forward->final_status != 503)
     traffic->counters.stop_cut++;
   burdock_forward_cancel (forward, BURDOCK_UPSTREAM_ABANDONED);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -21,6 +21,7 @@
 #include "runtime.h"
 #include "settings.h"
 #include "slot.h"
+#include "stop-policy.h"
 #include "store-share.h"
 #include "table-watch.h"
 #include "upstream-registry.h"
@@ -178,6 +179,7 @@
  * @keep_alive_max_s: idle time after which a connection to an upstream is not reused, 0
  *   before an upstream has sent a keep-alive timeout
  * @leaving: the gateway is shutting down
+ * @stop: which requests it takes meanwhile
  * @finishing: requests that still ran at the end of the shutdown were given up
  * @ended: the process ends; requests that are still open are cut off
  * @store_share: when the state of the store is sent to the other gateways
@@ -211,9 +213,9 @@
   bool handover_done;
   uint32_t keep_alive_max_s;
   bool leaving;
+  BurdockStopPolicy stop;
   bool finishing;
   bool ended;
-  uint64_t drain_started_us;
   uint64_t next_heartbeat_us;
   uint64_t next_roster_us;
   BurdockStoreShare store_share;
@@ -232,6 +234,8 @@
  * struct BurdockGateway - state of the process
  * @id: burdock_member_id() of the name of the gateway
  * @incarnation: distinguishes starts of the same gateway
+ * @stop_end_us: time at which a planned stop gives up the requests that still run; set
+ *   before the traffic thread is told of the stop
  * @published_table: &BurdockRouteTable from the control to the traffic thread
  * @peer_config_version: highest version of the configuration that another gateway has
  *   reported, from the traffic to the control thread
@@ -252,6 +256,7 @@
   BurdockDaemonSettings settings;
   uint64_t id;
   uint64_t incarnation;
+  uint64_t stop_end_us;
   BurdockGatewayControl control;
   BurdockGatewayTraffic traffic;
   BurdockSlot published_table;
@@ -311,6 +316,10 @@
 void burdock_gateway_handle_datagram (void *ctx, BurdockAddress from,
                                       const BurdockMessage *message);
 
+/** burdock_gateway_has_ready_peer() - whether callers may be directed to another gateway
+ */
+bool burdock_gateway_has_ready_peer (const BurdockGateway *gateway, uint64_t now_us);
+
 /** burdock_gateway_free_upstreams() - accepts NULL */
 void burdock_gateway_free_upstreams (BurdockUpstreamList *list);
 
--- a/gateway/local-endpoints.c
+++ b/gateway/local-endpoints.c
@@ -29,6 +29,24 @@
   return !gateway->traffic.leaving && burdock_gateway_has_state (gateway);
 }
 
+static bool
+accepts_callers (const BurdockGatewayPeer *peer, uint64_t now_us)
+{
+  return burdock_gateway_peer_is_alive (peer, now_us) && peer->ready && !peer->leaving;
+}
+
+bool
+burdock_gateway_has_ready_peer (const BurdockGateway *gateway, uint64_t now_us)
+{
+  const BurdockGatewayTraffic *traffic = &gateway->traffic;
+
+  for (uint32_t i = 0; i < traffic->peer_count; i++) {
+    if (accepts_callers (&traffic->peers[i], now_us))
+      return true;
+  }
+  return false;
+}
+
 static void
 answer_resolve (BurdockGateway *gateway, BurdockHttpRequest *request)
 {
@@ -43,7 +61,7 @@
     const BurdockGatewayPeer *peer =
         &traffic->peers[(traffic->peer_offset + i) % traffic->peer_count];
 
-    if (burdock_gateway_peer_is_alive (peer, now_us) && peer->ready && !peer->leaving)
+    if (accepts_callers (peer, now_us))
       addresses[count++] = peer->http_address;
   }
   traffic->peer_offset++;
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -11,6 +11,8 @@
 
 #define PROGRAM "burdock-gateway"
 
+#define US_PER_MS UINT64_C (1000)
+
 /* Time for the last answers of a planned stop. */
 #define FINISH_MS 250
 
@@ -18,7 +20,9 @@
 post_drain (void *ctx)
 {
   BurdockGateway *gateway = ctx;
+  uint64_t limit_us = gateway->settings.library.stop_limit_ms * US_PER_MS;
 
+  gateway->stop_end_us = burdock_loop_now_us () + limit_us;
   burdock_loop_post (gateway->traffic.runtime.loop, burdock_gateway_traffic_drain,
                      gateway);
 }
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -116,7 +116,8 @@
   BurdockGatewayTraffic *traffic = &gateway->traffic;
 
   traffic->leaving = true;
-  traffic->drain_started_us = burdock_loop_now_us ();
+  burdock_stop_policy_begin (&traffic->stop, burdock_loop_now_us (),
+                             gateway->stop_end_us);
   traffic->next_heartbeat_us = 0;
   burdock_http_server_disable_keepalive (traffic->caller_server);
   burdock_log (BURDOCK_LOG_INFO, "leaving", "-", "requests in progress %u",
@@ -138,7 +139,7 @@
 {
   return traffic->leaving &&
          burdock_http_server_open_count (traffic->caller_server) == 0 &&
-         (traffic->finishing || now_us >= traffic->drain_started_us + DRAIN_MIN_US);
+         (traffic->finishing || now_us >= traffic->stop.began_us + DRAIN_MIN_US);
 }
 
 static uint64_t
