Refuse what still comes over open connections before a stop ends

A stop now has a last phase: the listening socket is closed, requests that still come are refused with 503, and the process ends 0.2 s after the last byte.

--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -180,7 +180,6 @@
  *   before an upstream has sent a keep-alive timeout
  * @leaving: the gateway is shutting down
  * @stop: which requests it takes meanwhile
- * @finishing: requests that still ran at the end of the shutdown were given up
  * @ended: the process ends; requests that are still open are cut off
  * @store_share: when the state of the store is sent to the other gateways
  * @roster_round: number of times that rosters were sent to all agents
@@ -214,7 +213,6 @@
   uint32_t keep_alive_max_s;
   bool leaving;
   BurdockStopPolicy stop;
-  bool finishing;
   bool ended;
   uint64_t next_heartbeat_us;
   uint64_t next_roster_us;
--- a/gateway/local-endpoints.c
+++ b/gateway/local-endpoints.c
@@ -9,7 +9,7 @@
 #include <string.h>
 
 /* Callers cache an answer for this time, some of them for three times as long. A gateway
- * that shuts down continues to serve for longer than that (DRAIN_MIN_US). */
+ * that shuts down continues to serve for longer than that (stop-policy.c). */
 #define DIRECTORY_TTL_S 1
 
 #define US_PER_MS UINT64_C (1000)
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -14,7 +14,7 @@
 #define US_PER_MS UINT64_C (1000)
 
 /* Time for the last answers of a planned stop. */
-#define FINISH_MS 250
+#define FINISH_MS 300
 
 static void
 post_drain (void *ctx)
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -28,10 +28,6 @@
 /* Longer than the configured time for which callers may keep a connection idle. */
 #define CONNECTION_IDLE_S 75
 
-/* Minimum time of a shutdown. Callers may cache directory answers with this address for
- * three times DIRECTORY_TTL_S. */
-#define DRAIN_MIN_US UINT64_C (3500000)
-
 static void
 apply_table (BurdockGateway *gateway)
 {
@@ -129,17 +125,27 @@
 {
   BurdockGateway *gateway = ctx;
 
-  gateway->traffic.finishing = true;
+  burdock_stop_policy_close (&gateway->traffic.stop, burdock_loop_now_us ());
   burdock_forward_give_up_all (gateway);
 }
 
-/* Whether all requests of a shutdown have been answered. */
-static bool
-is_drained (const BurdockGatewayTraffic *traffic, uint64_t now_us)
+static uint64_t
+stop_tick (BurdockGatewayTraffic *traffic, uint64_t now_us)
 {
-  return traffic->leaving &&
-         burdock_http_server_open_count (traffic->caller_server) == 0 &&
-         (traffic->finishing || now_us >= traffic->stop.began_us + DRAIN_MIN_US);
+  BurdockHttpServer *server = traffic->caller_server;
+  uint64_t next_us;
+  bool busy;
+
+  if (!traffic->leaving)
+    return BURDOCK_LOOP_NEVER_US;
+  busy = burdock_http_server_open_count (server) > 0 ||
+         burdock_http_server_unread_count (server) > 0;
+  next_us = burdock_stop_policy_update (&traffic->stop, busy, now_us);
+  if (traffic->stop.phase >= BURDOCK_STOP_CLOSING)
+    burdock_http_server_quiesce (server);
+  if (traffic->stop.phase == BURDOCK_STOP_ENDED)
+    burdock_stop_notify_drained ();
+  return next_us;
 }
 
 static uint64_t
@@ -151,9 +157,9 @@
   uint64_t quarantine_us = burdock_gateway_quarantine_tick (gateway, now_us);
   uint64_t forward_us = burdock_forward_tick (gateway, now_us);
   uint64_t peers_us = burdock_gateway_peers_tick (gateway, now_us);
+  uint64_t stop_us = stop_tick (traffic, now_us);
 
-  if (is_drained (traffic, now_us))
-    burdock_stop_notify_drained ();
+  next_us = stop_us < next_us ? stop_us : next_us;
   next_us = quarantine_us < next_us ? quarantine_us : next_us;
   next_us = forward_us < next_us ? forward_us : next_us;
   return peers_us < next_us ? peers_us : next_us;
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -13,6 +13,7 @@
 silent-poll-no-era: the same with a store that names no era.
 silent-poll-all: the same at all gateways.
 planned-stop: gateways are stopped while callers stay with them and upstreams are slow.
+stop-end: requests are sent when a gateway that is stopped would end.
 restored: the store returns from a copy some seconds old, twice.
 """
 import argparse
@@ -27,7 +28,7 @@
 from leaving import LateRowScenario, LeavingAnswersScenario, RetryAfterScenario
 from restored import RestoredScenario
 from standin import CRASHING_PART, CRASHING_PATH, CRASHING_STREAM_PATH, Runner
-from stops import StopScenario
+from stops import StopEndScenario, StopScenario
 
 # Bounds of the users' pages.
 STABILITY_S = 3.0
@@ -367,12 +368,17 @@
     gateway_count = 3
 
 
+class LateRequestScenario(StopEndScenario, soak.Soak):
+    pass
+
+
 SCENARIOS = {"faulty-answers": FaultyAnswersScenario, "late-row": LateRowScenario,
              "leaving-answers": LeavingAnswersScenario,
              "limit": LimitScenario, "planned-stop": PlannedStopScenario, "prompt-part": PromptPartScenario,
              "request": RequestScenario, "restored": RestoredScenario,
              "retry-after": RetryAfterScenario,
              "stream-request": StreamRequestScenario,
+             "stop-end": LateRequestScenario,
              "silent-poll": SilentPollScenario, "silent-poll-no-era": SilentPollNoEraScenario,
              "silent-poll-all": SilentPollAllScenario}
 
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -3,7 +3,7 @@
 import signal
 import time
 
-from standin import Runner
+from standin import Runner, attempt_id, read_head
 
 # Bounds of the users' pages, in s: from SIGTERM to SIGKILL; from the last byte of a request until
 # the end of its connection counts as a loss though it was not passed on; time of SIGTERM within
@@ -176,3 +176,50 @@
         await asyncio.gather(*tasks)
         self.stops.report()
         print(self.stops.summary())
+
+
+class StopEndScenario:
+    """Gateways without requests are stopped, each with one caller that sends a part of a request
+    line just before the gateway may end, and the rest of its request when it would."""
+
+    # A gateway accepts connections for this time after SIGTERM, in s.
+    ACCEPT_S = 3.5
+    SPREAD_S = 0.15
+
+    async def send_in_two_parts(self, text, attempt, k, stopped_at):
+        """Returns the status, or cut."""
+        begun = stopped_at + self.ACCEPT_S - self.SPREAD_S * self.random.random()
+        rest_at = stopped_at + self.ACCEPT_S + self.SPREAD_S * self.random.random()
+        first_bytes = self.random.randrange(1, text.index(b"\r\n"))
+        try:
+            await asyncio.sleep(begun - time.monotonic())
+            reader, writer = await asyncio.open_connection(self.gateway_ip(k), 8080)
+            writer.write(text[:first_bytes])
+            await asyncio.sleep(rest_at - time.monotonic())
+            writer.write(text[first_bytes:])
+            head = await asyncio.wait_for(read_head(reader), 2)
+            writer.close()
+        except (OSError, asyncio.TimeoutError):
+            head = None
+        status = "cut" if head is None else head[0].split()[1]
+        if status not in ("200", "503"):
+            self.check.add_violation(
+                "LOST", f"{attempt}, begun {begun - stopped_at:.2f} s after SIGTERM to gateway-{k} "
+                        f"and sent whole at {rest_at - stopped_at:.2f} s, ended {status}")
+        return status
+
+    async def stop_gateway(self, k):
+        attempt = attempt_id(self.random, k)
+        text = (f"GET /safe/p?q=1 HTTP/1.1\r\nHost: h\r\nBurdockwind-Attempt-Id: {attempt}\r\n"
+                "Burdockwind-Deadline-Ms: 1500\r\nAuthorization: Bearer key-a\r\n\r\n").encode()
+        stop = asyncio.create_task(stop_process(self.gateways[k]))
+        await asyncio.sleep(0)
+        status = await self.send_in_two_parts(text, attempt, k, time.monotonic())
+        key = f"late {status}"
+        self.outcome_counts[key] = self.outcome_counts.get(key, 0) + 1
+        await stop
+
+    async def run(self):
+        for _ in range(2):
+            await asyncio.gather(*(self.stop_gateway(k) for k in range(len(self.gateways))))
+            await asyncio.sleep(2)
--- a/tests/test-stop-policy.c
+++ b/tests/test-stop-policy.c
@@ -36,9 +36,77 @@
   }
 }
 
+typedef struct {
+  uint64_t after_ms; /* since the start of the stop */
+  bool busy;
+  BurdockStopPhase phase;
+  uint64_t next_ms; /* 0 for never */
+} PhaseStep;
+
+typedef struct {
+  const char *name;
+  uint64_t given_up_ms; /* time of burdock_stop_policy_close(), 0 for never */
+  PhaseStep steps[6];
+} PhaseCase;
+
+static const PhaseCase phase_cases[] = {
+  { "idle: connections are accepted for 3.5 s",
+    0,
+    { { 0, false, BURDOCK_STOP_DRAINING, 3500 },
+      { 3499, false, BURDOCK_STOP_DRAINING, 3500 },
+      { 3500, false, BURDOCK_STOP_CLOSING, 3700 },
+      { 3699, false, BURDOCK_STOP_CLOSING, 3700 },
+      { 3700, false, BURDOCK_STOP_ENDED, 3700 } } },
+  { "a request runs on",
+    0,
+    { { 3500, true, BURDOCK_STOP_DRAINING, 0 },
+      { 6000, true, BURDOCK_STOP_DRAINING, 0 },
+      { 6100, false, BURDOCK_STOP_CLOSING, 6300 },
+      { 6300, false, BURDOCK_STOP_ENDED, 6300 } } },
+  { "a request comes after the last one",
+    0,
+    { { 3500, false, BURDOCK_STOP_CLOSING, 3700 },
+      { 3650, true, BURDOCK_STOP_CLOSING, 3850 },
+      { 3700, false, BURDOCK_STOP_CLOSING, 3850 },
+      { 3850, false, BURDOCK_STOP_ENDED, 3850 } } },
+  { "requests are given up before the minimum time",
+    1000,
+    { { 500, true, BURDOCK_STOP_DRAINING, 3500 },
+      { 1000, true, BURDOCK_STOP_CLOSING, 1200 },
+      { 1010, false, BURDOCK_STOP_CLOSING, 1200 },
+      { 1200, false, BURDOCK_STOP_ENDED, 1200 } } },
+};
+
+/* Guards against a process that ends while a request is on its way to it. */
+static void
+a_process_ends_only_when_nothing_has_come_for_a_while (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (phase_cases); i++) {
+    const PhaseCase *row = &phase_cases[i];
+    BurdockStopPolicy stop = { 0 };
+
+    burdock_stop_policy_begin (&stop, BEGAN_US, END_US);
+    for (const PhaseStep *step = row->steps; step->phase != BURDOCK_STOP_NONE; step++) {
+      uint64_t now_us = BEGAN_US + step->after_ms * MS;
+      uint64_t next_us;
+
+      if (row->given_up_ms > 0 && step->after_ms == row->given_up_ms)
+        burdock_stop_policy_close (&stop, now_us);
+      next_us = burdock_stop_policy_update (&stop, step->busy, now_us);
+      CU_ASSERT_EQUAL (stop.phase, step->phase);
+      CU_ASSERT_EQUAL (next_us,
+                       step->next_ms > 0 ? BEGAN_US + step->next_ms * MS : UINT64_MAX);
+      if (stop.phase >= BURDOCK_STOP_CLOSING)
+        CU_ASSERT_FALSE (burdock_stop_policy_admits (&stop, now_us));
+    }
+  }
+}
+
 static const Test tests[] = {
   { "a request is taken in a planned stop that may cut it off",
     a_request_that_may_outlast_the_stop_is_refused },
+  { "a process ends while a request is on its way to it",
+    a_process_ends_only_when_nothing_has_come_for_a_while },
 };
 
 int
