Keep 0.6 s of the grace time for the end of a stop instead of a tenth

A gateway with a grace time of 60 s gave up running requests 6 s early, one with 8 s 0.8 s early. The last answers take at most 0.3 s whatever the grace time is, so the reserve is now a time: 0.6 s, or half of a grace time below 1.2 s. test-settings checks the limits, and that the last answers fit between limit and grace time, which a tenth of 2.5 s would not have left.

--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -19,9 +19,9 @@
 
 #define VARIABLE_BYTES 64
 
-/* Part of the grace time that a planned stop waits for running requests; the rest is for
- * the last answers and the end of the process. */
-#define GRACE_RATIO 0.9
+/* Last part of the grace time, for the last answers (BURDOCK_STOP_FINISH_MS) and the end
+ * of the process, also on an instance that is slow; at most half of the grace time. */
+#define GRACE_RESERVE_MS 600
 #define MS_PER_S 1000
 #define ENTRY (1u << BURDOCK_ROLE_ENTRY)
 #define AGENT (1u << BURDOCK_ROLE_AGENT)
@@ -120,8 +120,8 @@
     "time within which an upstream that leaves gets no more requests, 2000 by default",
     GATEWAY, 0, TYPE_REAL, FIELD (drain_limit_ms), 100, 3600000 },
   { "grace-s", "S",
-    "time from SIGTERM until the process is killed; sets --stop-limit-ms to nine tenths "
-    "of it",
+    "time from SIGTERM until the process is killed; sets --stop-limit-ms to 0.6 s less, "
+    "or to half of it",
     GATEWAY, 0, TYPE_REAL, FIELD (grace_s), 0, 86400 },
   { "log-level", "LEVEL", "debug, info (default), warning or error", ALL_ROLES, 0,
     TYPE_LEVEL, FIELD (log_level), 0, 0 },
@@ -441,6 +441,14 @@
   return parser->status;
 }
 
+static uint32_t
+stop_limit_ms (double grace_ms)
+{
+  if (grace_ms > 2 * GRACE_RESERVE_MS)
+    return (uint32_t)(grace_ms - GRACE_RESERVE_MS);
+  return (uint32_t)(grace_ms / 2);
+}
+
 int
 burdock_settings_parse (BurdockDaemonSettings *settings, BurdockRole role,
                         const char *program, int argc, char **argv)
@@ -462,7 +470,6 @@
       check_required (&parser, role_bit) < 0)
     return -EINVAL;
   if (settings->grace_s > 0)
-    settings->library.stop_limit_ms =
-        (uint32_t)(settings->grace_s * MS_PER_S * GRACE_RATIO);
+    settings->library.stop_limit_ms = stop_limit_ms (settings->grace_s * MS_PER_S);
   return read_keys (program, settings);
 }
--- a/daemon/stop.h
+++ b/daemon/stop.h
@@ -21,6 +21,10 @@
  * callable from any thread */
 void burdock_stop_notify_drained (void);
 
+/* Time for the last answers of a planned stop, enough for the last phase of
+ * stop-policy.h. */
+#define BURDOCK_STOP_FINISH_MS 300
+
 /**
  * struct BurdockStop - what a daemon does in a planned stop; the functions are called on
  * the thread of burdock_stop_wait()
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -13,9 +13,6 @@
 
 #define US_PER_MS UINT64_C (1000)
 
-/* Time for the last answers of a planned stop. */
-#define FINISH_MS 300
-
 static void
 post_drain (void *ctx)
 {
@@ -53,7 +50,7 @@
   const BurdockGatewayCounters *counters = &gateway->traffic.counters;
   BurdockStop stop = { .ctx = gateway,
                        .limit_ms = gateway->settings.library.stop_limit_ms,
-                       .finish_ms = FINISH_MS,
+                       .finish_ms = BURDOCK_STOP_FINISH_MS,
                        .drain = post_drain,
                        .finish = post_finish };
   bool drained;
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -174,7 +174,7 @@
             f"{self.options.build}/gateway/burdock-gateway", f"--name=gateway-{k}",
             "--failure-domain=z", f"--control={ip}:7000", f"--http={ip}:8080",
             f"--ready={ip}:8081", f"--directory={ip}:8082", f"--store=http://{ip}:8600",
-            f"--seeds={seeds}", "--stop-limit-ms=7200", "--retry-ratio=0.2",
+            f"--seeds={seeds}", "--grace-s=8", "--retry-ratio=0.2",
             "--retry-allowance=90"])
 
     def agent_process(self, k):
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -1,4 +1,5 @@
 #include "settings.h"
+#include "stop.h"
 #include "test.h"
 
 #include <errno.h>
@@ -186,9 +187,7 @@
 } GraceCase;
 
 static const GraceCase grace_cases[] = {
-  { "8", 7200 },
-  { "2.5", 2250 },
-  { "0", 60000 },
+  { "8", 7400 }, { "60", 59400 }, { "2.5", 1900 }, { "1", 500 }, { "0", 60000 },
 };
 
 /* Guards against a planned stop that takes longer than the platform waits before it kills
@@ -221,6 +220,9 @@
                                              (char **)arguments),
                      0);
     CU_ASSERT_EQUAL (settings.library.stop_limit_ms, grace_cases[i].stop_limit_ms);
+    if (settings.grace_s > 0)
+      CU_ASSERT (settings.library.stop_limit_ms + BURDOCK_STOP_FINISH_MS <
+                 settings.grace_s * 1000);
   }
 }
 
