Say in the soak how each request of a stop ended, and send bodies late

The summary of planned stops names what is not counted as lost and why (time up, not read, long and sent early). Some callers of the scenario planned-stop send half of a body up to 1.5 s late, so that stops meet half-read requests.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -275,18 +275,22 @@
             sent.end_with_status(int(result[0]))
         return result
 
+    async def write_request(self, writer, head, body):
+        writer.write(head + body)
+        await writer.drain()
+
     async def send_and_receive(self, sent, connection, header_lines, own_prefix, own_key):
         reader, writer, _ = connection
         kind, attempt = sent.kind, sent.attempt
         prefix, method, limit = self.kinds[kind]
         prefix = own_prefix or prefix
         key = own_key or self.random.choice(list(WORKSPACES_BY_KEY))
-        body = "x" * 20 if method == "POST" else ""
-        writer.write((f"{method} {prefix}p?q=1 HTTP/1.1\r\nHost: h\r\n"
-                      f"Burdockwind-Attempt-Id: {attempt}\r\n"
-                      f"Burdockwind-Deadline-Ms: {limit}\r\nAuthorization: Bearer {key}\r\n"
-                      f"{header_lines}Content-Length: {len(body)}\r\n\r\n{body}").encode())
-        await writer.drain()
+        body = b"x" * 20 if method == "POST" else b""
+        head = (f"{method} {prefix}p?q=1 HTTP/1.1\r\nHost: h\r\n"
+                f"Burdockwind-Attempt-Id: {attempt}\r\n"
+                f"Burdockwind-Deadline-Ms: {limit}\r\nAuthorization: Bearer {key}\r\n"
+                f"{header_lines}Content-Length: {len(body)}\r\n\r\n").encode()
+        await self.write_request(writer, head, body)
         sent.sent_at = time.monotonic()
         head = await read_head(reader)
         if head is None:
@@ -464,7 +468,7 @@
             if task.exception():
                 raise task.exception()
         await asyncio.gather(self.drain_when_calm(), self.stop_when_calm(), *callers)
-        self.stops.report()
+        print(self.stops.report())
         served, asked = self.late_requests
         if asked == 0 or served < 0.9 * asked:
             self.check.add_violation("RECOVER", f"{served} of {asked} requests succeeded after the "
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -44,8 +44,8 @@
         return request
 
     def stop_of(self, request):
-        """Time of the SIGTERM that the request falls under, or None."""
-        for gateway, at in self.stops:
+        """Time of the last SIGTERM that the request falls under, or None."""
+        for gateway, at in reversed(self.stops):
             if (gateway == request.gateway and request.ended_at >= at
                     and request.sent_at <= at + GRACE_S + 1):
                 return at
@@ -55,50 +55,45 @@
         return any(began <= request.ended_at and ended >= request.sent_at - STABILITY_S
                    for began, ended in self.disturbances)
 
-    def may_be_cut(self, request, stopped_at):
-        """The connection may end without a whole answer."""
+    def judge(self, request):
+        """How a request ended that falls under the stop at stopped_at: lost, or why it is not."""
+        stopped_at = self.stop_of(request)
         runs = self.check.runs.get(request.attempt, [])
-        if not runs:
-            return request.ended_at <= request.sent_at + LOSS_SLACK_S
+        if request.ending in ("whole", "refused", "left"):
+            return request.ending
+        if self.is_disturbed(request):
+            return "disturbed"
+        if request.ended_at >= request.sent_at + request.timeout_s - TIME_UP_SLACK_S:
+            return "time up"
         if any(broke for _, _, broke in runs):
-            return True
-        return request.sent_at <= stopped_at + EARLY_S and any(
-            ended is None or ended >= stopped_at + GRACE_S - LAST_PART_S
-            for _, ended, _ in runs)
-
-    def loss(self, request):
-        """What was lost, or None."""
-        if request.ending in ("whole", "refused", "left", None) or request.sent_at is None:
-            return None
-        stopped_at = self.stop_of(request)
-        if (stopped_at is None or self.is_disturbed(request)
-                or request.ended_at >= request.sent_at + request.timeout_s - TIME_UP_SLACK_S):
-            return None
+            return "upstream broke off"
         if request.ending == "failed":
-            runs = self.check.runs.get(request.attempt, [])
-            lost = request.sent_at > stopped_at and not any(broke for _, _, broke in runs)
-        else:
-            lost = not self.may_be_cut(request, stopped_at)
-        if not lost:
-            return None
-        return (f"{request.attempt} ({request.kind}), sent {request.sent_at - stopped_at:.2f} s "
-                f"after SIGTERM to gateway-{request.gateway}, ended without a whole answer "
-                f"({request.ending}) at {request.ended_at - stopped_at:.2f} s")
+            return "lost" if request.sent_at > stopped_at else "failed, sent before"
+        if not runs and request.ended_at <= request.sent_at + LOSS_SLACK_S:
+            return "not read"
+        worked_last = any(ended is None or ended >= stopped_at + GRACE_S - LAST_PART_S
+                          for _, ended, _ in runs)
+        if worked_last and request.sent_at <= stopped_at + EARLY_S:
+            return "long, sent early"
+        return "lost"
 
     def report(self):
+        """Reports the lost requests; returns a line that says how the requests ended."""
+        judged = {}
         for request in self.requests:
-            loss = self.loss(request)
-            if loss is not None:
-                self.check.add_violation("LOST", loss)
-
-    def summary(self):
-        judged = [request for request in self.requests
-                  if request.ending is not None and request.sent_at is not None
-                  and any(gateway == request.gateway and at <= request.sent_at <= at + GRACE_S
-                          for gateway, at in self.stops)]
-        endings = [request.ending for request in judged]
-        return (f"stops: {len(self.stops)}, requests sent in them: {len(judged)}"
-                + "".join(f" {ending}:{endings.count(ending)}" for ending in sorted(set(endings))))
+            if request.ending is None or request.sent_at is None or not self.stop_of(request):
+                continue
+            verdict = self.judge(request)
+            judged[verdict] = judged.get(verdict, 0) + 1
+            if verdict == "lost":
+                stopped_at = self.stop_of(request)
+                self.check.add_violation(
+                    "LOST", f"{request.attempt} ({request.kind}), sent "
+                            f"{request.sent_at - stopped_at:.2f} s after SIGTERM to "
+                            f"gateway-{request.gateway}, ended without a whole answer "
+                            f"({request.ending}) at {request.ended_at - stopped_at:.2f} s")
+        return (f"{len(self.stops)} stops: " + ", ".join(f"{verdict} {count}" for verdict, count
+                                                        in sorted(judged.items())))
 
 
 async def stop_process(process, sabotage=False):
@@ -125,6 +120,7 @@
     stopped, one at a time or all together, and upstreams are slow."""
 
     SLOW_WORK_S, LONG_PAUSE_S, PLAIN_SLOTS = (0.03, 4.5), 1.4, 64
+    SLOW_BODY_RATE, SLOW_BODY_S = 0.1, 1.5
     TIMEOUTS_MS = {"stream": 8000, "once": 6000, "safe": 6000}
     # Until all processes know each other.
     START_S = 2.0
@@ -145,6 +141,15 @@
             runner.pause_s = self.LONG_PAUSE_S if self.has_pauses else 0.0
         return runner
 
+    async def write_request(self, writer, head, body):
+        """Some callers send the body later than the head."""
+        if not body or self.random.random() > self.SLOW_BODY_RATE:
+            return await super().write_request(writer, head, body)
+        writer.write(head + body[:len(body) // 2])
+        await asyncio.sleep(self.random.random() * self.SLOW_BODY_S)
+        writer.write(body[len(body) // 2:])
+        return await writer.drain()
+
     async def sticky_caller(self, end_time):
         """Stays with its connection, and with the addresses that it was given at first."""
         addresses, connection = await self.resolve(), None
@@ -174,8 +179,7 @@
                 tasks.append(asyncio.create_task(stop_process(gateway)))
             await asyncio.sleep(3 + 9 * self.random.random())
         await asyncio.gather(*tasks)
-        self.stops.report()
-        print(self.stops.summary())
+        print(self.stops.report())
 
 
 class StopEndScenario:
