--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -210,10 +210,10 @@
   uint32_t gone_count;
   BurdockGoneUpstream *gone;
   bool handover_done;
-  uint32_t keep_alive_max_s;
   bool leaving;
-  BurdockStopPolicy stop;
   bool ended;
+  uint32_t keep_alive_max_s;
+  BurdockStopPolicy stop;
   uint64_t next_heartbeat_us;
   uint64_t next_roster_us;
   BurdockStoreShare store_share;
--- a/tests/test-stop-policy.c
+++ b/tests/test-stop-policy.c
@@ -7,19 +7,19 @@
 
 typedef struct {
   const char *name;
-  bool stopping;
   uint64_t deadline_us;
+  bool stopping;
   bool admits;
 } AdmissionCase;
 
 static const AdmissionCase admission_cases[] = {
-  { "no stop, any deadline", false, UINT64_MAX / 2, true },
-  { "ends long before the stop", true, BEGAN_US + 1500 * MS, true },
-  { "ends just before the stop, with time for its answer", true, END_US - 100 * MS,
+  { "no stop, any deadline", UINT64_MAX / 2, false, true },
+  { "ends long before the stop", BEGAN_US + 1500 * MS, true, true },
+  { "ends just before the stop, with time for its answer", END_US - 100 * MS, true,
     true },
-  { "its answer would come after the end", true, END_US - 99 * MS, false },
-  { "ends with the stop", true, END_US, false },
-  { "may run longer than the stop", true, BEGAN_US + 8000 * MS, false },
+  { "its answer would come after the end", END_US - 99 * MS, true, false },
+  { "ends with the stop", END_US, true, false },
+  { "may run longer than the stop", BEGAN_US + 8000 * MS, true, false },
 };
 
 /* Guards against requests that are taken in a planned stop and cut off at its end. */
