Take a stalled call back only if another upstream is likely to answer it in time

Sound calls ended with 504 where all upstreams are slow: after 1.2 objectives an attempt counted as stalled, whatever the upstreams of the route need.

The gateway now measures how long whole answers of a route lately took (answer-times.c).

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -290,6 +290,16 @@
                                           forward->upstream.key, begun, now_us);
 }
 
+static void
+record_answer_time (const BurdockForward *forward)
+{
+  uint64_t now_us = burdock_loop_now_us ();
+
+  burdock_answer_times_record (forward->gateway->traffic.answer_times,
+                               forward->route->name, forward->upstream.key,
+                               now_us - forward->sent_us, now_us);
+}
+
 static void
 answer_done (void *ctx, const BurdockHttpResult *result)
 {
@@ -303,6 +313,8 @@
     forward->gateway->traffic.counters.connections++;
   if (attempt_result != BURDOCK_ATTEMPT_COMPLETE)
     log_failed_attempt (forward, attempt_result, result);
+  else if (forward->route->kind != BURDOCK_ROUTE_STREAM)
+    record_answer_time (forward);
   if (forward->attempt_event_count == 0)
     record_outcome (forward, attempt_result, result);
   burdock_forward_attempt_ended (forward, attempt_result,
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -33,9 +33,6 @@
 /* Minimum time in the queue before another attempt. */
 #define RETRY_WAIT_MS 300
 
-/* With less time left until the deadline, another attempt cannot complete. */
-#define RETRY_TIME_MIN_MS 150
-
 /* A connection to an upstream is tried at once and after 0.1 s. The first one may still
  * be accepted, as the connections of a process that ends close one after the other. */
 #define CHECK_MS 150
@@ -231,6 +228,15 @@
   }
 }
 
+/* Times of answers at the upstreams that another attempt may run at. */
+static BurdockAnswerEstimate
+estimate_elsewhere (const BurdockForward *forward, uint64_t now_us)
+{
+  return burdock_answer_times_estimate (forward->gateway->traffic.answer_times,
+                                        forward->route->name, forward->upstream.key,
+                                        forward->sent_us, now_us);
+}
+
 void
 burdock_forward_attempt_ended (BurdockForward *forward, BurdockAttemptResult result,
                                BurdockUpstreamOutcome outcome)
@@ -242,7 +248,9 @@
     .result = result,
     .send_count = forward->send_count,
     .answer_started = forward->answer_started,
-    .enough_time = now_us + RETRY_TIME_MIN_MS * US_PER_MS < forward->deadline_us,
+    .enough_time =
+        burdock_attempt_has_time (now_us, forward->deadline_us,
+                                  estimate_elsewhere (forward, now_us).typical_us),
   };
   BurdockAttemptAction action;
 
@@ -631,14 +639,6 @@
   }
 }
 
-static bool
-is_stalled (const BurdockForward *forward, uint64_t now_us)
-{
-  return forward->phase == BURDOCK_FORWARD_SENT &&
-         burdock_attempt_is_stalled (forward->route, forward->attempt_event_count > 0,
-                                     now_us - forward->last_activity_us);
-}
-
 static void
 report_silence (const BurdockForward *forward, uint64_t now_us)
 {
@@ -652,9 +652,11 @@
 }
 
 /* Retries or resumes at another upstream if the policy, the capacity and the retry budget
- * allow it; otherwise continues to wait. */
+ * allow it; otherwise continues to wait. The first attempt may still end in time, so
+ * another one has to be likely to. */
 static void
-retry_stalled (BurdockForward *forward, uint64_t now_us)
+retry_stalled (BurdockForward *forward, const BurdockAnswerEstimate *estimate,
+               uint64_t now_us)
 {
   BurdockGatewayTraffic *traffic = &forward->gateway->traffic;
   BurdockAttemptContext state = {
@@ -663,7 +665,8 @@
     .run_count = forward->run_count + 1,
     .send_count = forward->send_count,
     .answer_started = forward->answer_started,
-    .enough_time = now_us + RETRY_TIME_MIN_MS * US_PER_MS < forward->deadline_us,
+    .enough_time =
+        burdock_attempt_has_time (now_us, forward->deadline_us, estimate->needed_us),
   };
   BurdockAttemptAction action = burdock_attempt_next_action (&state);
 
@@ -674,14 +677,56 @@
       !burdock_balancer_take_retry (traffic->balancer, forward->pool->name))
     return;
   burdock_log_subject (BURDOCK_LOG_INFO, "attempt stalled", forward->caller.request_id,
-                       forward->upstream.id, "after_ms %u events %u",
+                       forward->upstream.id, "after_ms %u events %u elsewhere_ms %u",
                        (uint32_t)((now_us - forward->sent_us) / US_PER_MS),
-                       forward->attempt_event_count);
+                       forward->attempt_event_count,
+                       (uint32_t)(estimate->long_us / US_PER_MS));
   forward->run_count++;
   burdock_forward_cancel (forward, BURDOCK_UPSTREAM_STALLED);
   apply_action (forward, action);
 }
 
+static bool
+is_stalled (const BurdockForward *forward, const BurdockAnswerEstimate *estimate,
+            uint64_t now_us)
+{
+  return now_us - forward->last_activity_us >
+         burdock_attempt_stall_timeout_us (forward->route,
+                                           forward->attempt_event_count > 0, estimate);
+}
+
+/* Whether an attempt is stalled if nothing is known of the times of others. */
+static bool
+may_be_stalled (const BurdockForward *forward, uint64_t now_us)
+{
+  BurdockAnswerEstimate unknown = { 0 };
+
+  return forward->phase == BURDOCK_FORWARD_SENT && is_stalled (forward, &unknown, now_us);
+}
+
+static void
+note_waits (BurdockGatewayTraffic *traffic, uint64_t now_us)
+{
+  for (const BurdockForward *forward = traffic->forwards; forward != NULL;
+       forward = forward->next) {
+    if (forward->route->kind != BURDOCK_ROUTE_STREAM && may_be_stalled (forward, now_us))
+      burdock_answer_times_note_wait (traffic->answer_times, forward->route->name,
+                                      forward->upstream.key, now_us - forward->sent_us,
+                                      now_us);
+  }
+}
+
+static void
+check_stall (BurdockForward *forward, uint64_t now_us)
+{
+  BurdockAnswerEstimate estimate = estimate_elsewhere (forward, now_us);
+
+  if (!is_stalled (forward, &estimate, now_us))
+    return;
+  report_silence (forward, now_us);
+  retry_stalled (forward, &estimate, now_us);
+}
+
 /* Takes a request back whose prompt was quarantined after it was sent, before its
  * upstream begins to answer it. */
 static void
@@ -701,6 +746,7 @@
   bool quarantines = burdock_part_quarantine_count (traffic->quarantine) > 0;
   BurdockForward *next;
 
+  note_waits (traffic, now_us);
   for (BurdockForward *forward = traffic->forwards; forward != NULL; forward = next) {
     next = forward->next;
     if (forward->phase != BURDOCK_FORWARD_DONE && now_us >= forward->deadline_us)
@@ -710,10 +756,8 @@
     else if (quarantines && forward->phase == BURDOCK_FORWARD_SENT &&
              !forward->answer_started && is_quarantined (forward))
       withdraw_quarantined (forward);
-    else if (is_stalled (forward, now_us)) {
-      report_silence (forward, now_us);
-      retry_stalled (forward, now_us);
-    }
+    else if (may_be_stalled (forward, now_us))
+      check_stall (forward, now_us);
   }
   return traffic->forward_count > 0 ? now_us + TICK_INTERVAL_US : BURDOCK_LOOP_NEVER_US;
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -8,6 +8,7 @@
 #ifndef BURDOCK_GATEWAY_H
 #define BURDOCK_GATEWAY_H
 
+#include "answer-times.h"
 #include "balancer.h"
 #include "config-stamp.h"
 #include "datagram.h"
@@ -170,6 +171,7 @@
  * @buffered_bytes: memory of the answers that are buffered until they are complete
  * @mean_first_event_us: moving average of the time from sending a request to its first
  *   event, 0 before the first one
+ * @answer_times: times of the answers that are not streams, by route
  * @leaving_upstreams: starts of upstreams that have said that they leave
  * @quarantine: prompt parts that crash upstreams
  * @quarantine_loaded: the stored quarantine was received from the control thread
@@ -198,6 +200,7 @@
   BurdockHttpServer *peer_server;
   BurdockDatagramSocket *datagrams;
   BurdockBalancer *balancer;
+  BurdockAnswerTimes *answer_times;
   BurdockLeavingUpstreams *leaving_upstreams;
   BurdockPartQuarantine *quarantine;
   BurdockRouteTable *table;
--- a/libburdock/attempt-policy.c
+++ b/libburdock/attempt-policy.c
@@ -16,15 +16,34 @@
  * missed by then. */
 #define STALL_OBJECTIVE_FACTOR 1.2
 
-bool
-burdock_attempt_is_stalled (const BurdockRoute *route, bool has_events,
-                            uint64_t silent_us)
+/* The same as a multiple of the time within which most answers come elsewhere. Times that
+ * vary as those of most services (exponential, or log-normal with a shape of up to 1)
+ * exceed it in at most 3 of 100 requests. */
+#define STALL_ANSWER_FACTOR 2
+
+/* With less time left until the deadline, another attempt cannot complete. */
+#define ATTEMPT_TIME_MIN_US (150 * US_PER_MS)
+
+uint64_t
+burdock_attempt_stall_timeout_us (const BurdockRoute *route, bool has_events,
+                                  const BurdockAnswerEstimate *estimate)
 {
-  double limit_ms = route->objective_ms * STALL_OBJECTIVE_FACTOR;
+  uint64_t timeout_us =
+      (uint64_t)(route->objective_ms * STALL_OBJECTIVE_FACTOR * US_PER_MS);
 
   if (route->kind == BURDOCK_ROUTE_STREAM)
-    limit_ms = has_events ? NEXT_EVENT_TIMEOUT_MS : FIRST_EVENT_TIMEOUT_MS;
-  return silent_us > (uint64_t)(limit_ms * US_PER_MS);
+    return (has_events ? NEXT_EVENT_TIMEOUT_MS : FIRST_EVENT_TIMEOUT_MS) * US_PER_MS;
+  if (timeout_us < estimate->long_us * STALL_ANSWER_FACTOR)
+    timeout_us = estimate->long_us * STALL_ANSWER_FACTOR;
+  return timeout_us < estimate->longest_us ? estimate->longest_us : timeout_us;
+}
+
+bool
+burdock_attempt_has_time (uint64_t now_us, uint64_t deadline_us, uint64_t needed_us)
+{
+  if (needed_us < ATTEMPT_TIME_MIN_US)
+    needed_us = ATTEMPT_TIME_MIN_US;
+  return now_us + needed_us < deadline_us;
 }
 
 static bool
--- a/libburdock/attempt-policy.h
+++ b/libburdock/attempt-policy.h
@@ -6,6 +6,7 @@
 #ifndef BURDOCK_ATTEMPT_POLICY_H
 #define BURDOCK_ATTEMPT_POLICY_H
 
+#include "answer-times.h"
 #include "route-table.h"
 
 /** enum BurdockAttemptResult - how an attempt ended */
@@ -55,12 +56,25 @@
 BurdockAttemptAction burdock_attempt_next_action (const BurdockAttemptContext *state);
 
 /**
- * burdock_attempt_is_stalled() - whether an attempt exceeds its stall timeout
+ * burdock_attempt_stall_timeout_us() - time without data after which an attempt is
+ * stalled
  * @has_events: this attempt has received events of the stream
- * @silent_us: time since the upstream last sent data
+ * @estimate: times of whole answers of the route; not used for streams
+ *
+ * An attempt that is not a stream is stalled if its answer is late and has taken clearly
+ * longer than others take elsewhere. If all upstreams need that long, another attempt
+ * would only begin the same work again. At an upstream that works it may be one of the
+ * few requests that take longer wherever they run.
+ */
+uint64_t burdock_attempt_stall_timeout_us (const BurdockRoute *route, bool has_events,
+                                           const BurdockAnswerEstimate *estimate);
+
+/**
+ * burdock_attempt_has_time() - whether an attempt that begins now ends before the
+ * deadline
+ * @needed_us: time that the attempt needs, 0 if it is not known
  */
-bool burdock_attempt_is_stalled (const BurdockRoute *route, bool has_events,
-                                 uint64_t silent_us);
+bool burdock_attempt_has_time (uint64_t now_us, uint64_t deadline_us, uint64_t needed_us);
 
 /** burdock_attempt_final_action() - what to do with a request that is not sent again */
 BurdockAttemptAction burdock_attempt_final_action (const BurdockAttemptContext *state);
