Let a stream that lost its upstream wait for another one until its deadline

Callers saw streams end without their last chunk long before their time was up: a stream whose upstream is silent for 0.9 s is taken back, and if the others reject it, or their queue deadline of 0.3 s passes, it was broken off, although its upstream would have gone on. The stream now looks for an upstream every 0.2 s until its deadline, as far as the retry budget allows; upstreams that rejected it are tried again.

--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -44,6 +44,10 @@
 /* Delay that is suggested to callers whom another gateway can serve now. */
 #define RETRY_ELSEWHERE_MS 1
 
+/* Interval at which a stream that lost its upstream looks for another one, if all are
+ * full or the retry budget is used up. */
+#define RESUME_INTERVAL_MS 200
+
 #define TICK_INTERVAL_US UINT64_C (20000)
 
 static void
@@ -203,6 +207,18 @@
   burdock_balancer_submit (traffic->balancer, placement, now_us);
 }
 
+static void
+wait_to_resume (BurdockForward *forward, bool retry_paid, const char *why)
+{
+  if (forward->resume_at_us == 0)
+    burdock_log_subject (BURDOCK_LOG_INFO, "resume delayed", forward->caller.request_id,
+                         forward->upstream.id, "%s events %u sent %u", why,
+                         forward->attempt_event_count, forward->send_count);
+  forward->phase = BURDOCK_FORWARD_RESUMING;
+  forward->retry_paid = retry_paid;
+  forward->resume_at_us = burdock_loop_now_us () + RESUME_INTERVAL_MS * US_PER_MS;
+}
+
 static void
 apply_action (BurdockForward *forward, BurdockAttemptAction action)
 {
@@ -211,8 +227,12 @@
     break;
   case BURDOCK_ACTION_RESUME:
     forward->gateway->traffic.counters.resumed++;
+    forward->retry_paid = true;
     resubmit (forward);
     break;
+  case BURDOCK_ACTION_WAIT:
+    wait_to_resume (forward, false, "no further attempt now");
+    break;
   case BURDOCK_ACTION_RETRY:
     resubmit (forward);
     break;
@@ -268,7 +288,7 @@
   if ((action == BURDOCK_ACTION_RETRY || action == BURDOCK_ACTION_RESUME) &&
       forward->attempt_sent &&
       !burdock_balancer_take_retry (traffic->balancer, forward->pool->name))
-    action = burdock_attempt_final_action (&state);
+    action = burdock_attempt_unpaid_action (&state);
   /* The headers of the answer are only valid while the transfer exists. */
   if (action == BURDOCK_ACTION_FORWARD)
     deliver_answer (forward);
@@ -293,6 +313,24 @@
     resubmit (forward);
 }
 
+/* All upstreams may be tried again, also those that rejected the stream before. */
+static void
+resume_stream (BurdockForward *forward, uint64_t now_us)
+{
+  BurdockGatewayTraffic *traffic = &forward->gateway->traffic;
+
+  if (now_us < forward->resume_at_us)
+    return;
+  if (!forward->retry_paid &&
+      !burdock_balancer_take_retry (traffic->balancer, forward->pool->name)) {
+    wait_to_resume (forward, false, "retry budget");
+    return;
+  }
+  forward->retry_paid = true;
+  forward->placement.excluded_count = 0;
+  resubmit (forward);
+}
+
 static BurdockForward *
 find_forward (BurdockGatewayTraffic *traffic, uint64_t handle)
 {
@@ -338,7 +376,10 @@
   if (forward == NULL || forward->phase != BURDOCK_FORWARD_WAITING)
     return;
   forward->reason = reason;
-  if (forward->answer_started)
+  if (forward->answer_started &&
+      burdock_attempt_has_time (burdock_loop_now_us (), forward->deadline_us, 0))
+    wait_to_resume (forward, true, burdock_reason_name (reason));
+  else if (forward->answer_started)
     abort_forward (forward);
   else if (forward->run_count > 0)
     fail_forward (forward, 502);
@@ -753,6 +794,8 @@
       time_out (forward);
     else if (forward->phase == BURDOCK_FORWARD_CHECKING)
       decide_retry (forward, now_us);
+    else if (forward->phase == BURDOCK_FORWARD_RESUMING)
+      resume_stream (forward, now_us);
     else if (quarantines && forward->phase == BURDOCK_FORWARD_SENT &&
              !forward->answer_started && is_quarantined (forward))
       withdraw_quarantined (forward);
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -13,6 +13,7 @@
   BURDOCK_FORWARD_WAITING = 1, /* queued by the balancer */
   BURDOCK_FORWARD_SENT,        /* sent to an upstream */
   BURDOCK_FORWARD_CHECKING,    /* waits to know whether its upstream has ended */
+  BURDOCK_FORWARD_RESUMING,    /* a stream that waits before it is queued again */
   BURDOCK_FORWARD_DONE,        /* its final answer was passed to the HTTP server */
 } BurdockForwardPhase;
 
@@ -33,6 +34,8 @@
  *   and the first event
  * @check_until_us: time at which a request that waits for the check of its upstream is
  *   retried
+ * @resume_at_us: time at which a stream that waits is queued again
+ * @retry_paid: the next attempt is paid for from the retry budget
  * @attempt_event_count: events of the current attempt that were delivered
  * @reason: why the request was not placed
  * @upstream_version: version of the last change of the upstreams that was known when the
@@ -73,6 +76,8 @@
   bool attempt_sent; /* a part of the last attempt may have reached its upstream */
   bool attempt_broke;
   uint64_t check_until_us;
+  uint64_t resume_at_us;
+  bool retry_paid;
   uint32_t attempt_event_count;
   BurdockReason reason;
   BurdockEventStream event_stream;
--- a/libburdock/attempt-policy.c
+++ b/libburdock/attempt-policy.c
@@ -69,13 +69,24 @@
   return state->run_count == 0 ? BURDOCK_ACTION_REFUSE : BURDOCK_ACTION_FAIL;
 }
 
+/* Upstreams that are full have room again before the deadline of a stream; its caller
+ * leaves earlier if the gap is too long for it. */
+BurdockAttemptAction
+burdock_attempt_unpaid_action (const BurdockAttemptContext *state)
+{
+  if (state->answer_started && state->enough_time && may_run_again (state))
+    return BURDOCK_ACTION_WAIT;
+  return burdock_attempt_final_action (state);
+}
+
 BurdockAttemptAction
 burdock_attempt_next_action (const BurdockAttemptContext *state)
 {
   if (state->result == BURDOCK_ATTEMPT_COMPLETE)
     return BURDOCK_ACTION_FORWARD;
-  if (!state->enough_time || !may_run_again (state) ||
-      state->send_count >= state->route->attempts_max + NOT_RUN_SENDS_MAX)
+  if (!state->enough_time || !may_run_again (state))
     return burdock_attempt_final_action (state);
+  if (state->send_count >= state->route->attempts_max + NOT_RUN_SENDS_MAX)
+    return burdock_attempt_unpaid_action (state);
   return state->answer_started ? BURDOCK_ACTION_RESUME : BURDOCK_ACTION_RETRY;
 }
--- a/libburdock/attempt-policy.h
+++ b/libburdock/attempt-policy.h
@@ -24,6 +24,7 @@
   BURDOCK_ACTION_FORWARD = 1, /* forward the answer of the upstream to the caller */
   BURDOCK_ACTION_RETRY,       /* send the request to another upstream */
   BURDOCK_ACTION_RESUME,      /* continue the stream at another upstream */
+  BURDOCK_ACTION_WAIT,        /* continue the stream at another upstream later */
   BURDOCK_ACTION_REFUSE,      /* report to the caller that the request did not run */
   BURDOCK_ACTION_FAIL,        /* report to the caller that the outcome is unknown */
   BURDOCK_ACTION_ABORT, /* close the caller's connection: a part was already delivered */
@@ -76,6 +77,12 @@
  */
 bool burdock_attempt_has_time (uint64_t now_us, uint64_t deadline_us, uint64_t needed_us);
 
+/**
+ * burdock_attempt_unpaid_action() - what to do if the retry budget allows no further
+ * attempt now
+ */
+BurdockAttemptAction burdock_attempt_unpaid_action (const BurdockAttemptContext *state);
+
 /** burdock_attempt_final_action() - what to do with a request that is not sent again */
 BurdockAttemptAction burdock_attempt_final_action (const BurdockAttemptContext *state);
 
--- a/tests/soak/leaving.py
+++ b/tests/soak/leaving.py
@@ -1,8 +1,9 @@
-"""Upstreams that leave, or want no requests for a time, while the store is of no help."""
+"""Upstreams that leave, pause in streams, or want no requests for a time, while the store is of no help."""
 import asyncio
 import time
 
 from soak import Soak
+from standin import Runner, answer
 
 
 class LeavingScenario(Soak):
@@ -58,3 +59,42 @@
             self.check.add_violation("USE", f"{runner.id} got no request in the "
                                             f"{time.monotonic() - resumed_at:.1f} s after its "
                                             "last rejection")
+
+
+class PausingRunner(Runner):
+    """Makes a pause in a stream; meanwhile all runners of the service reject streams."""
+
+    PAUSE_AFTER, PAUSE_S, FULL_S = 5, 1.5, 2.0
+    full_until = 0.0
+
+    async def handle(self, method, target, headers, body, writer):
+        if target.startswith("/stream/") and time.monotonic() < PausingRunner.full_until:
+            attempt = headers.get("burdockwind-attempt-id", "")
+            writer.write(answer(503, headers=[("Burdockwind-Not-Executed", "1"),
+                                              ("Burdockwind-Attempt-Id", attempt)]))
+            return True
+        return await super().handle(method, target, headers, body, writer)
+
+    async def pause_before(self, number):
+        if number == self.PAUSE_AFTER + 1 and time.monotonic() > PausingRunner.full_until:
+            PausingRunner.full_until = time.monotonic() + self.FULL_S
+            await asyncio.sleep(self.PAUSE_S)
+
+
+class PausedStreamScenario(Soak):
+    """A stream pauses for longer than the stall timeout while all other upstreams are full."""
+
+    STREAMS = 5
+
+    def runner_class(self, check, service, *arguments):
+        return (PausingRunner if service == "model" else Runner)(check, service, *arguments)
+
+    async def run(self):
+        addresses, connection = await self.resolve(), None
+        for _ in range(self.STREAMS):
+            connection = await self.request("stream", connection, addresses)
+            await asyncio.sleep(max(0, PausingRunner.full_until - time.monotonic()) + 0.5)
+        whole = self.outcome_counts.get("stream 200", 0)
+        if whole < self.STREAMS:
+            self.check.add_violation("LOST", f"{self.STREAMS - whole} of {self.STREAMS} streams "
+                                             "had no whole answer")
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -12,6 +12,7 @@
 silent-poll: open connections of some gateways to the store go silent for good.
 silent-poll-no-era: the same with a store that names no era.
 silent-poll-all: the same at all gateways.
+paused-stream: a stream pauses while all other upstreams are full.
 planned-stop: gateways are stopped while callers stay with them and upstreams are slow.
 stop-end: requests are sent when a gateway that is stopped would end.
 restored: the store returns from a copy some seconds old, twice.
@@ -25,7 +26,8 @@
 
 import soak
 from faulty import FaultyAnswersScenario
-from leaving import LateRowScenario, LeavingAnswersScenario, RetryAfterScenario
+from leaving import (LateRowScenario, LeavingAnswersScenario, PausedStreamScenario,
+                     RetryAfterScenario)
 from restored import RestoredScenario
 from standin import CRASHING_PART, CRASHING_PATH, CRASHING_STREAM_PATH, Runner
 from stops import StopEndScenario, StopScenario
@@ -374,7 +376,8 @@
 
 SCENARIOS = {"faulty-answers": FaultyAnswersScenario, "late-row": LateRowScenario,
              "leaving-answers": LeavingAnswersScenario,
-             "limit": LimitScenario, "planned-stop": PlannedStopScenario, "prompt-part": PromptPartScenario,
+             "limit": LimitScenario, "paused-stream": PausedStreamScenario,
+             "planned-stop": PlannedStopScenario, "prompt-part": PromptPartScenario,
              "request": RequestScenario, "restored": RestoredScenario,
              "retry-after": RetryAfterScenario,
              "stream-request": StreamRequestScenario,
--- a/tests/soak/standin.py
+++ b/tests/soak/standin.py
@@ -464,6 +464,10 @@
         self.down = False
         await self.store.put("servers", self.id, self.store_row())
 
+    async def pause_before(self, number):
+        if random.random() < PAUSE_RATE:
+            await asyncio.sleep(random.random() * self.pause_s)
+
     async def stream(self, path, attempt, headers, writer):
         if (CRASHING_PART in headers.get("burdockwind-prompt-prefix", "")
                 or path == CRASHING_STREAM_PATH):
@@ -475,8 +479,7 @@
             step = self.group.step
             while self.group.step == step and self.group.epoch == epoch:
                 await asyncio.sleep(STEP_S / 4)
-            if random.random() < PAUSE_RATE:
-                await asyncio.sleep(random.random() * self.pause_s)
+            await self.pause_before(number)
             if writer.is_closing():
                 raise ConnectionResetError
             if self.group.epoch != epoch:
--- a/tests/test-attempt-policy.c
+++ b/tests/test-attempt-policy.c
@@ -53,6 +53,10 @@
     BURDOCK_ACTION_RESUME },
   { "resumed stream refused at the next upstream",
     STATE (resumable, BURDOCK_ATTEMPT_NOT_RUN, 1, 2, true, true), BURDOCK_ACTION_RESUME },
+  { "resumed stream refused at all upstreams tried",
+    STATE (resumable, BURDOCK_ATTEMPT_NOT_RUN, 1, 4, true, true), BURDOCK_ACTION_WAIT },
+  { "the same, shortly before its deadline",
+    STATE (resumable, BURDOCK_ATTEMPT_NOT_RUN, 1, 4, true, false), BURDOCK_ACTION_ABORT },
   { "resumable stream truncated twice",
     STATE (resumable, BURDOCK_ATTEMPT_TRUNCATED, 2, 2, true, true),
     BURDOCK_ACTION_ABORT },
@@ -100,6 +104,30 @@
   }
 }
 
+static const ActionCase unpaid_cases[] = {
+  { "call of which nothing ran",
+    STATE (idempotent, BURDOCK_ATTEMPT_NOT_RUN, 0, 1, false, true),
+    BURDOCK_ACTION_REFUSE },
+  { "lost call", STATE (idempotent, BURDOCK_ATTEMPT_LOST, 1, 1, false, true),
+    BURDOCK_ACTION_FAIL },
+  { "truncated stream that may be resumed",
+    STATE (resumable, BURDOCK_ATTEMPT_TRUNCATED, 1, 1, true, true), BURDOCK_ACTION_WAIT },
+  { "the same, shortly before its deadline",
+    STATE (resumable, BURDOCK_ATTEMPT_TRUNCATED, 1, 1, true, false),
+    BURDOCK_ACTION_ABORT },
+  { "truncated stream that may not be resumed",
+    STATE (stream, BURDOCK_ATTEMPT_TRUNCATED, 1, 1, true, true), BURDOCK_ACTION_ABORT },
+};
+
+/* Guards against breaking a stream off because no retry is allowed at that moment. */
+static void
+a_stream_waits_for_the_retry_budget (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (unpaid_cases); i++)
+    CU_ASSERT_EQUAL (burdock_attempt_unpaid_action (&unpaid_cases[i].state),
+                     unpaid_cases[i].action);
+}
+
 typedef struct {
   const BurdockRoute *route;
   uint64_t silent_ms;
@@ -165,6 +193,8 @@
 }
 
 static const Test tests[] = {
+  { "a stream is broken off while no retry is allowed",
+    a_stream_waits_for_the_retry_budget },
   { "a caller waits for a hung upstream", hanging_upstreams_are_detected },
   { "an attempt begins too late to end", attempts_begin_with_enough_time },
   { "a request is retried, refused or failed against its kind",
