Keep a call where it is while calls are late at all upstreams and few answers are known

A gateway that has just started knows only the short answers, as the long ones still run. A call that is late at another upstream now says that the time needed there is not known yet.

--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -711,8 +711,7 @@
        forward = forward->next) {
     if (forward->route->kind != BURDOCK_ROUTE_STREAM && may_be_stalled (forward, now_us))
       burdock_answer_times_note_wait (traffic->answer_times, forward->route->name,
-                                      forward->upstream.key, now_us - forward->sent_us,
-                                      now_us);
+                                      forward->upstream.key, now_us);
   }
 }
 
--- a/libburdock/answer-times.c
+++ b/libburdock/answer-times.c
@@ -20,6 +20,9 @@
  * answers of a slow upstream, does not move it. */
 #define LONG_QUANTILE 0.9
 
+/* Stands for a time that is not known, but long. */
+#define UNKNOWN_LONG_US (3600 * US_PER_S)
+
 /* Configurations may rename routes again and again. */
 #define ROUTES_MAX 1024
 
@@ -32,14 +35,8 @@
   uint64_t recorded_us;
 } Answer;
 
-/* Longest wait of a request at an upstream. */
-typedef struct {
-  uint64_t upstream;
-  uint64_t waited_us;
-} Wait;
-
-/* The waits are those of two upstreams, so that there is one for each that is left out.
- */
+/* @waiting: two upstreams at which requests waited at @waits_us, so that there is one for
+ *   each that is left out; 0 for none */
 typedef struct {
   uint64_t used_us;
   uint32_t count;
@@ -47,7 +44,7 @@
   Answer answers[ANSWERS_MAX];
   Answer longest;
   uint64_t waits_us;
-  Wait waits[2];
+  uint64_t waiting[2];
   char name[];
 } Route;
 
@@ -188,24 +185,19 @@
 
 void
 burdock_answer_times_note_wait (BurdockAnswerTimes *times, const char *route,
-                                uint64_t upstream, uint64_t waited_us, uint64_t now_us)
+                                uint64_t upstream, uint64_t now_us)
 {
   Route *of = use_route (times, route, now_us);
-  Wait wait = { upstream, waited_us };
 
   if (of == NULL)
     return;
   if (of->waits_us != now_us)
-    of->waits[0] = of->waits[1] = (Wait){ 0 };
+    of->waiting[0] = of->waiting[1] = 0;
   of->waits_us = now_us;
-  if (upstream == of->waits[0].upstream) {
-    if (waited_us > of->waits[0].waited_us)
-      of->waits[0] = wait;
-  } else if (waited_us > of->waits[0].waited_us) {
-    of->waits[1] = of->waits[0];
-    of->waits[0] = wait;
-  } else if (waited_us > of->waits[1].waited_us)
-    of->waits[1] = wait;
+  if (of->waiting[0] == 0 || of->waiting[0] == upstream)
+    of->waiting[0] = upstream;
+  else
+    of->waiting[1] = upstream;
 } /* NOLINT(clang-analyzer-unix.Malloc): times->routes owns the route */
 
 static int
@@ -234,12 +226,12 @@
   return count;
 }
 
-static uint64_t
-longest_wait_us (const Route *route, uint64_t upstream, uint64_t now_us)
+static bool
+waits_elsewhere (const Route *route, uint64_t upstream, uint64_t now_us)
 {
-  if (route->waits_us != now_us)
-    return 0;
-  return route->waits[route->waits[0].upstream == upstream ? 1 : 0].waited_us;
+  return route->waits_us == now_us &&
+         ((route->waiting[0] != 0 && route->waiting[0] != upstream) ||
+          (route->waiting[1] != 0 && route->waiting[1] != upstream));
 }
 
 static BurdockAnswerEstimate
@@ -255,20 +247,20 @@
   return estimate;
 }
 
-/* Estimates from few answers of other upstreams. Those of the upstream itself are the
- * best guess for the others then, and a wait is the least that an answer takes. */
+/* Estimates from few answers of other upstreams, with those of the upstream itself as the
+ * best guess for the others. While a request waits elsewhere as well, the answers are
+ * probably the short ones, and nothing shows that it would be faster there. */
 static BurdockAnswerEstimate
 guess (const Route *route, uint64_t upstream, uint64_t now_us)
 {
   uint64_t sorted[ANSWERS_MAX];
   BurdockAnswerEstimate estimate =
       estimate_from (sorted, sort_times (route, 0, now_us, sorted));
-  uint64_t waited_us = longest_wait_us (route, upstream, now_us);
 
-  if (waited_us > estimate.long_us)
-    estimate.long_us = waited_us;
   estimate.typical_us = 0;
   estimate.needed_us = estimate.long_us * FEW_ANSWERS_FACTOR;
+  if (waits_elsewhere (route, upstream, now_us))
+    estimate.long_us = estimate.needed_us = UNKNOWN_LONG_US;
   return estimate;
 }
 
--- a/libburdock/answer-times.h
+++ b/libburdock/answer-times.h
@@ -42,15 +42,14 @@
                                   uint64_t now_us);
 
 /**
- * burdock_answer_times_note_wait() - an attempt has had no answer for @waited_us
+ * burdock_answer_times_note_wait() - an attempt at @upstream is late
  *
  * To be called for each of them before the estimates of a time @now_us. Used while the
  * route has few answers: at a start all of the first ones are short, as the others still
  * run.
  */
 void burdock_answer_times_note_wait (BurdockAnswerTimes *times, const char *route,
-                                     uint64_t upstream, uint64_t waited_us,
-                                     uint64_t now_us);
+                                     uint64_t upstream, uint64_t now_us);
 
 /**
  * burdock_answer_times_estimate() - times of the upstreams of a route other than
--- a/tests/test-slow-upstreams.c
+++ b/tests/test-slow-upstreams.c
@@ -7,6 +7,7 @@
 
 #define US_PER_MS UINT64_C (1000)
 #define US_PER_S (1000 * US_PER_MS)
+#define US_PER_MIN (60 * US_PER_S)
 #define TICK_US (20 * US_PER_MS)
 #define NEVER_US UINT64_MAX
 
@@ -27,6 +28,7 @@
  * @work_min_ms, @work_max_ms: an upstream works for a time between these, drawn for each
  *   run
  * @long_share, @long_ms: share of the requests that need this time wherever they run
+ * @forget_s: time after which the gateway starts again and knows no answers, 0 for never
  * @slow_factor: how much slower one upstream is from 20 s on, 0 if it gives no answer
  * @answered_min: least share that is answered in time
  * @failed_max: greatest share that ends with 504
@@ -39,6 +41,7 @@
   uint32_t work_max_ms;
   double long_share;
   uint32_t long_ms;
+  uint32_t forget_s;
   double slow_factor;
   double answered_min;
   double failed_max;
@@ -232,22 +235,33 @@
 
   for (uint32_t i = 0; i < OPEN_MAX; i++) {
     const Request *request = &world->requests[i];
-    uint64_t waited_us = world->now_us - request->sent_us;
 
     if (request->open && !request->waiting &&
-        waited_us > burdock_attempt_stall_timeout_us (&route, false, &unknown))
+        world->now_us - request->sent_us >
+            burdock_attempt_stall_timeout_us (&route, false, &unknown))
       burdock_answer_times_note_wait (world->times, route.name, request->upstream,
-                                      waited_us, world->now_us);
+                                      world->now_us);
   }
 }
 
+static void
+forget_answers (World *world)
+{
+  burdock_answer_times_free (world->times);
+  world->times = burdock_answer_times_new ();
+  CU_ASSERT_PTR_NOT_NULL_FATAL (world->times);
+}
+
 static void
 tick (World *world)
 {
+  uint64_t forget_us = world->load->forget_s * US_PER_S;
   double arrivals = world->load->requests_per_s * TICK_US / US_PER_S;
 
   if (world->now_us < LENGTH_US && draw (world) < arrivals)
     receive (world);
+  if (forget_us > 0 && world->now_us % forget_us == 0)
+    forget_answers (world);
   note_waits (world);
   for (uint32_t i = 0; i < OPEN_MAX; i++) {
     if (world->requests[i].open)
@@ -298,6 +312,15 @@
     .answered_min = 0.98,
     .failed_max = 0.001,
     .answer_ms = 5000 },
+  { .name = "all slow, a gateway that starts again and again",
+    .requests_per_s = 2,
+    .work_min_ms = 30,
+    .work_max_ms = 4500,
+    .forget_s = 4,
+    .slow_factor = 1,
+    .answered_min = 0.99,
+    .failed_max = 0.01,
+    .answer_ms = 6000 },
   { .name = "one slow",
     .requests_per_s = 20,
     .work_min_ms = 20,
@@ -399,17 +422,21 @@
   estimate = burdock_answer_times_estimate (times, "a", 1, 0, now_us);
   CU_ASSERT_EQUAL (estimate.long_us, 300 * US_PER_MS);
   CU_ASSERT_EQUAL (estimate.typical_us, 0);
-  burdock_answer_times_note_wait (times, "a", 1, 900 * US_PER_MS, now_us);
-  burdock_answer_times_note_wait (times, "a", 2, 800 * US_PER_MS, now_us);
-  burdock_answer_times_note_wait (times, "a", 1, 850 * US_PER_MS, now_us);
+  burdock_answer_times_note_wait (times, "a", 1, now_us);
+  burdock_answer_times_note_wait (times, "a", 1, now_us);
   estimate = burdock_answer_times_estimate (times, "a", 1, 0, now_us);
-  CU_ASSERT_EQUAL (estimate.long_us, 800 * US_PER_MS);
-  CU_ASSERT_TRUE (estimate.needed_us > 800 * US_PER_MS);
+  CU_ASSERT_EQUAL (estimate.long_us, 300 * US_PER_MS);
   estimate = burdock_answer_times_estimate (times, "a", 2, 0, now_us);
-  CU_ASSERT_EQUAL (estimate.long_us, 900 * US_PER_MS);
+  CU_ASSERT_TRUE (estimate.long_us > US_PER_MIN);
+  CU_ASSERT_TRUE (estimate.needed_us > US_PER_MIN);
+  burdock_answer_times_note_wait (times, "a", 2, now_us);
+  burdock_answer_times_note_wait (times, "a", 1, now_us);
+  estimate = burdock_answer_times_estimate (times, "a", 1, 0, now_us);
+  CU_ASSERT_TRUE (estimate.long_us > US_PER_MIN);
   now_us += 20 * US_PER_MS;
   estimate = burdock_answer_times_estimate (times, "a", 2, 0, now_us);
   CU_ASSERT_EQUAL (estimate.long_us, 300 * US_PER_MS);
+  CU_ASSERT_TRUE (estimate.needed_us > 300 * US_PER_MS);
   burdock_answer_times_free (times);
 }
 
