--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -683,7 +683,7 @@
 static void
 report_silence (const BurdockForward *forward, uint64_t now_us)
 {
-  uint64_t silent_us = now_us - forward->last_activity_us;
+  uint64_t silent_us = burdock_attempt_silence_us (now_us, forward->last_activity_us);
 
   if (burdock_balancer_report_silence (forward->gateway->traffic.balancer,
                                        forward->upstream.key, silent_us, now_us))
@@ -731,7 +731,7 @@
 is_stalled (const BurdockForward *forward, const BurdockAnswerEstimate *estimate,
             uint64_t now_us)
 {
-  return now_us - forward->last_activity_us >
+  return burdock_attempt_silence_us (now_us, forward->last_activity_us) >
          burdock_attempt_stall_timeout_us (forward->route,
                                            forward->attempt_event_count > 0, estimate);
 }
--- a/libburdock/attempt-policy.c
+++ b/libburdock/attempt-policy.c
@@ -38,6 +38,12 @@
   return timeout_us < estimate->longest_us ? estimate->longest_us : timeout_us;
 }
 
+uint64_t
+burdock_attempt_silence_us (uint64_t now_us, uint64_t last_activity_us)
+{
+  return now_us > last_activity_us ? now_us - last_activity_us : 0;
+}
+
 bool
 burdock_attempt_has_time (uint64_t now_us, uint64_t deadline_us, uint64_t needed_us)
 {
--- a/libburdock/attempt-policy.h
+++ b/libburdock/attempt-policy.h
@@ -70,6 +70,12 @@
 uint64_t burdock_attempt_stall_timeout_us (const BurdockRoute *route, bool has_events,
                                            const BurdockAnswerEstimate *estimate);
 
+/**
+ * burdock_attempt_silence_us() - time since the last activity of an attempt, 0 if it was
+ * sent after @now_us was read
+ */
+uint64_t burdock_attempt_silence_us (uint64_t now_us, uint64_t last_activity_us);
+
 /**
  * burdock_attempt_has_time() - whether an attempt that begins now ends before the
  * deadline
--- a/tests/test-attempt-policy.c
+++ b/tests/test-attempt-policy.c
@@ -192,7 +192,19 @@
   }
 }
 
+/* Guards against an attempt that counts as stalled for ages because it was sent after the
+ * time of the check was read. */
+static void
+an_attempt_that_was_just_sent_is_not_silent (void)
+{
+  CU_ASSERT_EQUAL (burdock_attempt_silence_us (5000, 4000), 1000);
+  CU_ASSERT_EQUAL (burdock_attempt_silence_us (5000, 5000), 0);
+  CU_ASSERT_EQUAL (burdock_attempt_silence_us (5000, 5003), 0);
+}
+
 static const Test tests[] = {
+  { "an attempt that was just sent counts as silent",
+    an_attempt_that_was_just_sent_is_not_silent },
   { "a stream is broken off while no retry is allowed",
     a_stream_waits_for_the_retry_budget },
   { "a caller waits for a hung upstream", hanging_upstreams_are_detected },
