Accept waiting connections before a stop ends, and count what it loses in full

Waiting requests are withdrawn before running ones are given up, so that none of them is sent at that moment; the answer at the limit is the decision that attempt-policy makes for other ends. An answer that was not delivered counts as cut, also if it was complete; 'stopped' tells requests received, given up and cut apart. A stop shorter than 3.7 s leaves time for its last phase, instead of being reported as cut short while nothing runs. If all gateways are stopped, callers are told to come back when this one may be started again.

test-stop-policy has the short stops.

--- a/daemon/http-server.c
+++ b/daemon/http-server.c
@@ -3,6 +3,7 @@
 #include <apr_portable.h>
 #include <arpa/inet.h>
 #include <errno.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/ioctl.h>
@@ -487,6 +488,19 @@
   return server->open_count;
 }
 
+bool
+burdock_http_server_has_pending (const BurdockHttpServer *server)
+{
+  const union MHD_DaemonInfo *info =
+      MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+  struct pollfd listener = { .events = POLLIN };
+
+  if (server->quiesced || info == NULL)
+    return false;
+  listener.fd = info->listen_fd;
+  return poll (&listener, 1, 0) > 0;
+}
+
 uint32_t
 burdock_http_server_unread_count (const BurdockHttpServer *server)
 {
--- a/daemon/http-server.h
+++ b/daemon/http-server.h
@@ -80,6 +80,9 @@
 /** burdock_http_server_open_count() - number of requests that have not ended */
 uint32_t burdock_http_server_open_count (const BurdockHttpServer *server);
 
+/** burdock_http_server_has_pending() - whether a connection waits to be accepted */
+bool burdock_http_server_has_pending (const BurdockHttpServer *server);
+
 /** burdock_http_server_unread_count() - number of connections with bytes that have not
  * been read; closing them resets the connections */
 uint32_t burdock_http_server_unread_count (const BurdockHttpServer *server);
--- a/daemon/stop.h
+++ b/daemon/stop.h
@@ -21,9 +21,9 @@
  * callable from any thread */
 void burdock_stop_notify_drained (void);
 
-/* Time for the last answers of a planned stop, enough for the last phase of
- * stop-policy.h. */
-#define BURDOCK_STOP_FINISH_MS 300
+/* Time for the last answers of a planned stop: the last phase of stop-policy.h, and some
+ * hundred answers on an instance with a quarter of a core. */
+#define BURDOCK_STOP_FINISH_MS 450
 
 /**
  * struct BurdockStop - what a daemon does in a planned stop; the functions are called on
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -55,13 +55,17 @@
   burdock_http_respond_bytes (request, status, body);
 }
 
-/* Another gateway can serve a caller at once, unless all of them are stopped. */
+/* Another gateway can serve a caller at once. If all of them are stopped, this one is
+ * started again after its stop. */
 uint32_t
 burdock_forward_retry_after_stop_ms (const BurdockGateway *gateway)
 {
-  return burdock_gateway_has_ready_peer (gateway, burdock_loop_now_us ())
-             ? RETRY_ELSEWHERE_MS
-             : BURDOCK_RETRY_AFTER_DEFAULT_MS;
+  uint64_t now_us = burdock_loop_now_us ();
+
+  if (burdock_gateway_has_ready_peer (gateway, now_us))
+    return RETRY_ELSEWHERE_MS;
+  return burdock_stop_policy_left_ms (&gateway->traffic.stop, now_us) +
+         BURDOCK_RETRY_AFTER_DEFAULT_MS;
 }
 
 static void
@@ -371,17 +375,20 @@
       forward->digest, received_in_stop_ms (forward));
 }
 
-/* A request without a final answer has lost its caller, unless the process ends. */
+/* A request whose answer is not delivered has lost its caller, unless the process ends.
+ */
 static void
-count_unanswered (BurdockForward *forward)
+count_undelivered (BurdockForward *forward)
 {
   BurdockGatewayTraffic *traffic = &forward->gateway->traffic;
+  bool answered = forward->phase == BURDOCK_FORWARD_DONE;
 
   if (traffic->ended)
     traffic->counters.stop_cut++;
-  else
+  else if (!answered)
     traffic->counters.abandoned++;
-  forward->outcome = traffic->ended ? "cut" : "abandoned";
+  if (!answered)
+    forward->outcome = traffic->ended ? "cut" : "abandoned";
 }
 
 void
@@ -394,8 +401,8 @@
     return;
   if (forward->phase == BURDOCK_FORWARD_WAITING)
     burdock_balancer_withdraw (gateway->traffic.balancer, forward->placement.handle);
-  if (forward->phase != BURDOCK_FORWARD_DONE)
-    count_unanswered (forward);
+  if (!complete)
+    count_undelivered (forward);
   log_request (forward, complete);
   forward->phase = BURDOCK_FORWARD_DONE;
   burdock_forward_cancel (forward, BURDOCK_UPSTREAM_ABANDONED);
@@ -430,32 +437,39 @@
 static void
 give_up (BurdockForward *forward)
 {
-  BurdockGatewayTraffic *traffic = &forward->gateway->traffic;
   bool sent =
       forward->transfer != NULL && burdock_http_transfer_is_sent (forward->transfer);
+  BurdockAttemptContext state = {
+    .route = forward->route,
+    .result = sent ? BURDOCK_ATTEMPT_LOST : BURDOCK_ATTEMPT_NOT_RUN,
+    .run_count = forward->run_count + sent,
+    .answer_started = forward->answer_started,
+  };
+  BurdockAttemptAction action = burdock_attempt_final_action (&state);
 
-  if (forward->phase == BURDOCK_FORWARD_WAITING)
-    burdock_balancer_withdraw (traffic->balancer, forward->placement.handle);
   forward->reason = BURDOCK_REASON_LEAVING;
-  if (forward->answer_started)
-    abort_forward (forward);
-  else if (sent || forward->run_count > 0)
-    fail_forward (forward, 502);
-  else
+  if (action == BURDOCK_ACTION_REFUSE) {
     refuse_forward (forward, burdock_forward_retry_after_stop_ms (forward->gateway));
-  if (forward->final_status != 503)
-    traffic->counters.stop_cut++;
+  } else {
+    forward->gateway->traffic.counters.stop_given_up++;
+    apply_action (forward, action);
+  }
   burdock_forward_cancel (forward, BURDOCK_UPSTREAM_ABANDONED);
 }
 
 void
 burdock_forward_give_up_all (BurdockGateway *gateway)
 {
-  BurdockForward *next;
+  BurdockGatewayTraffic *traffic = &gateway->traffic;
 
-  for (BurdockForward *forward = gateway->traffic.forwards; forward != NULL;
-       forward = next) {
-    next = forward->next;
+  /* A request that is given up frees a place, which a waiting one must not take. */
+  for (BurdockForward *forward = traffic->forwards; forward != NULL;
+       forward = forward->next) {
+    if (forward->phase == BURDOCK_FORWARD_WAITING)
+      burdock_balancer_withdraw (traffic->balancer, forward->placement.handle);
+  }
+  for (BurdockForward *forward = traffic->forwards; forward != NULL;
+       forward = forward->next) {
     if (forward->phase != BURDOCK_FORWARD_DONE)
       give_up (forward);
   }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -101,8 +101,9 @@
  * @connections: connections opened to upstreams
  * @quarantined: requests refused because a part of their prompt crashes upstreams
  * @stop_requests: requests received in a planned stop
- * @stop_cut: requests that may have run and that the end of the process has ended without
- *   a whole answer
+ * @stop_given_up: requests that may have run and that were given up at the end of the
+ *   stop: failed, or broken off
+ * @stop_cut: requests whose answer was not delivered when the process ended
  * @stop_unread: connections that the end of the process has reset, with bytes of a caller
  *   that had not been read
  * @first_event_ms: histogram of the time from a request to its first event
@@ -120,6 +121,7 @@
   uint64_t connections;
   uint64_t quarantined;
   uint64_t stop_requests;
+  uint64_t stop_given_up;
   uint64_t stop_cut;
   uint64_t stop_unread;
   uint64_t first_event_ms[BURDOCK_HISTOGRAM_BUCKETS];
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -44,10 +44,21 @@
   burdock_gateway_free_upstreams (burdock_slot_take (&gateway->published_upstreams));
 }
 
+static void
+log_stopped (const BurdockGatewayCounters *counters, bool drained)
+{
+  bool lost = counters->stop_given_up + counters->stop_cut + counters->stop_unread > 0;
+
+  burdock_log (lost ? BURDOCK_LOG_WARNING : BURDOCK_LOG_INFO, "stopped", "-",
+               "drained %d received %" PRIu64 " given_up %" PRIu64 " cut %" PRIu64
+               " unread %" PRIu64,
+               drained, counters->stop_requests, counters->stop_given_up,
+               counters->stop_cut, counters->stop_unread);
+}
+
 static int
 run (BurdockGateway *gateway)
 {
-  const BurdockGatewayCounters *counters = &gateway->traffic.counters;
   BurdockStop stop = { .ctx = gateway,
                        .limit_ms = gateway->settings.library.stop_limit_ms,
                        .finish_ms = BURDOCK_STOP_FINISH_MS,
@@ -69,10 +80,7 @@
   free_published (gateway);
   burdock_gateway_control_clear (gateway);
   burdock_gateway_traffic_clear (gateway);
-  burdock_log (counters->stop_cut > 0 ? BURDOCK_LOG_WARNING : BURDOCK_LOG_INFO, "stopped",
-               "-", "drained %d taken %" PRIu64 " cut %" PRIu64 " unread %" PRIu64,
-               drained, counters->stop_requests, counters->stop_cut,
-               counters->stop_unread);
+  log_stopped (&gateway->traffic.counters, drained);
   return EXIT_SUCCESS;
 }
 
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -139,7 +139,8 @@
   if (!traffic->leaving)
     return BURDOCK_LOOP_NEVER_US;
   busy = burdock_http_server_open_count (server) > 0 ||
-         burdock_http_server_unread_count (server) > 0;
+         burdock_http_server_unread_count (server) > 0 ||
+         burdock_http_server_has_pending (server);
   next_us = burdock_stop_policy_update (&traffic->stop, busy, now_us);
   if (traffic->stop.phase >= BURDOCK_STOP_CLOSING)
     burdock_http_server_quiesce (server);
--- a/libburdock/stop-policy.c
+++ b/libburdock/stop-policy.c
@@ -13,12 +13,18 @@
 /* Time between the deadline of a request and the end of its answer. */
 #define ANSWER_MARGIN_US (100 * US_PER_MS)
 
+/* Time that a stop leaves for its last phase. */
+#define CLOSE_US (LINGER_US + ANSWER_MARGIN_US)
+
 void
 burdock_stop_policy_begin (BurdockStopPolicy *stop, uint64_t now_us, uint64_t end_us)
 {
   stop->phase = BURDOCK_STOP_DRAINING;
   stop->began_us = now_us;
   stop->end_us = end_us;
+  stop->accepts_until_us = now_us + DRAIN_MIN_US;
+  if (stop->accepts_until_us + CLOSE_US > end_us)
+    stop->accepts_until_us = end_us > now_us + CLOSE_US ? end_us - CLOSE_US : now_us;
 }
 
 bool
@@ -29,6 +35,14 @@
   return stop->phase == BURDOCK_STOP_NONE;
 }
 
+uint32_t
+burdock_stop_policy_left_ms (const BurdockStopPolicy *stop, uint64_t now_us)
+{
+  return now_us < stop->accepts_until_us
+             ? (uint32_t)((stop->accepts_until_us - now_us) / US_PER_MS)
+             : 0;
+}
+
 void
 burdock_stop_policy_close (BurdockStopPolicy *stop, uint64_t now_us)
 {
@@ -40,8 +54,8 @@
 burdock_stop_policy_update (BurdockStopPolicy *stop, bool busy, uint64_t now_us)
 {
   if (stop->phase == BURDOCK_STOP_DRAINING) {
-    if (now_us < stop->began_us + DRAIN_MIN_US)
-      return stop->began_us + DRAIN_MIN_US;
+    if (now_us < stop->accepts_until_us)
+      return stop->accepts_until_us;
     if (!busy)
       burdock_stop_policy_close (stop, now_us);
   }
--- a/libburdock/stop-policy.h
+++ b/libburdock/stop-policy.h
@@ -28,12 +28,14 @@
 /**
  * struct BurdockStopPolicy - a planned stop; all zero before it
  * @began_us: start of the stop
+ * @accepts_until_us: end of the time in which connections are accepted in any case
  * @end_us: time at which requests that still run are given up
  * @busy_us: while closing, last time at which something was left to answer
  */
 typedef struct {
   BurdockStopPhase phase;
   uint64_t began_us;
+  uint64_t accepts_until_us;
   uint64_t end_us;
   uint64_t busy_us;
 } BurdockStopPolicy;
@@ -48,6 +50,9 @@
  */
 bool burdock_stop_policy_admits (const BurdockStopPolicy *stop, uint64_t deadline_us);
 
+/** burdock_stop_policy_left_ms() - time until the process may end, if nothing runs */
+uint32_t burdock_stop_policy_left_ms (const BurdockStopPolicy *stop, uint64_t now_us);
+
 /**
  * burdock_stop_policy_close() - begins the last phase at once, as requests that still ran
  * have been given up
@@ -56,7 +61,7 @@
 
 /**
  * burdock_stop_policy_update() - moves on to the next phase when it is due
- * @busy: a request is open, or bytes of a caller have not been read
+ * @busy: a request is open, or a caller has sent what has not been read
  * Returns the time of the next call unless something changes, UINT64_MAX for none.
  */
 uint64_t burdock_stop_policy_update (BurdockStopPolicy *stop, bool busy, uint64_t now_us);
--- a/tests/test-stop-policy.c
+++ b/tests/test-stop-policy.c
@@ -36,6 +36,31 @@
   }
 }
 
+typedef struct {
+  uint64_t limit_ms;
+  uint64_t after_ms;
+  uint32_t left_ms;
+} LeftCase;
+
+static const LeftCase left_cases[] = {
+  { 7400, 0, 3500 }, { 7400, 3000, 500 }, { 7400, 3500, 0 }, { 7400, 7000, 0 },
+  { 3700, 0, 3400 }, { 1900, 0, 1600 },   { 500, 0, 200 },   { 300, 0, 0 },
+};
+
+/* Guards against a short stop that is reported as cut short though nothing ran. */
+static void
+a_short_stop_has_time_for_its_last_phase (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (left_cases); i++) {
+    const LeftCase *row = &left_cases[i];
+    BurdockStopPolicy stop = { 0 };
+
+    burdock_stop_policy_begin (&stop, BEGAN_US, BEGAN_US + row->limit_ms * MS);
+    CU_ASSERT_EQUAL (burdock_stop_policy_left_ms (&stop, BEGAN_US + row->after_ms * MS),
+                     row->left_ms);
+  }
+}
+
 typedef struct {
   uint64_t after_ms; /* since the start of the stop */
   bool busy;
@@ -107,6 +132,8 @@
     a_request_that_may_outlast_the_stop_is_refused },
   { "a process ends while a request is on its way to it",
     a_process_ends_only_when_nothing_has_come_for_a_while },
+  { "a short stop is cut short though nothing runs",
+    a_short_stop_has_time_for_its_last_phase },
 };
 
 int
