--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -14,6 +14,7 @@
 silent-poll-all: the same at all gateways.
 paused-stream: a stream pauses while all other upstreams are full.
 planned-stop: gateways are stopped while callers stay with them and upstreams are slow.
+stop-limit: requests run longer than the stops of their gateways.
 stop-end: requests are sent when a gateway that is stopped would end.
 restored: the store returns from a copy some seconds old, twice.
 """
@@ -30,7 +31,7 @@
                      RetryAfterScenario)
 from restored import RestoredScenario
 from standin import CRASHING_PART, CRASHING_PATH, CRASHING_STREAM_PATH, Runner
-from stops import StopEndScenario, StopScenario
+from stops import StopEndScenario, StopLimitScenario, StopScenario
 
 # Bounds of the users' pages.
 STABILITY_S = 3.0
@@ -370,6 +371,10 @@
     gateway_count = 3
 
 
+class RequestsAtLimitScenario(StopLimitScenario, soak.Soak):
+    gateway_count = 2
+
+
 class LateRequestScenario(StopEndScenario, soak.Soak):
     pass
 
@@ -381,7 +386,7 @@
              "request": RequestScenario, "restored": RestoredScenario,
              "retry-after": RetryAfterScenario,
              "stream-request": StreamRequestScenario,
-             "stop-end": LateRequestScenario,
+             "stop-end": LateRequestScenario, "stop-limit": RequestsAtLimitScenario,
              "silent-poll": SilentPollScenario, "silent-poll-no-era": SilentPollNoEraScenario,
              "silent-poll-all": SilentPollAllScenario}
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -445,10 +445,18 @@
         await self.store.put("servers", runner.id, runner.store_row())
 
     async def stop_when_calm(self):
-        """Stops a gateway when all are calm. With --sabotage stop it is killed at once, so that
-        the check of lost requests has to fail."""
+        """Stops a gateway when all are calm. With --sabotage stop it is killed while a request
+        runs that it has just taken, so that the check of lost requests has to fail."""
         await asyncio.sleep(STABILITY_S + 1)
-        await stop_process(self.random.choice(self.gateways), self.options.sabotage == "stop")
+        if self.options.sabotage != "stop":
+            await stop_process(self.random.choice(self.gateways))
+            return
+        for runner in self.plain_runners:
+            runner.work_s = (1.0, 1.2)
+        began = time.monotonic()
+        while (request := self.stops.find_running(began)) is None:
+            await asyncio.sleep(0.01)
+        await stop_process(self.gateways[request.gateway], sabotage=True)
 
     async def run(self):
         self.began = time.monotonic()
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -43,6 +43,12 @@
         self.requests.append(request)
         return request
 
+    def find_running(self, since):
+        """A plain request that was sent later and runs now, or None."""
+        return next((request for request in self.requests
+                     if request.kind != "stream" and request.ending is None
+                     and (request.sent_at or 0) > since and request.attempt in self.check.runs), None)
+
     def stop_of(self, request):
         """Time of the last SIGTERM that the request falls under, or None."""
         for gateway, at in reversed(self.stops):
@@ -56,8 +62,7 @@
                    for began, ended in self.disturbances)
 
     def judge(self, request):
-        """How a request ended that falls under the stop at stopped_at: lost, or why it is not."""
-        stopped_at = self.stop_of(request)
+        """How a request ended: lost, or why it is not."""
         runs = self.check.runs.get(request.attempt, [])
         if request.ending in ("whole", "refused", "left"):
             return request.ending
@@ -67,33 +72,47 @@
             return "time up"
         if any(broke for _, _, broke in runs):
             return "upstream broke off"
-        if request.ending == "failed":
-            return "lost" if request.sent_at > stopped_at else "failed, sent before"
         if not runs and request.ended_at <= request.sent_at + LOSS_SLACK_S:
             return "not read"
+        return self.judge_unanswered(request, runs)
+
+    def judge_unanswered(self, request, runs):
+        stopped_at = self.stop_of(request)
+        if request.ending == "failed":
+            in_stop = stopped_at is not None and request.sent_at > stopped_at
+            return "lost" if in_stop else "failed"
+        if stopped_at is None or request.sent_at > stopped_at + EARLY_S:
+            return "lost"
         worked_last = any(ended is None or ended >= stopped_at + GRACE_S - LAST_PART_S
                           for _, ended, _ in runs)
-        if worked_last and request.sent_at <= stopped_at + EARLY_S:
-            return "long, sent early"
-        return "lost"
+        return "long, sent early" if worked_last else "lost"
 
-    def report(self):
-        """Reports the lost requests; returns a line that says how the requests ended."""
-        judged = {}
+    def report(self, needed=0):
+        """Reports the lost requests, and a lack of requests to judge: needed is how many have to be
+        sent in stops, and how many of them answered whole. Returns a line on the endings."""
+        judged, in_stops = {}, {}
         for request in self.requests:
-            if request.ending is None or request.sent_at is None or not self.stop_of(request):
+            if request.ending is None or request.sent_at is None:
                 continue
-            verdict = self.judge(request)
+            verdict, stopped_at = self.judge(request), self.stop_of(request)
             judged[verdict] = judged.get(verdict, 0) + 1
+            if stopped_at is not None and request.sent_at > stopped_at:
+                in_stops[verdict] = in_stops.get(verdict, 0) + 1
             if verdict == "lost":
-                stopped_at = self.stop_of(request)
-                self.check.add_violation(
-                    "LOST", f"{request.attempt} ({request.kind}), sent "
-                            f"{request.sent_at - stopped_at:.2f} s after SIGTERM to "
-                            f"gateway-{request.gateway}, ended without a whole answer "
-                            f"({request.ending}) at {request.ended_at - stopped_at:.2f} s")
-        return (f"{len(self.stops)} stops: " + ", ".join(f"{verdict} {count}" for verdict, count
-                                                        in sorted(judged.items())))
+                self.check.add_violation("LOST", self.describe(request, stopped_at))
+        if sum(in_stops.values()) < needed or (needed and not in_stops.get("whole")):
+            self.check.add_violation("SETUP", f"only {in_stops} in {len(self.stops)} stops")
+        text = ", ".join(f"{verdict} {count}" for verdict, count in sorted(in_stops.items()))
+        return f"{len(self.stops)} stops, requests sent in them: {text}; all requests: {judged}"
+
+    def describe(self, request, stopped_at):
+        ended = f"ended without a whole answer ({request.ending})"
+        if stopped_at is None:
+            return (f"{request.attempt} ({request.kind}) at gateway-{request.gateway} {ended} after "
+                    f"{request.ended_at - request.sent_at:.2f} s, without a stop")
+        return (f"{request.attempt} ({request.kind}), sent {request.sent_at - stopped_at:.2f} s "
+                f"after SIGTERM to gateway-{request.gateway}, {ended} at "
+                f"{request.ended_at - stopped_at:.2f} s")
 
 
 async def stop_process(process, sabotage=False):
@@ -111,6 +130,9 @@
             if not sabotage:
                 process.soak.check.add_violation("LOST", f"{process.name} was still there at the "
                                                          "end of the grace time")
+        if process.process.returncode not in (0, -signal.SIGKILL):
+            process.soak.check.add_violation("END", f"{process.name} ended with status "
+                                                    f"{process.process.returncode}")
         await process.start()
         process.note_disturbance()
 
@@ -122,8 +144,9 @@
     SLOW_WORK_S, LONG_PAUSE_S, PLAIN_SLOTS = (0.03, 4.5), 1.4, 64
     SLOW_BODY_RATE, SLOW_BODY_S = 0.1, 1.5
     TIMEOUTS_MS = {"stream": 8000, "once": 6000, "safe": 6000}
-    # Until all processes know each other.
-    START_S = 2.0
+    # Until all processes know each other, and again until callers have connections.
+    START_S = 1.5
+    NEEDED = 10
 
     def __init__(self, options):
         super().__init__(options)
@@ -152,6 +175,7 @@
 
     async def sticky_caller(self, end_time):
         """Stays with its connection, and with the addresses that it was given at first."""
+        await asyncio.sleep(self.START_S)
         addresses, connection = await self.resolve(), None
         while time.monotonic() < end_time:
             kind = self.random.choice(("stream", "stream", "once", "safe"))
@@ -172,14 +196,14 @@
         tasks = [asyncio.create_task(self.sticky_caller(end_time))
                  for _ in range(self.options.callers)]
         tasks.append(asyncio.create_task(self.change_configuration(stops_end)))
-        await asyncio.sleep(self.START_S)
+        await asyncio.sleep(2 * self.START_S)
         while time.monotonic() < stops_end:
             count = self.random.choice((1, 1, 1, 2, len(self.gateways)))
             for gateway in self.random.sample(self.gateways, count):
                 tasks.append(asyncio.create_task(stop_process(gateway)))
             await asyncio.sleep(3 + 9 * self.random.random())
         await asyncio.gather(*tasks)
-        print(self.stops.report())
+        print(self.stops.report(self.NEEDED))
 
 
 class StopEndScenario:
@@ -188,7 +212,7 @@
 
     # A gateway accepts connections for this time after SIGTERM, in s.
     ACCEPT_S = 3.5
-    SPREAD_S = 0.15
+    SPREAD_S = 0.1
 
     async def send_in_two_parts(self, text, attempt, k, stopped_at):
         """Returns the status, or cut."""
@@ -197,7 +221,10 @@
         first_bytes = self.random.randrange(1, text.index(b"\r\n"))
         try:
             await asyncio.sleep(begun - time.monotonic())
-            reader, writer = await asyncio.open_connection(self.gateway_ip(k), 8080)
+            try:
+                reader, writer = await asyncio.open_connection(self.gateway_ip(k), 8080)
+            except ConnectionRefusedError:
+                return "not accepted"
             writer.write(text[:first_bytes])
             await asyncio.sleep(rest_at - time.monotonic())
             writer.write(text[first_bytes:])
@@ -227,3 +254,61 @@
         for _ in range(2):
             await asyncio.gather(*(self.stop_gateway(k) for k in range(len(self.gateways))))
             await asyncio.sleep(2)
+        if self.outcome_counts.get("late 503", 0) + self.outcome_counts.get("late 200", 0) < 10:
+            self.check.add_violation("SETUP", f"only {self.outcome_counts}")
+
+
+class StopLimitScenario:
+    """Requests that must not be repeated run longer than the stops of their gateways; some wait
+    for an upstream when an operator ends a stop early."""
+
+    TIMEOUT_MS, WORK_S, SLOTS, COUNT = 15000, (12.0, 12.5), 4, 4
+    # The stop of a gateway with the grace time of the soak gives requests up at this time.
+    LIMIT_S = 7.4
+
+    def __init__(self, options):
+        super().__init__(options)
+        self.kinds = {**self.kinds, "once": (*self.kinds["once"][:2], self.TIMEOUT_MS)}
+
+    def runner_class(self, check, service, *arguments):
+        runner = Runner(check, service, *arguments, slots=self.SLOTS)
+        runner.work_s = self.WORK_S
+        return runner
+
+    async def send(self, k):
+        """Returns the status and the time of the answer."""
+        attempt = attempt_id(self.random, k)
+        status = "cut"
+        try:
+            reader, writer = await asyncio.open_connection(self.gateway_ip(k), 8080)
+            status, _ = await self.exchange("once", attempt, (reader, writer, ""))
+            writer.close()
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        self.outcome_counts[f"once {status}"] = self.outcome_counts.get(f"once {status}", 0) + 1
+        return status, time.monotonic(), attempt in self.check.runs
+
+    async def play(self, k, count, early):
+        answers = [asyncio.create_task(self.send(k)) for _ in range(count)]
+        await asyncio.sleep(0.3)
+        stop = asyncio.create_task(stop_process(self.gateways[k]))
+        await asyncio.sleep(0)
+        stopped_at = time.monotonic()
+        if early:
+            await asyncio.sleep(0.3)
+            self.gateways[k].send_signal(signal.SIGINT)
+        for status, ended_at, ran in await asyncio.gather(*answers):
+            due = 0.3 if early else self.LIMIT_S
+            if status != ("502" if ran else "503") or not due <= ended_at - stopped_at <= GRACE_S:
+                self.check.add_violation(
+                    "LOST", f"a request that {'ran' if ran else 'did not run'} ended with {status} "
+                            f"{ended_at - stopped_at:.2f} s after SIGTERM to gateway-{k}")
+        await stop
+
+    async def run(self):
+        limit = asyncio.create_task(self.play(1, self.COUNT, early=False))
+        await asyncio.sleep(1)
+        await self.play(0, 2 * self.COUNT, early=True)
+        await limit
+        if self.outcome_counts != {"once 502": 2 * self.COUNT, "once 503": self.COUNT}:
+            self.check.add_violation("SETUP", f"unexpected outcomes: {self.outcome_counts}")
