Refuse outcomes of former coordinators, and label orders with their own token

A rank refused queries, preparations and proposals with an old fencing token, but carried out an outcome with one as long as the ballot matched, and forwarded an accepted commit after it had seen the token of the next lease holder. All orders to the engine carried the newest token that the agent had seen, so that an engine that checks tokens could not refuse those of a former holder. Now an outcome with an old token is refused with -EPERM, a waiting commit is dropped, and an order carries the token of its request. The orders of a recovery, which has no lease, keep the newest token.

--- a/libburdock/switch-rank.c
+++ b/libburdock/switch-rank.c
@@ -66,6 +66,15 @@
   rank->callbacks.engine (rank->callbacks.ctx, &call);
 }
 
+/* Token of an order for a request: that of the request's lease, also if a newer one has
+ * been seen since. A recovery has no lease; its orders have the newest token, as engines
+ * that check tokens refuse a lower one. */
+static uint64_t
+order_fence (const BurdockSwitchRank *rank, const BurdockSwitchRequest *request)
+{
+  return request->fence != 0 ? request->fence : rank->fence;
+}
+
 static void
 call_hold (BurdockSwitchRank *rank, BurdockSwitchJob job, uint64_t epoch, uint64_t step)
 {
@@ -73,7 +82,7 @@
                              .epoch = epoch,
                              .step = step,
                              .hold_number = ++rank->hold_number,
-                             .fence = rank->fence,
+                             .fence = order_fence (rank, &rank->request),
                              .timeout_ms = HOLD_TIMEOUT_MS };
 
   rank->job = job;
@@ -87,7 +96,7 @@
                              .epoch = epoch,
                              .hold_number = number,
                              .commit = commit,
-                             .fence = rank->fence,
+                             .fence = order_fence (rank, &rank->request),
                              .timeout_ms = RELEASE_TIMEOUT_MS };
 
   rank->job = BURDOCK_JOB_RELEASE;
@@ -97,11 +106,13 @@
 static void
 call_load (BurdockSwitchRank *rank, uint64_t epoch, BurdockBytes map, bool background)
 {
+  const BurdockSwitchRequest *request =
+      background ? &rank->loading_request : &rank->request;
   BurdockEngineCall call = { .op = BURDOCK_ENGINE_MAP_LOAD,
                              .target_id = background,
                              .epoch = epoch,
                              .map = map,
-                             .fence = rank->fence,
+                             .fence = order_fence (rank, request),
                              .timeout_ms = LOAD_TIMEOUT_MS };
 
   rank->callbacks.engine (rank->callbacks.ctx, &call);
@@ -319,6 +330,10 @@
   const BurdockSwitchRequest *request = &rank->request;
   bool commit = request->outcome == BURDOCK_OUTCOME_COMMIT;
 
+  if (request->fence != 0 && check_fence (rank, request->fence) < 0) {
+    reply (rank, request, BURDOCK_MSG_SWITCH_OUTCOME_ACK, -EPERM);
+    return;
+  }
   if (burdock_ballot_compare (request->ballot, rank->ballot) != 0 &&
       !burdock_rule_disabled (rank->disabled_rules, BURDOCK_RULE_BALLOT)) {
     reply (rank, request, BURDOCK_MSG_SWITCH_OUTCOME_ACK, -ESTALE);
@@ -354,7 +369,9 @@
 }
 
 /* The commit is forwarded only while the engine waits. An earlier commit would be in
- * force but not visible in the engine's state, so a recovery could miss it. */
+ * force but not visible in the engine's state, so a recovery could miss it. A commit is
+ * dropped if its lease has a newer holder: the first round of that holder settles the
+ * group. */
 static void
 forward_commit (BurdockSwitchRank *rank)
 {
@@ -363,6 +380,11 @@
   if (rank->accepted_epoch == 0 || rank->job != BURDOCK_JOB_NONE)
     return;
   rank->request = rank->accepted_request;
+  if (rank->request.fence != 0 && rank->request.fence < rank->fence) {
+    rank->accepted_epoch = 0;
+    finish_job (rank, BURDOCK_MSG_SWITCH_OUTCOME_ACK, -EPERM);
+    return;
+  }
   if (state->held_epoch != rank->accepted_epoch) {
     rank->accepted_epoch = 0;
     call_state (rank, BURDOCK_JOB_RELEASE_READ);
--- a/tests/test-switch.c
+++ b/tests/test-switch.c
@@ -148,6 +148,128 @@
   CU_ASSERT_EQUAL (rank.ballot.round, 1);
 }
 
+static BurdockEngineCall last_call;
+static uint32_t map_orders;
+
+static void
+record_map_order (void *ctx, const BurdockEngineCall *call)
+{
+  (void)ctx;
+  last_call = *call;
+  map_orders += call->op != BURDOCK_ENGINE_STATE;
+}
+
+/* Brings a rank to its promise for epoch 9 under token 5; it has seen token @newest in a
+ * query of round 0 since, which binds it to no ballot. */
+static void
+promise_epoch (BurdockSwitchRank *rank, uint64_t newest)
+{
+  static const BurdockSwitchRankCallbacks callbacks = { .send = record_status,
+                                                        .engine = record_map_order };
+  BurdockEngineState state = { .engine_instance = 1 };
+  BurdockSwitchMessage message = {
+    .fence = 5, .ballot = { 1, 1 }, .epoch = 9, .step = 3
+  };
+  BurdockSwitchMessage reminder = { .fence = newest };
+
+  burdock_switch_rank_init (rank, 0, 8, &callbacks);
+  burdock_switch_rank_handle_message (rank, BURDOCK_MSG_SWITCH_QUERY, 1, 0, &message);
+  burdock_switch_rank_engine_done (rank, 0, 0, &state);
+  burdock_switch_rank_handle_message (rank, BURDOCK_MSG_SWITCH_PREPARE, 1, 8, &message);
+  burdock_switch_rank_engine_done (rank, last_call.target_id, 0, NULL);
+  burdock_switch_rank_engine_done (rank, 0, 0, &state);
+  message.outcome = BURDOCK_OUTCOME_COMMIT;
+  burdock_switch_rank_handle_message (rank, BURDOCK_MSG_SWITCH_PROPOSE, 1, 8, &message);
+  burdock_switch_rank_engine_done (rank, 0, 0, NULL);
+  state.held_epoch = 9;
+  state.held_step = 3;
+  state.held_number = rank->hold_number;
+  burdock_switch_rank_engine_done (rank, 0, 0, &state);
+  CU_ASSERT_EQUAL (rank->promised_epoch, 9);
+  burdock_switch_rank_handle_message (rank, BURDOCK_MSG_SWITCH_QUERY, 2, 0, &reminder);
+  burdock_switch_rank_engine_done (rank, 0, 0, &state);
+  map_orders = 0;
+}
+
+/* An outcome of a coordinator whose lease has a newer holder must not reach an engine
+ * that ignores tokens. The newer holder may have decided otherwise. */
+static void
+rank_refuses_a_former_outcome (void)
+{
+  static const BurdockSwitchOutcome outcomes[] = { BURDOCK_OUTCOME_COMMIT,
+                                                   BURDOCK_OUTCOME_ABORT,
+                                                   BURDOCK_OUTCOME_SETTLE };
+
+  for (uint32_t i = 0; i < TEST_COUNT (outcomes); i++) {
+    BurdockSwitchMessage message = {
+      .fence = 5, .ballot = { 1, 1 }, .epoch = 9, .outcome = outcomes[i]
+    };
+    BurdockEngineState waiting = {
+      .engine_instance = 1, .held_epoch = 9, .held_step = 3, .step = 3, .waiting = true
+    };
+    BurdockSwitchRank rank;
+
+    promise_epoch (&rank, 6);
+    waiting.held_number = rank.hold_number;
+    reply_status = 0;
+    burdock_switch_rank_handle_message (&rank, BURDOCK_MSG_SWITCH_OUTCOME, 1, 8,
+                                        &message);
+    burdock_switch_rank_engine_done (&rank, 0, 0, &waiting);
+    CU_ASSERT_EQUAL (reply_status, -EPERM);
+    CU_ASSERT_EQUAL (map_orders, 0);
+  }
+}
+
+/* A commit that waits for the engine must not be forwarded after a newer token. */
+static void
+rank_drops_a_former_commit (void)
+{
+  BurdockSwitchMessage message = {
+    .fence = 5, .ballot = { 1, 1 }, .epoch = 9, .outcome = BURDOCK_OUTCOME_COMMIT
+  };
+  BurdockSwitchMessage reminder = { .fence = 6 };
+  BurdockEngineState state = { .engine_instance = 1, .held_epoch = 9, .held_step = 3 };
+  BurdockSwitchRank rank;
+
+  promise_epoch (&rank, 5);
+  state.held_number = rank.hold_number;
+  burdock_switch_rank_handle_message (&rank, BURDOCK_MSG_SWITCH_OUTCOME, 1, 8, &message);
+  burdock_switch_rank_engine_done (&rank, 0, 0, &state);
+  CU_ASSERT_TRUE (burdock_switch_rank_commit_pending (&rank));
+  burdock_switch_rank_handle_message (&rank, BURDOCK_MSG_SWITCH_QUERY, 2, 0, &reminder);
+  burdock_switch_rank_engine_done (&rank, 0, 0, &state);
+  state.step = 3;
+  state.waiting = true;
+  burdock_switch_rank_update_state (&rank, &state);
+  CU_ASSERT_EQUAL (map_orders, 0);
+  CU_ASSERT_FALSE (burdock_switch_rank_commit_pending (&rank));
+}
+
+/* An order must carry the token of the lease under which it was sent, not a newer one
+ * that the agent has seen since: an engine that checks tokens could not refuse it then.
+ */
+static void
+orders_carry_the_token_of_their_request (void)
+{
+  BurdockSwitchMessage message = {
+    .fence = 5, .ballot = { 1, 1 }, .epoch = 9, .outcome = BURDOCK_OUTCOME_SETTLE
+  };
+  BurdockSwitchMessage newer = { .fence = 6, .ballot = { 2, 2 }, .epoch = 10 };
+  BurdockSwitchRank rank;
+
+  promise_epoch (&rank, 5);
+  burdock_switch_rank_handle_message (&rank, BURDOCK_MSG_SWITCH_OUTCOME, 1, 8, &message);
+  CU_ASSERT_EQUAL (last_call.op, BURDOCK_ENGINE_MAP_LOAD);
+  CU_ASSERT_EQUAL (last_call.fence, 5);
+  burdock_switch_rank_handle_message (&rank, BURDOCK_MSG_SWITCH_PREPARE, 2, 8, &newer);
+  burdock_switch_rank_engine_done (&rank, 0, 0, NULL);
+  burdock_switch_rank_engine_done (&rank, 0, 0,
+                                   &(BurdockEngineState){ .engine_instance = 1,
+                                                          .step = 3 });
+  CU_ASSERT_EQUAL (last_call.op, BURDOCK_ENGINE_MAP_HOLD);
+  CU_ASSERT_EQUAL (last_call.fence, 5);
+}
+
 typedef struct {
   const char *name;
   uint32_t length_bytes;
@@ -217,6 +339,12 @@
     random_event_orders_keep_one_map_and_resume },
   { "a rank follows a coordinator that has lost its lease",
     rank_refuses_a_former_coordinator },
+  { "an outcome of a coordinator without a lease reaches the engine",
+    rank_refuses_a_former_outcome },
+  { "a commit of a coordinator without a lease reaches the engine",
+    rank_drops_a_former_commit },
+  { "an order carries a newer token than that of its lease",
+    orders_carry_the_token_of_their_request },
   { "a malformed map is accepted", malformed_maps_are_refused },
   { "a map leaves an expert without a copy", map_without_an_expert_is_refused },
 };
