Make the check of stale orders in make faults real

The check at the end of a scenario could not fail.

The engine now judges every call with a fencing token: the map orders, which coordinators do send, and POST /order. It counts those that it carries out after one with a newer token, also across a restart of the rank. All scenarios run with engines that ignore tokens; the six in which lease holders or tokens change run once more with engines that check them, where an order that only the engine refuses is a violation too. Map orders without a token are not counted: they come from recoveries of restarted agents, which have no lease. Two scenarios are new: a coordinator frozen beyond its lease with an open switch that wakes up in a switch of the next one, and a lease that is handed over in a switch.

--- a/tests/fakes/fake-engine.c
+++ b/tests/fakes/fake-engine.c
@@ -281,27 +281,52 @@
   pthread_cond_broadcast (&rank->engine->changed);
 }
 
+/* Records an order to load or unload, or to change role. */
+static void
+handle_order (Rank *rank, const json_t *json)
+{
+  json_array_append_new (rank->orders,
+                         json_pack ("{s:I,s:s,s:s}", "fence",
+                                    (json_int_t)fake_json_uint (json, "fence"), "name",
+                                    fake_json_string (json, "name"), "argument",
+                                    fake_json_string (json, "argument")));
+}
+
 /*
- * Records an order. One with a stale fencing token is refused if the engine checks
- * fencing, otherwise it is counted and recorded.
+ * Handles a request with a fencing token. If the engine checks tokens, it refuses one
+ * that is older than one this instance has seen. Any other order is carried out, and is
+ * counted if a newer token has reached the rank before, also before a restart of the
+ * engine. A map order without a token is not counted: it comes from a recovery of the
+ * agents, which has no lease.
  */
 static void
-handle_order (Rank *rank, const json_t *json, FakeReply *reply)
+handle_fenced (Rank *rank, const char *path, const json_t *json, FakeReply *reply)
 {
+  bool is_order = strcmp (path, "/order") == 0;
   uint64_t fence = fake_json_uint (json, "fence");
+  bool counted = is_order || fence != 0;
+  bool stale = counted && fence < rank->newest_fence;
 
-  if (fence < rank->highest_fence && rank->engine->checks_fencing) {
-    rank->refused_orders++;
+  if (rank->engine->checks_fencing && fence < rank->highest_fence) {
+    rank->refused_orders += counted;
     reply->status = 403;
     return;
   }
-  rank->stale_orders += fence < rank->highest_fence;
   if (fence > rank->highest_fence)
     rank->highest_fence = fence;
-  json_array_append_new (rank->orders,
-                         json_pack ("{s:I,s:s,s:s}", "fence", (json_int_t)fence, "name",
-                                    fake_json_string (json, "name"), "argument",
-                                    fake_json_string (json, "argument")));
+  if (fence > rank->newest_fence)
+    rank->newest_fence = fence;
+  if (strcmp (path, "/map/load") == 0)
+    handle_map_load (rank, json, reply);
+  else if (strcmp (path, "/map/hold") == 0)
+    handle_map_hold (rank, json, reply);
+  else if (strcmp (path, "/map/release") == 0)
+    handle_map_release (rank, json, reply);
+  else if (is_order)
+    handle_order (rank, json);
+  else
+    reply->status = 404;
+  rank->stale_orders += stale && reply->status == 200;
 }
 
 static json_t *
@@ -350,7 +375,7 @@
   const Engine *engine = rank->engine;
 
   return json_pack (
-      "{s:s,s:I,s:I,s:I,s:I,s:I,s:b,s:b,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:O,s:O}",
+      "{s:s,s:I,s:I,s:I,s:I,s:I,s:b,s:b,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:O,s:O}",
       "group", engine->group, "rank", (json_int_t)rank->index, "instance",
       (json_int_t)rank->instance, "steps", (json_int_t)engine->step, "map_mismatches",
       (json_int_t)engine->map_mismatches, "map_epoch", (json_int_t)rank->map_epoch,
@@ -358,8 +383,8 @@
       (json_int_t)rank_active_streams (rank), "commits", rank->commits, "aborts",
       rank->aborts, "conflicts", rank->conflicts, "cancelled", rank->cancelled,
       "disconnected", rank->disconnected, "stale_orders", rank->stale_orders,
-      "refused_orders", rank->refused_orders, "generate", rank->generate_counts, "orders",
-      rank->orders);
+      "refused_orders", rank->refused_orders, "fence", (json_int_t)rank->newest_fence,
+      "generate", rank->generate_counts, "orders", rank->orders);
 }
 
 static void
@@ -393,14 +418,8 @@
     handle_generate (rank, json, reply);
   else if (strcmp (path, "/cancel") == 0)
     cancel_stream (rank, fake_json_uint (json, "id"));
-  else if (strcmp (path, "/map/load") == 0)
-    handle_map_load (rank, json, reply);
-  else if (strcmp (path, "/map/hold") == 0)
-    handle_map_hold (rank, json, reply);
-  else if (strcmp (path, "/map/release") == 0)
-    handle_map_release (rank, json, reply);
-  else if (strcmp (path, "/order") == 0)
-    handle_order (rank, json, reply);
+  else if (strcmp (path, "/order") == 0 || strncmp (path, "/map/", 5) == 0)
+    handle_fenced (rank, path, json, reply);
   else if (strcmp (path, "/popularity") == 0)
     handle_popularity (rank->engine, json, reply);
   else
--- a/tests/fakes/fake-engine.h
+++ b/tests/fakes/fake-engine.h
@@ -66,7 +66,8 @@
   uint32_t step_time_us;        /* duration of the last step */
   double *slot_tokens;          /* tokens by layer and slot since the last GET /state */
   Stream *streams;              /* in the order of arrival */
-  uint64_t highest_fence;       /* highest fencing token of an order */
+  uint64_t highest_fence;       /* highest fencing token seen by this instance */
+  uint64_t newest_fence;        /* the same over all instances of the rank */
   uint32_t event_count;
   uint64_t event_sequence;
   CacheEvent events[EVENTS_MAX];
@@ -76,8 +77,9 @@
   json_t *orders;          /* accepted orders, oldest first */
   /*
    * Counters of GET /stats: @disconnected of streams that the client closed,
-   * @stale_orders of orders accepted with a stale fencing token, @conflicts of refused
-   * map releases.
+   * @stale_orders of orders carried out after one with a newer fencing token,
+   * @refused_orders of orders refused for their token, @conflicts of refused map
+   * releases.
    */
   json_int_t cancelled, disconnected, stale_orders, refused_orders, commits, aborts,
       conflicts;
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -17,7 +17,7 @@
 START_DEADLINE_S, SPREAD_DEADLINE_S, STOP_DEADLINE_S = 20, 8, 20
 
 
-def configuration(revision=1, groups=("west", "east")):
+def configuration(revision=1, groups=("west", "east"), checks_fencing=True):
     """
     Returns a franchise file in JSON, which is a subset of YAML.
 
@@ -35,7 +35,8 @@
                              "weight_bytes": 1000000}},
         "pools": {
             "drafting": {"kind": "model", "models": ["draft"], "running_limit": 32,
-                         "queue_limit": 200, "checks_fencing": "yes"},
+                         "queue_limit": 200,
+                         "checks_fencing": "yes" if checks_fencing else "no"},
             "booking": {"kind": "service", "service": "booking", "running_limit": 16,
                         "queue_limit": 200}},
         "groups": {name: group for name in groups},
@@ -52,11 +53,12 @@
     """All processes of a run; leaving the context kills those that still run."""
 
     def __init__(self, build, name, entries=3, groups=("west", "east"), services=2,
-                 engine_options=()):
+                 engine_options=(), checks_fencing=True):
         self.build = os.path.abspath(build)
         self.log_directory = LogDirectory(build, name)
         self.groups, self.service_count, self.entry_count = list(groups), services, entries
         self.engine_options = list(engine_options)
+        self.checks_fencing = checks_fencing
         self.processes, self.entries, self.agents, self.engines = [], {}, {}, {}
         self.services, self.daemon_argv, self.http_ports = {}, {}, {}
         self.failed_exits = []
@@ -102,7 +104,7 @@
                 ["--group", group, "--ranks", str(RANKS),
                  "--ports", ",".join(map(str, engine_ports)),
                  "--layers", str(LAYERS), "--experts", str(EXPERTS), "--slots", str(SLOTS)]
-                + self.engine_options + ["--checks-fencing"])
+                + self.engine_options + ["--checks-fencing"] * self.checks_fencing)
         for number in range(self.service_count):
             name = f"booking-{number}"
             self.services[name] = self.start_fake(
@@ -194,7 +196,7 @@
         """Writes the franchise file of a revision; returns its path."""
         path = os.path.join(self.log_directory.path, f"franchise-{revision}.yaml")
         with open(path, "w") as file:
-            file.write(configuration(revision, self.groups))
+            file.write(configuration(revision, self.groups, self.checks_fencing))
         return path
 
     def apply(self, revision, entry=None):
@@ -245,6 +247,16 @@
         """Number of steps in which the ranks of a group used different maps."""
         return sum(self.engines[group].stats()["map_mismatches"] for group in self.groups)
 
+    def old_token_orders(self):
+        """
+        Number of orders that reached an engine after one with a newer fencing token.
+
+        Returns those that were carried out and those that the check of the engine refused.
+        """
+        found = [stats for group in self.groups for stats in self.group_stats(group)]
+        return (sum(stats["stale_orders"] for stats in found),
+                sum(stats["refused_orders"] for stats in found))
+
     def run_counts(self):
         """Number of times that upstreams started each request, by key."""
         found = {}
--- a/tests/system/faults.py
+++ b/tests/system/faults.py
@@ -7,6 +7,8 @@
 """
 
 import argparse
+import http.client
+import re
 import signal
 import sys
 import threading
@@ -19,6 +21,7 @@
 
 LONG_TOKENS = 300  # 1.5 s at 5 ms per step, longer than it takes to inject a fault
 SETTLE_S = 30
+LOG_LINES_MAX = 100000
 SKEWED_WEIGHTS = [40, 30, 1, 1, 1, 1, 1, 1]
 SKEWED_WEIGHTS_REVERSED = [1, 1, 1, 1, 1, 1, 30, 40]
 
@@ -47,6 +50,15 @@
         raise Failure(text)
 
 
+def holds_lease(port):
+    """Whether the entry holds the lease of a group; False if it does not answer in 0.5 s."""
+    try:
+        status, text = call(port, "GET", "/metrics", timeout_s=0.5)
+    except (OSError, http.client.HTTPException):
+        return False
+    return status == 200 and re.search(r"^burdock_leases_held(\{.*\})? [1-9]", text, re.M) is not None
+
+
 class Trial:
     """Run of one scenario: the cluster and all requests that were sent to it."""
 
@@ -72,10 +84,10 @@
         self.requests += batch.requests
         return batch
 
-    def start_load(self, threads=8, retries=0):
+    def start_load(self, threads=8, retries=0, directory=None):
         """Starts continuous load and waits until 20 requests are answered."""
-        load = LoadGenerator(self.cluster.directory(), mixed_request, threads, retries,
-                             pause_s=0.02)
+        load = LoadGenerator(directory or self.cluster.directory(), mixed_request, threads,
+                             retries, pause_s=0.02)
         self.loads.append(load)
         wait_until("20 answers", lambda: load.answered() >= 20, 20)
         return load
@@ -121,6 +133,24 @@
             return True
         wait_until("group west runs steps on one map", settled, SETTLE_S)
 
+    def wait_next_holder(self, former):
+        """Waits until an entry other than `former` holds the lease."""
+        wait_until("another holder", lambda: any(
+            holds_lease(port) for name, port in self.cluster.live_entry_ports().items()
+            if name != former), SETTLE_S)
+
+    def newest_fences(self):
+        """Newest fencing token that has reached each rank of group west."""
+        return [stats["fence"] for stats in self.cluster.group_stats("west")]
+
+    def lease_log(self, step):
+        """Time of each log line on a step of a lease, oldest first."""
+        found = []
+        for process in self.cluster.entries.values():
+            lines = process.log_tail(LOG_LINES_MAX).splitlines()
+            found += [line.split()[0] for line in lines if f'step="{step}"' in line]
+        return sorted(found)
+
     def finish(self):
         """Ends all load and checks the outcomes of callers against the upstreams."""
         for load in self.loads:
@@ -131,9 +161,11 @@
         mismatches = self.cluster.map_mismatches()
         if mismatches:
             violations.append(f"{mismatches} steps in which ranks used different maps")
-        stale = sum(s["stale_orders"] for s in self.cluster.group_stats("west"))
+        stale, refused = self.cluster.old_token_orders()
         if stale:
-            violations.append(f"{stale} orders with a stale fencing token accepted")
+            violations.append(f"{stale} orders carried out after one with a newer fencing token")
+        if refused:
+            violations.append(f"{refused} orders that only the engines' check of tokens refused")
         expect(not violations, "; ".join(violations[:5]))
         expect(counts["answered"] > 0, "no request was answered")
         return counts
@@ -413,6 +445,60 @@
     trial.wait_more_answers(load)
 
 
+def coordinator_wakes_in_switch(trial):
+    """
+    Guards against orders of a coordinator that was frozen in a map switch and wakes up in a
+    switch of the next one.
+
+    The frozen entry has an open switch and the answers of the ranks to it. The time for it
+    is over when it wakes up, so that it would end the switch: a release would end the holds
+    of the next coordinator.
+    """
+    former = wait_until("a lease holder", trial.lease_holders, 20)[0]
+    process = trial.cluster.entries[former]
+    # Callers that wait for the frozen entry would leave the group without steps to plan for.
+    load = trial.start_load(retries=20,
+                            directory=FixedDirectory(*trial.other_ports(former)))
+    trial.begin_stalled_switch()
+    old = max(trial.newest_fences())
+    process.signal(signal.SIGSTOP)
+    trial.wait_next_holder(former)
+    trial.begin_stalled_switch(SKEWED_WEIGHTS_REVERSED)
+    fences = trial.newest_fences()
+    expect(min(fences) > old, f"tokens {fences} at the ranks, {old} before")
+    process.signal(signal.SIGCONT)
+    wait_until("one holder", lambda: len(trial.lease_holders()) == 1, 10)
+    trial.wait_group_advances()
+    before = trial.cluster.commit_counts("west")
+    trial.cluster.set_popularity("west", SKEWED_WEIGHTS)
+    trial.cluster.wait_commits("west", before, SETTLE_S)
+    trial.wait_more_answers(load)
+
+
+def lease_handed_over_in_switch(trial):
+    """
+    Guards against two coordinators that both order while a lease is handed over.
+
+    The holder of the lease is told to stop in a map switch and releases the lease, so that
+    the next one takes it over without waiting.
+    """
+    load = trial.start_load(retries=20)
+    former = wait_until("a lease holder", trial.lease_holders, 20)[0]
+    process = trial.cluster.entries[former]
+    trial.begin_stalled_switch()
+    old = max(trial.newest_fences())
+    process.signal(signal.SIGTERM)
+    trial.wait_next_holder(former)
+    trial.cluster.set_popularity("west", SKEWED_WEIGHTS_REVERSED)
+    wait_until("orders of the next holder", lambda: min(trial.newest_fences()) > old, SETTLE_S)
+    released, taken = trial.lease_log("lease released"), trial.lease_log("lease taken")
+    expect(released and len(taken) > 1 and released[0] <= taken[1],
+           f"times of lease changes: released {released}, taken {taken}")
+    expect(process.wait_exit(20) == 0, f"{former} does not exit with status 0")
+    trial.wait_group_advances()
+    trial.wait_more_answers(load)
+
+
 def same_key_twice(trial):
     """
     Guards against two runs of a non-idempotent request that two entries receive at once.
@@ -602,11 +688,20 @@
              coordinator_killed_mid_switch, agent_killed_mid_switch, store_down,
              store_restored,
              lost_answer_of_accept, lost_answer_of_claim, operators_race, lease_holder_frozen,
+             coordinator_wakes_in_switch, lease_handed_over_in_switch,
              same_key_twice, entry_stops, entry_stop_cut_short, agent_stops, agent_stops_in_hold,
              agent_stops_before_hold, instance_list_notice, entry_and_agent_killed,
              agent_killed_twice, entry_restarts_in_outage]
 
 
+# Scenarios in which lease holders change or agents lose the token that they have seen. They
+# run with engines that check tokens as well; all run with engines that ignore them, which
+# carry out each order that the programs let through.
+TOKEN_SCENARIOS = {coordinator_killed_mid_switch, agent_killed_mid_switch, store_restored,
+                   lease_holder_frozen, coordinator_wakes_in_switch,
+                   lease_handed_over_in_switch}
+
+
 def run_again(trial):
     """Violation: a service runs a non-idempotent request twice."""
     key = "sabotage-once"
@@ -642,25 +737,37 @@
     entries = [slots[i:i + 4] for i in range(0, len(slots), 4)]
     other = head + "".join(entries[1:] + entries[:1])
     epoch, step = state["map_epoch"] + 1, state["step"] + 200
-    call_json(port, "POST", "/map/load", {"epoch": epoch, "map": other, "fence": 0})
+    fence = call_json(port, "GET", "/stats")["fence"]
+    call_json(port, "POST", "/map/load", {"epoch": epoch, "map": other, "fence": fence})
     number = state["held_number"] + (1 << 52)
     call_json(port, "POST", "/map/hold",
-              {"epoch": epoch, "step": step, "number": number, "fence": 0})
+              {"epoch": epoch, "step": step, "number": number, "fence": fence})
     call_json(port, "POST", "/map/release",
-              {"epoch": epoch, "number": number, "commit": True, "fence": 0})
+              {"epoch": epoch, "number": number, "commit": True, "fence": fence})
     wait_until("steps on the other map",
                lambda: call_json(port, "GET", "/stats")["steps"] > step + 2, 10)
 
 
+def former_holder(trial):
+    """Violation: a rank gets an order of a lease holder again after one of the next holder."""
+    engine = trial.cluster.engines["west"]
+    state, fence = call_json(engine.ports[0], "GET", "/state"), engine.stats()["fence"]
+    for token in (fence + 1, fence + 2, fence + 1):
+        call(engine.ports[0], "POST", "/map/load",
+             {"epoch": state["map_epoch"], "map": state["map"], "fence": token})
+
+
 # Violations that finish() must detect; --sabotage tests the checks with them.
-SABOTAGES = {f.__name__: f for f in (run_again, run_refused, other_answer, other_map)}
+SABOTAGES = {f.__name__: f for f in (run_again, run_refused, other_answer, other_map,
+                                     former_holder)}
 
 
-def run_scenario(scenario, build, sabotage):
+def run_scenario(scenario, build, sabotage, checks_fencing):
     """Runs a scenario on a cluster of its own and prints its result line."""
+    name = scenario.__name__ + ("+tokens_checked" if checks_fencing else "")
     started = time.monotonic()
     text, passed = "", False
-    cluster = Cluster(build, scenario.__name__, groups=("west",))
+    cluster = Cluster(build, name, groups=("west",), checks_fencing=checks_fencing)
     try:
         with cluster:
             trial = Trial(cluster)
@@ -672,7 +779,7 @@
             passed, cluster.keep_logs = True, False
     except Failure as error:
         text = f"{error}; logs in {cluster.log_directory.path}"
-    print(f"faults: {scenario.__name__} {'ok' if passed else 'FAILED'} "
+    print(f"faults: {name} {'ok' if passed else 'FAILED'} "
           f"{time.monotonic() - started:.1f}s {text}", flush=True)
     return passed
 
@@ -686,9 +793,11 @@
                         help="inject a violation; every scenario must then fail")
     options = parser.parse_args()
     chosen = [names[name] for name in options.only] if options.only else SCENARIOS
-    passed = sum(run_scenario(s, options.build, options.sabotage) for s in chosen)
-    print(f"faults: scenarios={len(chosen)} passed={passed} failed={len(chosen) - passed}")
-    return 0 if passed == len(chosen) else 1
+    runs = [(s, checks) for s in chosen
+            for checks in ((False, True) if s in TOKEN_SCENARIOS else (False,))]
+    passed = sum(run_scenario(s, options.build, options.sabotage, checks) for s, checks in runs)
+    print(f"faults: scenarios={len(runs)} passed={passed} failed={len(runs) - passed}")
+    return 0 if passed == len(runs) else 1
 
 
 if __name__ == "__main__":
