Take no upstream whose address cannot be connected to

A row of an upstream with port 0, or with 0.0.0.0, a multicast or the broadcast address, was valid: the gateway connected to it for requests and checks, each of which failed. Such a row is invalid now, as is an instance with such a control address. Settings still take these addresses to bind to.

The new test with 20 addresses failed for 6 of them before: 10.0.0.1:0, 0.0.0.0:80, 0.1.2.3:80, 255.255.255.255:80, 224.0.0.1:80, 239.255.255.255:80.

--- a/daemon/http-store.c
+++ b/daemon/http-store.c
@@ -95,7 +95,8 @@
   if (name == NULL || role == NULL || control == NULL || state == NULL)
     return false;
   if (strlen (name) >= sizeof out->name ||
-      burdock_address_parse (control, &out->control_address) < 0)
+      burdock_address_parse (control, &out->control_address) < 0 ||
+      !burdock_address_is_host (out->control_address))
     return false;
   snprintf (out->name, sizeof out->name, "%s", name);
   out->role = strcmp (role, "entry") == 0 ? BURDOCK_ROLE_ENTRY : BURDOCK_ROLE_AGENT;
--- a/libburdock/burdock.h
+++ b/libburdock/burdock.h
@@ -476,6 +476,10 @@
 /** burdock_address_parse() - reads "a.b.c.d:port"; -EINVAL for anything else */
 int burdock_address_parse (const char *text, BurdockAddress *out);
 
+/** burdock_address_is_host() - whether a process can connect to it: false for port 0 and
+ * for an address that names no single host. Settings may bind to such an address. */
+bool burdock_address_is_host (BurdockAddress address);
+
 /* Control: membership, configuration and coordination of one process. */
 
 /** burdock_control_new() - copies @settings and @env; free with burdock_control_free() */
--- a/libburdock/identity.c
+++ b/libburdock/identity.c
@@ -7,6 +7,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* First byte of 0.0.0.0/8, which is no destination, and first bytes of multicast. */
+#define THIS_NETWORK 0
+#define MULTICAST_FIRST 224
+#define MULTICAST_LAST 239
+#define BROADCAST UINT32_MAX
+
 uint64_t
 burdock_member_id (const char *name)
 {
@@ -48,3 +54,12 @@
   *out = (BurdockAddress){ .ipv4 = ntohl (ip.s_addr), .port = (uint16_t)port };
   return 0;
 }
+
+bool
+burdock_address_is_host (BurdockAddress address)
+{
+  uint32_t first = address.ipv4 >> 24;
+
+  return address.port != 0 && first != THIS_NETWORK && address.ipv4 != BROADCAST &&
+         (first < MULTICAST_FIRST || first > MULTICAST_LAST);
+}
--- a/tests/test-platform-decode.c
+++ b/tests/test-platform-decode.c
@@ -4,6 +4,7 @@
 
 #include <apr_general.h>
 #include <errno.h>
+#include <stdio.h>
 #include <string.h>
 
 static BurdockBytes
@@ -79,6 +80,43 @@
   }
 }
 
+typedef struct {
+  const char *address;
+  bool valid;
+} AddressCase;
+
+static const AddressCase address_cases[] = {
+  { "10.0.0.1:1", true },          { "127.0.0.1:65535", true },
+  { "223.255.255.255:80", true },  { "240.0.0.1:80", true },
+  { "10.0.0.1:0", false },         { "10.0.0.1:65536", false },
+  { "10.0.0.1:-1", false },        { "10.0.0.1:18446744073709551617", false },
+  { "10.0.0.1:", false },          { "10.0.0.1", false },
+  { "10.0.0.1:80 ", false },       { "10.0.0.1: 80", false },
+  { "0.0.0.0:80", false },         { "0.1.2.3:80", false },
+  { "255.255.255.255:80", false }, { "224.0.0.1:80", false },
+  { "239.255.255.255:80", false }, { "10.0.0.256:80", false },
+  { "[::1]:80", false },           { "", false },
+};
+
+/* Guards against requests, and connections that check an upstream, to an address that no
+ * process can be connected to: port 0, and addresses that name no single host. */
+static void
+addresses_can_be_connected_to (void)
+{
+  for (size_t i = 0; i < TEST_COUNT (address_cases); i++) {
+    BurdockUpstream upstream;
+    char text[256];
+
+    snprintf (text, sizeof text,
+              "{\"service\":\"s\",\"address\":\"%s\",\"zone\":\"z\",\"slots\":1,"
+              "\"state\":\"available\"}",
+              address_cases[i].address);
+    if ((burdock_platform_decode_upstream ("i-1", bytes_of (text), &upstream) == 0) !=
+        address_cases[i].valid)
+      CU_FAIL (address_cases[i].address);
+  }
+}
+
 static const char configuration[] =
     "{\"version\":7.0,\"revision\":36893488147419103232,\"routes\":["
     "{\"name\":\"a\",\"host\":\"h\",\"prefix\":\"/a/\",\"routeType\":\"streaming\","
@@ -203,6 +241,8 @@
 
 static const Test tests[] = {
   { "an invalid row is used as an upstream", invalid_upstream_rows_are_rejected },
+  { "an upstream has an address that cannot be connected to",
+    addresses_can_be_connected_to },
   { "a field of a configuration is lost or altered", configurations_are_decoded },
   { "an invalid configuration is accepted", invalid_configurations_are_rejected },
   { "a shared part of a prompt is not recognized", shared_parts_of_a_prompt_are_parsed },
