Keep rank agents running when the shape of their maps changes

A configuration with another shape of maps than the one before, sound or not, ended the agent that coordinates a group. It copied its own map, of the old shape, over the end of one of the new shape; it read rates beyond the counts of the old shape; and 2^30 + 2 layers of 16 experts passed for 2 layers, as the product was computed in 32 bits. The agent now refuses a shape with more layers or experts than a map can have and keeps the last one, forgets counts of another shape, and builds the map in use from the reports of the ranks if its own map has another shape.

The new test with 14 shapes failed before: 'malloc(): invalid size' without sanitizers; with AddressSanitizer, heap-buffer-overflow in build_current_map (1 layer; 8 experts), set_rates (255 layers) and add_layer_tokens (2^30 + 2 layers).

--- a/libburdock/map-agent-private.h
+++ b/libburdock/map-agent-private.h
@@ -127,6 +127,7 @@
   uint32_t counts_length;
   uint32_t gateway_count;
   bool has_shape;
+  bool shape_refused; /* by the last roster that stated one */
   bool has_report;
   bool has_order_map;
   bool knows_map;
--- a/libburdock/map-agent.c
+++ b/libburdock/map-agent.c
@@ -1,5 +1,7 @@
 #include "map-agent-private.h"
 
+#include "map-coordinator.h"
+
 #include <errno.h>
 #include <inttypes.h>
 #include <stdarg.h>
@@ -577,6 +579,38 @@
   return true;
 }
 
+/* Whether maps of this shape can be planned. */
+static bool
+is_valid_shape (const BurdockRosterMessage *shape)
+{
+  return shape->layers > 0 && shape->layers <= BURDOCK_REPLICA_LAYERS_MAX &&
+         shape->experts > 0 && shape->experts <= BURDOCK_REPLICA_EXPERTS_MAX;
+}
+
+/* Takes over the shape that the configuration states. One that is not valid leaves the
+ * last one in force; counts of another shape do not belong to the same experts. */
+static void
+update_shape (BurdockMapAgent *agent, const BurdockRosterMessage *roster)
+{
+  bool changed = !agent->has_shape || agent->shape.layers != roster->layers ||
+                 agent->shape.experts != roster->experts;
+
+  if (!is_valid_shape (roster)) {
+    if (!agent->shape_refused && roster->layers > 0)
+      burdock_map_agent_log (agent, "shape refused",
+                             "%u layers of %u experts; the maximum is %u of %u",
+                             roster->layers, roster->experts, BURDOCK_REPLICA_LAYERS_MAX,
+                             BURDOCK_REPLICA_EXPERTS_MAX);
+    agent->shape_refused = roster->layers > 0;
+    return;
+  }
+  agent->shape_refused = false;
+  agent->shape = *roster;
+  agent->has_shape = true;
+  if (changed)
+    burdock_coordinator_forget_tokens (agent);
+}
+
 /* The roster provides the addresses of agents; the state of a rank comes from its agent
  * only. */
 static void
@@ -589,8 +623,7 @@
 
   if (record_gateway (agent, from, expires_us) || roster->wants_state)
     burdock_map_agent_send_state (agent, &from, 1, false);
-  agent->shape = *roster;
-  agent->has_shape = true;
+  update_shape (agent, roster);
   if (agent->has_report)
     assume_initial_map (agent, burdock_map_agent_own_peer (agent));
   for (uint32_t i = 0; i < roster->rank_count; i++) {
--- a/libburdock/map-coordinator.c
+++ b/libburdock/map-coordinator.c
@@ -138,6 +138,13 @@
   self->samples++;
 }
 
+void
+burdock_coordinator_forget_tokens (BurdockMapAgent *agent)
+{
+  agent->coordinator.rate_count = 0;
+  agent->coordinator.samples = 0;
+}
+
 uint64_t
 burdock_coordinator_decay_interval_us (uint32_t ranks)
 {
@@ -184,14 +191,16 @@
   return false;
 }
 
-/* Whether this coordinator planned the map in use. */
+/* Whether this coordinator planned the map in use, and for the shape in force. */
 static bool
 uses_own_map (const BurdockMapAgent *agent)
 {
   const BurdockCoordinator *self = &agent->coordinator;
 
   return self->has_map && self->map_epoch == agent->report.epoch &&
-         self->map_version == agent->report.map_version;
+         self->map_version == agent->report.map_version &&
+         self->map.layers == agent->shape.layers &&
+         self->map.experts == agent->shape.experts;
 }
 
 static bool
--- a/libburdock/map-coordinator.h
+++ b/libburdock/map-coordinator.h
@@ -22,6 +22,10 @@
 void burdock_coordinator_enter_phase (BurdockMapAgent *agent,
                                       BurdockCoordinatorPhase phase, uint64_t now_us);
 
+/** burdock_coordinator_forget_tokens() - forgets the counts of tokens, which belong to a
+ * shape that is no longer in force */
+void burdock_coordinator_forget_tokens (BurdockMapAgent *agent);
+
 /** burdock_coordinator_decay_interval_us() - interval at which token counts decay, for a
  * group of @ranks ranks */
 uint64_t burdock_coordinator_decay_interval_us (uint32_t ranks);
--- a/tests/support/fake-group.c
+++ b/tests/support/fake-group.c
@@ -72,6 +72,7 @@
 } Event;
 
 struct FakeGroup {
+  BurdockRosterMessage shape; /* of the rosters */
   uint32_t ranks;
   FakeFaults faults;
   uint64_t random;
@@ -283,6 +284,17 @@
   burdock_replica_map_clear (&map);
 }
 
+void
+fake_group_set_shape (FakeGroup *group, const BurdockRosterMessage *shape)
+{
+  group->shape = shape->layers > 0 ? *shape
+                                   : (BurdockRosterMessage){ .layers = LAYERS,
+                                                             .experts = EXPERTS,
+                                                             .slots = SLOTS,
+                                                             .loads_max = LOADS_MAX,
+                                                             .expert_copy_us = LOAD_US };
+}
+
 FakeGroup *
 fake_group_new (uint64_t seed, uint32_t ranks, const FakeFaults *faults)
 {
@@ -297,6 +309,7 @@
   group->last_step_us = group->next_step_us = group->now_us;
   /* Gateways have their configuration after the agents have their first report. */
   group->next_roster_us = group->now_us + ROSTER_INTERVAL_US;
+  fake_group_set_shape (group, &(BurdockRosterMessage){ 0 });
   form_group (group);
   for (uint32_t r = 0; r < group->ranks; r++)
     start_process (group, r);
@@ -563,12 +576,8 @@
   BurdockMessage *message = calloc (1, sizeof *message);
 
   message->header.type = BURDOCK_MSG_RANK_ROSTER;
-  message->roster = (BurdockRosterMessage){ .layers = LAYERS,
-                                            .experts = EXPERTS,
-                                            .slots = SLOTS,
-                                            .loads_max = LOADS_MAX,
-                                            .expert_copy_us = LOAD_US,
-                                            .rank_count = group->ranks };
+  message->roster = group->shape;
+  message->roster.rank_count = group->ranks;
   for (uint32_t r = 0; r < group->ranks; r++)
     message->roster.ranks[r] = (BurdockRosterRank){ address_of (r), r };
   for (uint32_t r = 0; r < group->ranks; r++) {
--- a/tests/support/fake-group.h
+++ b/tests/support/fake-group.h
@@ -8,6 +8,8 @@
 #ifndef FAKE_GROUP_H
 #define FAKE_GROUP_H
 
+#include "message.h"
+
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -42,6 +44,10 @@
 /** fake_group_run() - simulates until @until_us of virtual time */
 void fake_group_run (FakeGroup *group, uint64_t until_us);
 
+/** fake_group_set_shape() - shape of the maps in the rosters of the gateway, which at
+ * first is that of the engines; 0 layers return to it */
+void fake_group_set_shape (FakeGroup *group, const BurdockRosterMessage *shape);
+
 /** fake_group_mixed_steps() - steps in which two ranks used different maps */
 uint32_t fake_group_mixed_steps (const FakeGroup *group);
 
--- a/tests/test-map-agent.c
+++ b/tests/test-map-agent.c
@@ -238,6 +238,56 @@
   }
 }
 
+/* Layers, experts, slots, loads and time of a copy, of engines with 2 layers of 16
+ * experts on 4 ranks with 6 slots each. The numbers of the 2^30 + 2 layers are those of 2
+ * layers in 32 bits. */
+static const uint32_t shapes[][5] = {
+  { 1, 16, 6, 4, 100000 },
+  { 2, 8, 6, 4, 100000 },
+  { 2, 1, 6, 4, 100000 },
+  { 4, 8, 6, 4, 100000 },
+  { 2, 17, 6, 4, 100000 },
+  { 255, 256, 64, 4, 100000 },
+  { 256, 16, 6, 4, 100000 },
+  { 2, 257, 64, 4, 100000 },
+  { 2, 0, 6, 4, 100000 },
+  { 2 + (1u << 30), 16, 6, 4, 100000 },
+  { UINT32_MAX, UINT32_MAX, UINT32_MAX, UINT32_MAX, UINT32_MAX },
+  { 2, 16, 0, 0, 0 },
+  { 2, 16, 1, 1, UINT32_MAX },
+  { 2, 16, UINT32_MAX, UINT32_MAX, 1 },
+};
+
+/* Guards against agents that end, which AddressSanitizer detects, and against groups
+ * whose maps stay as they are, after a configuration whose shape does not match the
+ * engines. */
+static void
+shapes_that_do_not_match_are_survived (void)
+{
+  for (size_t i = 0; i < TEST_COUNT (shapes); i++) {
+    const uint32_t *shape = shapes[i];
+    BurdockRosterMessage odd = { .layers = shape[0],
+                                 .experts = shape[1],
+                                 .slots = shape[2],
+                                 .loads_max = shape[3],
+                                 .expert_copy_us = shape[4] };
+    FakeGroup *group = fake_group_new (i + 1, 4, &(FakeFaults){ 0 });
+    uint32_t switches;
+
+    fake_group_run (group, 8 * US_PER_S);
+    CU_ASSERT_TRUE (fake_group_switches (group) >= 2);
+    fake_group_set_shape (group, &odd);
+    fake_group_run (group, 16 * US_PER_S);
+    fake_group_set_shape (group, &(BurdockRosterMessage){ 0 });
+    switches = fake_group_switches (group);
+    fake_group_run (group, 26 * US_PER_S);
+    CU_ASSERT_EQUAL (fake_group_mixed_steps (group), 0);
+    CU_ASSERT_TRUE (fake_group_longest_stall_us (group) < US_PER_S / 2);
+    CU_ASSERT_TRUE (fake_group_switches (group) >= switches + 2);
+    fake_group_free (group);
+  }
+}
+
 static const uint32_t group_sizes[] = { 1, 2, 3, 8, 16 };
 
 /* Guards against maps of small groups that follow noise, and maps of large groups that
@@ -263,6 +313,8 @@
     counts_of_large_groups_decay_faster },
   { "a rank is written beyond the table of ranks, or a large group is not reported",
     groups_of_every_size_are_reported },
+  { "a shape that does not match the engines ends an agent, or the following of demand",
+    shapes_that_do_not_match_are_survived },
   { "maps do not follow the demand", maps_follow_demand },
   { "orders that time out block new maps", late_orders_do_not_block_maps },
   { "ranks run a step with different maps, or stall", no_step_mixes_maps_under_faults },
