Follow a table whose rows are too long for one answer

A client keeps 4 MiB of an answer. When the rows of a page, or the changes since the last call, were longer together, as 52 rows with a text of 60,000 bytes are, the call failed, and so did each repetition: the gateway no longer followed the table, whose sound rows it did not see either.

--- a/daemon/http-client.c
+++ b/daemon/http-client.c
@@ -55,8 +55,10 @@
   char *request_body;
   char *body;
   size_t body_bytes;
+  size_t body_bytes_max;
   size_t body_capacity;
   size_t scanned_bytes;
+  bool body_too_long;
   size_t header_bytes;
   struct curl_slist *headers;
   bool added;
@@ -160,6 +162,7 @@
   result.http_status = (int32_t)http_status;
   result.sent = burdock_http_transfer_is_sent (transfer);
   result.new_connection = connections > 0;
+  result.body_too_long = transfer->body_too_long;
   if (code == CURLE_OPERATION_TIMEDOUT && !result.sent)
     result.status = -ECONNREFUSED;
   if (transfer->body != NULL) {
@@ -398,8 +401,10 @@
     return 0;
   if (transfer->data != NULL)
     return transfer->data (transfer->ctx, data, length_bytes) < 0 ? 0 : length_bytes;
-  if (transfer->body_bytes + length_bytes > BODY_MAX_BYTES)
+  if (transfer->body_bytes + length_bytes > transfer->body_bytes_max) {
+    transfer->body_too_long = true;
     return 0;
+  }
   if (transfer->body_bytes + length_bytes + 1 > transfer->body_capacity) {
     size_t capacity = (transfer->body_bytes + length_bytes) * 2 + 256;
     char *grown = realloc (transfer->body, capacity);
@@ -613,6 +618,8 @@
   transfer->ctx = call->ctx;
   transfer->head = call->head;
   transfer->data = call->data;
+  transfer->body_bytes_max =
+      call->body_bytes_max > 0 ? call->body_bytes_max : BODY_MAX_BYTES;
   transfer->line = call->line;
   transfer->done = call->done;
   transfer->free_ctx = call->free_ctx;
--- a/daemon/http-client.h
+++ b/daemon/http-client.h
@@ -26,6 +26,7 @@
  * @new_connection: whether the transfer opened a connection instead of reusing one
  * @body: response body with a terminating zero, valid during the callback; empty if the
  *   data callback received it
+ * @body_too_long: the body was longer than the call allows; @status is -EIO then
  */
 typedef struct {
   int32_t status;
@@ -34,6 +35,7 @@
   bool new_connection;
   const char *body;
   size_t body_bytes;
+  bool body_too_long;
 } BurdockHttpResult;
 
 /**
@@ -54,6 +56,7 @@
  * nothing is sent
  * @timeout_ms: limit of the whole transfer; 0 for none
  * @connect_timeout_ms: limit for opening a connection; 0 for the default of 2000 ms
+ * @body_bytes_max: limit of the body that is kept for @done; 0 for the default of 4 MiB
  * @line: receives each line of the body of a 200 response, without the newline; may be
  *   NULL
  * @head: called once the headers of the final response are complete; may be NULL. A
@@ -79,6 +82,7 @@
   bool connect_only;
   uint32_t timeout_ms;
   uint32_t connect_timeout_ms;
+  uint32_t body_bytes_max;
   void *ctx;
   int (*head) (void *ctx, BurdockHttpTransfer *transfer, int32_t http_status);
   int (*data) (void *ctx, const char *data, size_t length_bytes);
--- a/tests/support/script-server.c
+++ b/tests/support/script-server.c
@@ -12,7 +12,7 @@
 #include <unistd.h>
 
 #define REQUEST_BYTES 65536
-#define RESPONSE_BYTES 4096
+#define HEAD_BYTES 4096
 #define CONNECTIONS_MAX 16
 #define POLL_MS 10
 
@@ -38,6 +38,7 @@
 };
 
 static char last_request[REQUEST_BYTES];
+static char request_lines[REQUEST_BYTES];
 
 /* Returns the length of the request at the start of @text, 0 while it is incomplete. */
 static size_t
@@ -55,12 +56,17 @@
   return strlen (text) >= length ? length : 0;
 }
 
-static void
-format_response (const char *response, char *raw, size_t size_bytes)
+static char *
+format_response (const char *response)
 {
   const char *body = response + STATUS_BYTES;
+  size_t size_bytes = strlen (response) + HEAD_BYTES;
+  char *raw = malloc (size_bytes);
   int header_bytes = 0;
 
+  if (raw == NULL)
+    abort ();
+
   if (*body == '<') {
     header_bytes = (int)strcspn (body + 1, ">");
     body += header_bytes + 2;
@@ -68,6 +74,13 @@
   snprintf (raw, size_bytes, "HTTP/1.1 %.3s x\r\n%.*s%sContent-Length: %zu\r\n\r\n%s",
             response, header_bytes, response + STATUS_BYTES + 1,
             header_bytes > 0 ? "\r\n" : "", strlen (body), body);
+  return raw;
+}
+
+static bool
+send_text (const Connection *connection, const char *text)
+{
+  return send (connection->descriptor, text, strlen (text), MSG_NOSIGNAL) > 0;
 }
 
 /* Sends the next response of the script; returns false to close the connection. */
@@ -75,18 +88,30 @@
 send_response (ScriptServer *server, const Connection *connection)
 {
   uint32_t number = atomic_fetch_add (&server->received, 1);
-  char raw[RESPONSE_BYTES];
   const char *response = number < server->count ? server->responses[number] : SCRIPT_CUT;
+  char *raw;
+  bool sent;
 
   if (strcmp (response, SCRIPT_STALL) == 0)
     return true;
   if (strcmp (response, SCRIPT_CUT) == 0)
     return false;
-  if (strncmp (response, "HTTP", 4) != 0)
-    format_response (response, raw, sizeof raw);
-  else
-    snprintf (raw, sizeof raw, "%s", response);
-  return send (connection->descriptor, raw, strlen (raw), MSG_NOSIGNAL) > 0;
+  if (strncmp (response, "HTTP", 4) == 0)
+    return send_text (connection, response);
+  raw = format_response (response);
+  sent = send_text (connection, raw);
+  free (raw);
+  return sent;
+}
+
+static void
+note_request (const char *text, size_t length_bytes)
+{
+  size_t used = strlen (request_lines);
+
+  memcpy (last_request, text, length_bytes + 1);
+  snprintf (request_lines + used, sizeof request_lines - used, "%.*s\n",
+            (int)strcspn (text, "\r"), text);
 }
 
 static bool
@@ -103,7 +128,7 @@
   length = request_length (connection->text);
   if (length == 0)
     return true;
-  memcpy (last_request, connection->text, connection->length_bytes + 1);
+  note_request (connection->text, connection->length_bytes);
   connection->length_bytes -= length;
   memmove (connection->text, connection->text + length, connection->length_bytes + 1);
   return send_response (server, connection);
@@ -155,6 +180,7 @@
 
   if (server == NULL)
     abort ();
+  request_lines[0] = '\0';
   server->responses = responses;
   server->count = count;
   server->listener = socket (AF_INET, SOCK_STREAM, 0);
@@ -195,3 +221,9 @@
 {
   return last_request;
 }
+
+const char *
+script_server_request_lines (void)
+{
+  return request_lines;
+}
--- a/tests/support/script-server.h
+++ b/tests/support/script-server.h
@@ -32,4 +32,8 @@
  * be called after script_server_stop() */
 const char *script_server_last_request (void);
 
+/** script_server_request_lines() - first lines of all requests to the last server that
+ * was started, each with a newline; to be called after script_server_stop() */
+const char *script_server_request_lines (void);
+
 #endif
--- a/tests/test-platform-client.c
+++ b/tests/test-platform-client.c
@@ -9,6 +9,7 @@
 #include <curl/curl.h>
 #include <errno.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define TIMEOUT_US UINT64_C (20000000)
@@ -95,7 +96,7 @@
   char text[TEXT_BYTES];
 
   snprintf (text, sizeof text, "%s%s=%.*s ", row->removed ? "-" : "", row->key,
-            (int)row->value.length_bytes,
+            row->value.length_bytes < 8 ? (int)row->value.length_bytes : 8,
             row->value.data != NULL ? (const char *)row->value.data : "");
   append_seen (ctx, text);
 }
@@ -233,6 +234,77 @@
   }
 }
 
+/* Answer of the store with one row whose value is longer than the answers that a gateway
+ * reads. Release with free(). */
+static char *
+long_answer (void)
+{
+  static const char head[] = "200 {\"rows\":[{\"key\":\"long\",\"data\":\"";
+  static const char tail[] = "\"}],\"hasMore\":true,\"schemaVersion\":7}";
+  size_t value_bytes = 5u << 20;
+  char *text = malloc (sizeof head + value_bytes + sizeof tail);
+
+  if (text == NULL)
+    abort ();
+  memcpy (text, head, sizeof head - 1);
+  memset (text + sizeof head - 1, 'A', value_bytes);
+  memcpy (text + sizeof head - 1 + value_bytes, tail, sizeof tail);
+  return text;
+}
+
+/* Guards against a table that is no longer followed because the rows of one answer are
+ * too long together: a listing goes on with fewer rows, and changes that are too long are
+ * replaced by a listing. */
+static void
+long_answers_are_read_in_parts (void)
+{
+  char *too_long = long_answer ();
+  const char *answers[] = {
+    too_long,
+    too_long,
+    "200 {\"rows\":[{\"key\":\"x\",\"data\":\"YQ==\"}],\"hasMore\":true,"
+    "\"schemaVersion\":5}",
+    "200 {\"rows\":[{\"key\":\"y\",\"data\":\"Yg==\"}]," ROWS_AT (5),
+    too_long,
+    "200 {\"rows\":[{\"key\":\"x\",\"data\":\"Yg==\"}]," ROWS_AT (8),
+  };
+  const char *lines = script_server_request_lines ();
+  Fixture fixture;
+
+  open_watch (&fixture, answers, TEST_COUNT (answers));
+  fixture.expected_text = "][x=b ]";
+  burdock_loop_run (fixture.loop);
+  CU_ASSERT_EQUAL (strncmp (fixture.seen, "+[x=a y=b ][x=b ]", 17), 0);
+  close_fixture (&fixture);
+  CU_ASSERT_PTR_NOT_NULL (strstr (lines, "pageSize=500 "));
+  CU_ASSERT_PTR_NOT_NULL (strstr (lines, "pageSize=250 "));
+  CU_ASSERT_PTR_NOT_NULL (strstr (lines, "pageSize=125 "));
+  CU_ASSERT_PTR_NOT_NULL (strstr (lines, "pageSize=250&from=x%00 "));
+  CU_ASSERT_PTR_NOT_NULL (strstr (lines, "after=5&"));
+  free (too_long);
+}
+
+/* Guards against a table that is no longer followed because a single row is too long. */
+static void
+a_long_row_is_read_alone (void)
+{
+  char *too_long = long_answer ();
+  const char *answers[11];
+  Fixture fixture;
+
+  for (size_t i = 0; i < TEST_COUNT (answers); i++)
+    answers[i] = too_long;
+  answers[10] = "200 {\"rows\":[{\"key\":\"x\",\"data\":\"Yg==\"}]," ROWS_AT (8);
+  open_watch (&fixture, answers, TEST_COUNT (answers));
+  fixture.expected_text = "]";
+  burdock_loop_run (fixture.loop);
+  CU_ASSERT_EQUAL (strncmp (fixture.seen, "+[long=", 7), 0);
+  close_fixture (&fixture);
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (script_server_request_lines (), "pageSize=1&from=long%00 "));
+  free (too_long);
+}
+
 typedef struct {
   const char *name;
   const char *answer;
@@ -470,6 +542,9 @@
 static const Test tests[] = {
   { "a change is missed after the store was restored",
     a_long_poll_of_an_ended_era_is_replaced },
+  { "a table is not followed because an answer is too long",
+    long_answers_are_read_in_parts },
+  { "a table is not followed because a row is too long", a_long_row_is_read_alone },
   { "a row is lost when a write fails", rows_are_written_once_the_store_answers },
   { "a change is missed for as long as a long poll lasts",
     a_call_without_an_answer_can_be_repeated },
