--- a/daemon/http-client.c
+++ b/daemon/http-client.c
@@ -677,9 +677,11 @@
 }
 
 char *
-burdock_http_escape (const char *text)
+burdock_http_escape (const char *text, size_t length_bytes)
 {
-  char *escaped = curl_easy_escape (NULL, text, 0);
+  /* libcurl measures a text of length 0 itself. */
+  char *escaped =
+      curl_easy_escape (NULL, length_bytes > 0 ? text : "", (int)length_bytes);
   char *copy = escaped != NULL ? strdup (escaped) : NULL;
 
   curl_free (escaped);
--- a/daemon/http-client.h
+++ b/daemon/http-client.h
@@ -134,7 +134,8 @@
                                                           const char *value),
                                         void *ctx);
 
-/** burdock_http_escape() - URL-escaped copy of @text, to be released with free() */
-char *burdock_http_escape (const char *text);
+/** burdock_http_escape() - URL-escaped copy of @text, to be released with free(); NULL if
+ * memory runs out */
+char *burdock_http_escape (const char *text, size_t length_bytes);
 
 #endif
--- a/daemon/http-store.c
+++ b/daemon/http-store.c
@@ -204,7 +204,7 @@
 static char *
 make_url (const char *base, const char *path, const char *key)
 {
-  char *escaped = key != NULL ? burdock_http_escape (key) : NULL;
+  char *escaped = key != NULL ? burdock_http_escape (key, strlen (key)) : NULL;
   char *url = NULL;
 
   if (asprintf (&url, "%s%s%s", base, path, escaped != NULL ? escaped : "") < 0)
--- a/tests/test-platform-client.c
+++ b/tests/test-platform-client.c
@@ -13,6 +13,7 @@
 #include <string.h>
 
 #define TIMEOUT_US UINT64_C (20000000)
+#define SHORT_TIMEOUT_US UINT64_C (2000000)
 #define TEXT_BYTES 512
 
 typedef struct {
@@ -234,6 +235,118 @@
   }
 }
 
+#define LONG_KEY "0123456789012345678901234567890123456789012345678901234567890123456789"
+
+static const char *const odd_keys[] = {
+  "\"a\\u0000b\"",
+  "\"\\u0000\"",
+  "\"a\\ud800b\"",
+  "\"a\\udc00\\ud800\"",
+  "\"a\xff\xfe\"",
+  "\"\xc3\"",
+  "\"\"",
+  "\"a\\r\\nb\"",
+  "\"a\\u007f\"",
+  "\" a\"",
+  "\"a \"",
+  "7",
+  "null",
+  "[\"a\"]",
+  "\"" LONG_KEY "\"",
+};
+
+/* Guards against a table that is no longer followed because of the key of one row, in
+ * listings and in changes, and against keys that are no names. */
+static void
+rows_beside_odd_keys_are_read (void)
+{
+  for (size_t i = 0; i < TEST_COUNT (odd_keys); i++) {
+    char listing[512];
+    char changes[512];
+    const char *answers[] = { listing, changes };
+    Fixture fixture;
+
+    snprintf (listing, sizeof listing,
+              "200 {\"rows\":[{\"key\":%s,\"data\":\"YQ==\"},"
+              "{\"key\":\"x\",\"data\":\"YQ==\"}]," ROWS_AT (5),
+              odd_keys[i]);
+    snprintf (changes, sizeof changes,
+              "200 {\"rows\":[{\"key\":%s,\"deleted\":true},"
+              "{\"key\":\"x\",\"data\":\"Yg==\"},{\"key\":\"x y\",\"data\":\"Yg==\"}],"
+              "\"schemaVersion\":6}",
+              odd_keys[i]);
+    open_watch (&fixture, answers, TEST_COUNT (answers));
+    fixture.timeout_at_us = burdock_loop_now_us () + SHORT_TIMEOUT_US;
+    fixture.expected_text = "+[x=a ]x=b x y=b ;";
+    burdock_loop_run (fixture.loop);
+    if (strncmp (fixture.seen, "+[x=a ]x=b x y=b ;", 18) != 0)
+      CU_FAIL (odd_keys[i]);
+    close_fixture (&fixture);
+  }
+}
+
+typedef struct {
+  const char *rows;
+  const char *from; /* NULL if the page cannot be used */
+} PageCase;
+
+/* The text after the prefix of a key that is no name is U+10FFFF, the last character. */
+static const PageCase page_cases[] = {
+  { "{\"key\":\"a b/\"}", "from=a%20b%2F%00 " },
+  { "{\"key\":\"\"}", "from=%00 " },
+  { "{\"key\":\"a\\u0000b\"}", "from=a%00b%00 " },
+  { "{\"key\":\"a\\ud800b\"}", "from=a%F4%8F%BF%BF " },
+  { "{\"key\":\"a\xff\"}", "from=a%F4%8F%BF%BF " },
+  { "{\"key\":\"" LONG_KEY "\"}",
+    "from=012345678901234567890123456789012345678901234567890123456789012%F4%8F%BF%BF " },
+  { "{\"key\":\"a\"},{\"key\":7},{}", "from=a%00 " },
+  { "{\"key\":7},{}", NULL },
+};
+
+/* Guards against a listing that does not come to its end, because the key of the last row
+ * of a page does not fit into the URL of the next call or is no name. */
+static void
+listings_pass_odd_keys (void)
+{
+  for (size_t i = 0; i < TEST_COUNT (page_cases); i++) {
+    char page[512];
+    const char *answers[] = {
+      page, "200 {\"rows\":[{\"key\":\"x\",\"data\":\"YQ==\"}]," ROWS_AT (5)
+    };
+    const char *lines = script_server_request_lines ();
+    Fixture fixture;
+
+    snprintf (page, sizeof page,
+              "200 {\"rows\":[%s],\"hasMore\":true,\"schemaVersion\":5}",
+              page_cases[i].rows);
+    open_watch (&fixture, answers, TEST_COUNT (answers));
+    fixture.timeout_at_us = burdock_loop_now_us () + SHORT_TIMEOUT_US;
+    fixture.expected_text = "x=a ]";
+    burdock_loop_run (fixture.loop);
+    close_fixture (&fixture);
+    if (page_cases[i].from != NULL ? strstr (lines, page_cases[i].from) == NULL
+                                   : strstr (fixture.seen, "!") == NULL)
+      CU_FAIL (page_cases[i].rows);
+  }
+}
+
+/* Guards against a listing without end, if the store returns the same page again. */
+static void
+a_page_that_repeats_is_a_failure (void)
+{
+  static const char page[] =
+      "200 {\"rows\":[{\"key\":\"x\",\"data\":\"YQ==\"}],\"hasMore\":true,"
+      "\"schemaVersion\":5}";
+  static const char *const answers[] = { page, page, page, page };
+  Fixture fixture;
+
+  open_watch (&fixture, answers, TEST_COUNT (answers));
+  fixture.timeout_at_us = burdock_loop_now_us () + SHORT_TIMEOUT_US;
+  fixture.expected_text = "+[x=a x=a !";
+  burdock_loop_run (fixture.loop);
+  close_fixture (&fixture);
+}
+
 /* Answer of the store with one row whose value is longer than the answers that a gateway
  * reads. Release with free(). */
 static char *
@@ -542,6 +655,10 @@
 static const Test tests[] = {
   { "a change is missed after the store was restored",
     a_long_poll_of_an_ended_era_is_replaced },
+  { "a table is not followed because of the key of a row",
+    rows_beside_odd_keys_are_read },
+  { "a listing does not pass the key of a row", listings_pass_odd_keys },
+  { "a listing has no end", a_page_that_repeats_is_a_failure },
   { "a table is not followed because an answer is too long",
     long_answers_are_read_in_parts },
   { "a table is not followed because a row is too long", a_long_row_is_read_alone },
