Log thousands of invalid rows in four lines

Each row that a gateway could not use had a line of its log, at each listing again, and the key in it could have any length. Three rows of a listing, or of the changes of one call, now have a line, and one line has the number of the others.

The new test reads 2,000 invalid rows of each of four forms twice: with a line for each row, as before, it fails for all four.

--- a/gateway/control.c
+++ b/gateway/control.c
@@ -57,16 +57,17 @@
   notify_traffic (gateway);
 }
 
-static void
+static const char *
 config_row (void *ctx, const BurdockTableRow *row)
 {
   BurdockGateway *gateway = ctx;
   char source[48];
 
   if (strcmp (row->key, BURDOCK_PLATFORM_CONFIG_KEY) != 0 || row->value.data == NULL)
-    return;
+    return NULL;
   snprintf (source, sizeof source, "row version %" PRIu64, row->version);
   burdock_gateway_configuration_read (gateway, row->value, row->era, source);
+  return NULL;
 }
 
 static void
@@ -135,7 +136,7 @@
   burdock_log (BURDOCK_LOG_INFO, step, id, "%s", detail);
 }
 
-static void
+static const char *
 upstream_row (void *ctx, const BurdockTableRow *row)
 {
   BurdockGateway *gateway = ctx;
@@ -149,12 +150,12 @@
     burdock_upstream_registry_remove (registry, row->key, now_us);
   } else if (row->value.data == NULL ||
              burdock_platform_decode_upstream (row->key, row->value, &upstream) < 0) {
-    burdock_log (BURDOCK_LOG_WARNING, "read upstream", row->key,
-                 "the entry is invalid and ignored");
     burdock_upstream_registry_reject (registry, row->key, now_us);
+    return "the entry is invalid and ignored";
   } else {
     burdock_upstream_registry_put (registry, &upstream, row->version, now_us);
   }
+  return NULL;
 }
 
 static void
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -152,25 +152,24 @@
   gateway->traffic.quarantine_loaded = true;
 }
 
-void
+const char *
 burdock_gateway_quarantine_row (void *ctx, const BurdockTableRow *row)
 {
   BurdockGateway *gateway = ctx;
   Evidence *evidence = new_evidence (gateway, strtoull (row->key, NULL, 16));
 
   if (row->value.data == NULL || decode_row (row, evidence) < 0) {
-    burdock_log (BURDOCK_LOG_WARNING, "read quarantine", row->key,
-                 "the row is invalid and ignored");
     free (evidence);
-    return;
+    return "the evidence is invalid and ignored";
   }
   if (burdock_part_quarantine_is_outdated (evidence->items, evidence->count)) {
     evidence->count = 0;
     evidence->due_us = burdock_loop_now_us ();
     store_evidence (evidence);
-    return;
+    return NULL;
   }
   burdock_loop_post (gateway->traffic.runtime.loop, merge_evidence, evidence);
+  return NULL;
 }
 
 void
--- a/gateway/quarantine.h
+++ b/gateway/quarantine.h
@@ -28,8 +28,9 @@
  * has returned from a copy; on the traffic thread */
 void burdock_gateway_quarantine_store_again (void *ctx);
 
-/** burdock_gateway_quarantine_row() - handles a stored row; on the control thread */
-void burdock_gateway_quarantine_row (void *ctx, const BurdockTableRow *row);
+/** burdock_gateway_quarantine_row() - handles a stored row; on the control thread;
+ * returns why it is ignored, for the log, or NULL */
+const char *burdock_gateway_quarantine_row (void *ctx, const BurdockTableRow *row);
 
 /** burdock_gateway_quarantine_listed() - all stored rows were read; on the control
  * thread */
--- a/tests/test-platform-client.c
+++ b/tests/test-platform-client.c
@@ -8,6 +8,7 @@
 #include <apr_general.h>
 #include <curl/curl.h>
 #include <errno.h>
+#include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -27,6 +28,7 @@
   uint64_t timeout_at_us;
   bool timed_out;
   bool finished;
+  bool keeps_last; /* of @seen, when it is full */
   char seen[TEXT_BYTES];
   const char *expected_text;
   int32_t status;
@@ -82,6 +84,8 @@
 {
   size_t length = strlen (fixture->seen);
 
+  if (fixture->keeps_last && length > TEXT_BYTES / 2)
+    fixture->seen[length = 0] = '\0';
   snprintf (fixture->seen + length, sizeof fixture->seen - length, "%s", text);
 }
 
@@ -91,7 +95,8 @@
   append_seen (ctx, "[");
 }
 
-static void
+/* A value of "-" is invalid. */
+static const char *
 watch_row (void *ctx, const BurdockTableRow *row)
 {
   char text[TEXT_BYTES];
@@ -100,6 +105,7 @@
             row->value.length_bytes < 8 ? (int)row->value.length_bytes : 8,
             row->value.data != NULL ? (const char *)row->value.data : "");
   append_seen (ctx, text);
+  return row->value.length_bytes > 0 && row->value.data[0] == '-' ? "not valid" : NULL;
 }
 
 static void
@@ -347,6 +353,64 @@
   close_fixture (&fixture);
 }
 
+#define ODD_ROWS 2000
+#define LOG_LINES_MAX 4
+
+static uint32_t log_lines;
+
+static GLogWriterOutput
+count_line (GLogLevelFlags level, const GLogField *fields, gsize field_count, void *ctx)
+{
+  log_lines++;
+  return G_LOG_WRITER_HANDLED;
+}
+
+/* Answer of the store with @row ODD_ROWS times and a sound one, @tail behind them.
+ * Release with free(). */
+static char *
+answer_with (const char *row, const char *tail)
+{
+  size_t row_bytes = strlen (row);
+  char *text = malloc (ODD_ROWS * (row_bytes + 1) + 256);
+  char *end = text + sprintf (text, "200 {\"rows\":[");
+
+  for (uint32_t i = 0; i < ODD_ROWS; i++)
+    end += sprintf (end, "%s,", row);
+  sprintf (end, "{\"key\":\"x\",\"data\":\"YQ==\"}],%s", tail);
+  return text;
+}
+
+/* A value of "-", one that is not base64, no value and a key that is no name. */
+static const char *const odd_rows[] = {
+  "{\"key\":\"y\",\"data\":\"LQ==\"}",
+  "{\"key\":\"y\",\"data\":\"*\"}",
+  "{\"key\":\"y\"}",
+  "{\"key\":\"\",\"data\":\"YQ==\"}",
+};
+
+/* Guards against a log that one answer fills, and a gateway that is busy with writing it:
+ * each row had a line of its own. */
+static void
+many_odd_rows_have_few_log_lines (void)
+{
+  for (size_t i = 0; i < TEST_COUNT (odd_rows); i++) {
+    char *listing = answer_with (odd_rows[i], ROWS_AT (5));
+    char *changes = answer_with (odd_rows[i], "\"schemaVersion\":6}");
+    const char *answers[] = { listing, changes, SCRIPT_STALL };
+    Fixture fixture;
+
+    open_watch (&fixture, answers, TEST_COUNT (answers));
+    fixture.keeps_last = true;
+    fixture.expected_text = "x=a ;";
+    log_lines = 0;
+    burdock_loop_run (fixture.loop);
+    CU_ASSERT_TRUE (log_lines > 0 && log_lines <= 2 * LOG_LINES_MAX);
+    close_fixture (&fixture);
+    free (listing);
+    free (changes);
+  }
+}
+
 /* Answer of the store with one row whose value is longer than the answers that a gateway
  * reads. Release with free(). */
 static char *
@@ -657,6 +721,7 @@
     a_long_poll_of_an_ended_era_is_replaced },
   { "a table is not followed because of the key of a row",
     rows_beside_odd_keys_are_read },
+  { "odd rows fill the log", many_odd_rows_have_few_log_lines },
   { "a listing does not pass the key of a row", listings_pass_odd_keys },
   { "a listing has no end", a_page_that_repeats_is_a_failure },
   { "a table is not followed because an answer is too long",
@@ -679,6 +744,7 @@
   int status;
 
   apr_initialize ();
+  g_log_set_writer_func (count_line, NULL, NULL);
   curl_global_init (CURL_GLOBAL_DEFAULT);
   status = test_main ("platform-client", tests, TEST_COUNT (tests));
   curl_global_cleanup ();
