--- a/tests/test-platform-decode.c
+++ b/tests/test-platform-decode.c
@@ -4,7 +4,9 @@
 
 #include <apr_general.h>
 #include <errno.h>
+#include <glib.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 static BurdockBytes
@@ -186,10 +188,27 @@
   "{\"version\":\"7\",\"routes\":[]}",
   "{\"version\":7}",
   "{\"routes\":[]}",
+  "{\"version\":-7,\"routes\":[]}",
+  "{\"version\":7.5,\"routes\":[]}",
+  "{\"version\":null,\"routes\":[]}",
+  "{\"version\":9007199254740993,\"routes\":[]}",
+  "{\"version\":9223372036854775807,\"routes\":[]}",
+  "{\"version\":10000000000000000000,\"routes\":[]}",
+  "{\"version\":36893488147419103232,\"routes\":[]}",
+  "{\"version\":1e400,\"routes\":[]}",
+  "{\"version\":7,\"version\":8,\"routes\":[]}",
+  "{\"version\":7,\"routes\":{}}",
+  "{\"version\":7,\"routes\":[7,null,{},[]]}",
+  "{\"version\":7,\"routes\":[{\"host\":\"\",\"prefix\":\"/a/\",\"service\":\"s\","
+  "\"routeType\":\"idempotent\"},{\"host\":\"h\",\"prefix\":\"\",\"service\":\"s\","
+  "\"routeType\":\"idempotent\"},{\"host\":\"h\",\"prefix\":\"/a/\",\"service\":\"\","
+  "\"routeType\":\"idempotent\"}]}",
+  "{\"version\":7,\"routes\":[]} \xff",
+  "{\"version\":7,\"routes\":[],\"name\":\"a\\u0000\"}",
 };
 
 /* Guards against replacing the configuration in use by one that is not valid JSON or has
- * no valid version or routes. */
+ * no valid version or routes. A version beyond 2^53 would keep out all later ones. */
 static void
 invalid_configurations_are_rejected (void)
 {
@@ -206,6 +225,80 @@
   }
 }
 
+static uint32_t log_lines;
+
+static GLogWriterOutput
+count_line (GLogLevelFlags level, const GLogField *fields, gsize field_count, void *ctx)
+{
+  log_lines++;
+  return G_LOG_WRITER_HANDLED;
+}
+
+#define SOUND_ROUTE                                                                      \
+  "{\"host\":\"h\",\"prefix\":\"/a/\",\"service\":\"s\",\"routeType\":\"idempotent\","   \
+  "\"timeoutMs\":%s,\"sloMs\":%s,\"maxAttempts\":%s,\"priority\":%s}"
+#define ODD_ROUTES 5000
+
+/* Guards against a sound route that is lost beside thousands of others that are not, and
+ * against a line of the log for each of them. */
+static void
+sound_routes_beside_odd_ones_are_used (void)
+{
+  char *text = malloc (ODD_ROUTES * 8 + 512);
+  char *end = text + sprintf (text, "{\"version\":9007199254740992,\"routes\":[");
+  BurdockRouteTable *table = NULL;
+  BurdockError error;
+
+  for (uint32_t i = 0; i < ODD_ROUTES; i++)
+    end += sprintf (end, "{},");
+  sprintf (end, SOUND_ROUTE "]}", "8", "4", "2", "1");
+  log_lines = 0;
+  CU_ASSERT_EQUAL (burdock_platform_decode_routes (bytes_of (text), &table, &error), 0);
+  CU_ASSERT_TRUE (log_lines > 0 && log_lines <= 4);
+  if (table != NULL)
+    CU_ASSERT_PTR_NOT_NULL (burdock_route_table_find (table, "h", "/a/x"));
+  burdock_route_table_unref (table);
+  free (text);
+}
+
+static const char *const odd_numbers[] = {
+  "-1", "-1e300", "1e300", "4294967296", "36893488147419103232", "null", "\"7\"", "[[7]]",
+};
+
+/* Guards against a time, limit or count that is wrapped or undefined: it counts as
+ * missing then. */
+static void
+odd_numbers_of_a_route_count_as_missing (void)
+{
+  for (size_t i = 0; i < TEST_COUNT (odd_numbers); i++) {
+    const char *number = odd_numbers[i];
+    char text[1024];
+    BurdockRouteTable *table = NULL;
+    BurdockError error;
+    const BurdockRoute *route;
+
+    snprintf (text, sizeof text,
+              "{\"version\":7,\"routes\":[" SOUND_ROUTE "],"
+              "\"limits\":{\"maxBodyBytes\":%s},\"services\":[{\"name\":\"s\","
+              "\"backendEngine\":{\"layerSets\":%s,\"expertMb\":1e300,\"linkMbps\":1}},"
+              "{\"name\":\"t\",\"backendEngine\":{\"expertMb\":-1,\"linkMbps\":1}}]}",
+              number, number, number, number, number, number);
+    CU_ASSERT_EQUAL_FATAL (burdock_platform_decode_routes (bytes_of (text), &table,
+                                                           &error),
+                           0);
+    route = burdock_route_table_find (table, "h", "/a/x");
+    CU_ASSERT_PTR_NOT_NULL_FATAL (route);
+    CU_ASSERT_EQUAL (route->timeout_ms, 0);
+    CU_ASSERT_EQUAL (route->objective_ms, 0);
+    CU_ASSERT_EQUAL (route->attempts_max, 1);
+    CU_ASSERT_EQUAL (table->body_bytes_max, 4u << 20);
+    CU_ASSERT_EQUAL (route->targets[0].pool->shape.layers, 0);
+    CU_ASSERT_EQUAL (route->targets[0].pool->shape.expert_copy_us, UINT32_MAX);
+    CU_ASSERT_EQUAL (burdock_route_table_add_pool (table, "t")->shape.expert_copy_us, 0);
+    burdock_route_table_unref (table);
+  }
+}
+
 typedef struct {
   const char *list;
   uint32_t count;
@@ -245,6 +338,9 @@
     addresses_can_be_connected_to },
   { "a field of a configuration is lost or altered", configurations_are_decoded },
   { "an invalid configuration is accepted", invalid_configurations_are_rejected },
+  { "a sound route is lost beside odd ones, or those fill the log",
+    sound_routes_beside_odd_ones_are_used },
+  { "a number out of range is used", odd_numbers_of_a_route_count_as_missing },
   { "a shared part of a prompt is not recognized", shared_parts_of_a_prompt_are_parsed },
 };
 
@@ -254,6 +350,7 @@
   int status;
 
   apr_initialize ();
+  g_log_set_writer_func (count_line, NULL, NULL);
   status = test_main ("platform-decode", tests, TEST_COUNT (tests));
   apr_terminate ();
   return status;
