Read only sound evidence from the stored quarantine

A row of another writer in the table of the quarantine was read by its beginning: a key such as 'zebra' counted as part 0, '0xa1' as part a1, and as such rows seem outdated, the gateway removed the row of the part instead. A crash in the future never became outdated, so that its part would have been quarantined again at each start. The key, the id of the upstream and the time are now checked as a whole; the code that reads and writes such rows moves to platform/quarantine-row.c, where it can be tested.

--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -1,12 +1,11 @@
 #include "quarantine.h"
 
 #include "hash.h"
-#include "json-fields.h"
 #include "log.h"
+#include "quarantine-row.h"
 
 #include <errno.h>
 #include <inttypes.h>
-#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -29,10 +28,8 @@
 /* Evidence on its way to the other thread. */
 typedef struct {
   BurdockGateway *gateway;
-  uint64_t part;
   uint64_t due_us;
-  uint32_t count;
-  BurdockPartItem items[BURDOCK_PART_CRASHES_MAX];
+  BurdockQuarantineRow row;
 } Evidence;
 
 static uint64_t
@@ -52,80 +49,23 @@
   if (evidence == NULL)
     abort ();
   evidence->gateway = gateway;
-  evidence->part = part;
+  evidence->row.part = part;
   return evidence;
 }
 
-/* {"crashes":[{"upstream":"00f1…","depth":1,"begun":false,"atMs":1764860000000}]} */
-static char *
-encode_row (const Evidence *evidence)
-{
-  json_t *crashes = json_array ();
-  json_t *row = json_pack ("{s:o}", "crashes", crashes);
-  uint64_t now_ms = wall_ms ();
-  char *text = NULL;
-
-  for (uint32_t i = 0; i < evidence->count; i++) {
-    const BurdockPartItem *item = &evidence->items[i];
-    char upstream[20];
-
-    snprintf (upstream, sizeof upstream, "%016" PRIx64, item->upstream_id);
-    json_array_append_new (crashes,
-                           json_pack ("{s:s,s:I,s:b,s:I}", "upstream", upstream, "depth",
-                                      (json_int_t)item->depth, "begun",
-                                      item->kind == BURDOCK_PART_CRASHED_BEGUN, "atMs",
-                                      (json_int_t)(now_ms - item->age_ms)));
-  }
-  if (row != NULL)
-    text = json_dumps (row, JSON_COMPACT);
-  json_decref (row);
-  return text;
-}
-
-static int
-decode_row (const BurdockTableRow *row, Evidence *evidence)
-{
-  json_error_t error;
-  json_t *value =
-      burdock_json_load ((const char *)row->value.data, row->value.length_bytes, &error);
-  const json_t *crashes = json_object_get (value, "crashes");
-  uint64_t now_ms = wall_ms ();
-  size_t index;
-  const json_t *crash;
-
-  json_array_foreach (crashes, index, crash)
-  {
-    const char *upstream = json_string_value (json_object_get (crash, "upstream"));
-    uint64_t at_ms = burdock_json_u64 (crash, "atMs");
-    uint64_t age_ms = now_ms > at_ms ? now_ms - at_ms : 0;
-
-    if (upstream == NULL || at_ms == 0 || evidence->count == BURDOCK_PART_CRASHES_MAX)
-      continue;
-    evidence->items[evidence->count++] = (BurdockPartItem){
-      .part = evidence->part,
-      .kind = json_is_true (json_object_get (crash, "begun")) ? BURDOCK_PART_CRASHED_BEGUN
-                                                              : BURDOCK_PART_CRASHED,
-      .upstream_id = strtoull (upstream, NULL, 16),
-      .depth = burdock_json_u32 (crash, "depth", 0),
-      .age_ms = age_ms < UINT32_MAX ? (uint32_t)age_ms : UINT32_MAX
-    };
-  }
-  json_decref (value);
-  return evidence->count > 0 ? 0 : -EINVAL;
-}
-
 /* Runs on the control thread. */
 static void
 store_evidence (void *ctx)
 {
   Evidence *evidence = ctx;
   BurdockRowWriter *writer = evidence->gateway->control.quarantine_writer;
-  char *text = evidence->count > 0 ? encode_row (evidence) : NULL;
+  const BurdockQuarantineRow *row = &evidence->row;
+  char *text = row->count > 0 ? burdock_quarantine_row_encode (row, wall_ms ()) : NULL;
   BurdockBytes value = { (const uint8_t *)text,
                          text != NULL ? (uint32_t)strlen (text) : 0 };
-  char key[20];
+  char key[BURDOCK_QUARANTINE_KEY_BYTES];
 
-  snprintf (key, sizeof key, "%" PRIx64, evidence->part);
+  burdock_quarantine_row_key (row->part, key);
   if (burdock_row_writer_put (writer, key, value, evidence->due_us) < 0)
     burdock_log (BURDOCK_LOG_WARNING, "write row", "-",
                  "too many rows are waiting, part %s is not stored", key);
@@ -139,8 +79,9 @@
 {
   Evidence *evidence = ctx;
 
-  burdock_part_quarantine_merge (evidence->gateway->traffic.quarantine, evidence->items,
-                                 evidence->count, burdock_loop_now_us ());
+  burdock_part_quarantine_merge (evidence->gateway->traffic.quarantine,
+                                 evidence->row.items, evidence->row.count,
+                                 burdock_loop_now_us ());
   free (evidence);
 }
 
@@ -156,14 +97,16 @@
 burdock_gateway_quarantine_row (void *ctx, const BurdockTableRow *row)
 {
   BurdockGateway *gateway = ctx;
-  Evidence *evidence = new_evidence (gateway, strtoull (row->key, NULL, 16));
+  Evidence *evidence = new_evidence (gateway, 0);
 
-  if (row->value.data == NULL || decode_row (row, evidence) < 0) {
+  if (row->value.data == NULL ||
+      burdock_quarantine_row_decode (row->key, row->value, wall_ms (), &evidence->row) <
+          0) {
     free (evidence);
     return "the evidence is invalid and ignored";
   }
-  if (burdock_part_quarantine_is_outdated (evidence->items, evidence->count)) {
-    evidence->count = 0;
+  if (burdock_part_quarantine_is_outdated (evidence->row.items, evidence->row.count)) {
+    evidence->row.count = 0;
     evidence->due_us = burdock_loop_now_us ();
     store_evidence (evidence);
     return NULL;
@@ -208,8 +151,9 @@
   Evidence *evidence = new_evidence (gateway, part);
 
   evidence->due_us = now_us + delay_us;
-  evidence->count = burdock_part_quarantine_evidence (gateway->traffic.quarantine, part,
-                                                      now_us, evidence->items);
+  evidence->row.count =
+      burdock_part_quarantine_evidence (gateway->traffic.quarantine, part, now_us,
+                                        evidence->row.items);
   burdock_loop_post (gateway->control.runtime.loop, store_evidence, evidence);
 }
 
--- a/tests/test-platform-decode.c
+++ b/tests/test-platform-decode.c
@@ -1,4 +1,5 @@
 #include "exchange.h"
+#include "quarantine-row.h"
 #include "row-decoder.h"
 #include "test.h"
 
@@ -299,6 +300,101 @@
   }
 }
 
+typedef struct {
+  const char *key;
+  const char *value;
+  uint32_t count; /* of crashes that are used */
+} EvidenceCase;
+
+#define WALL_MS 1764860000000
+#define CRASH "\"upstream\":\"00000000000000f1\",\"depth\":1,\"begun\":true,\"atMs\":"
+#define SOUND_CRASH "{" CRASH "1764859990000}"
+
+static const EvidenceCase evidence_cases[] = {
+  { "a1", "{\"crashes\":[" SOUND_CRASH "]}", 1 },
+  { "ffffffffffffffff", "{\"crashes\":[" SOUND_CRASH "," SOUND_CRASH "]}", 2 },
+  { "a1", "{\"crashes\":[{" CRASH "1.76485999e12}]}", 1 },
+  { "a1", "{\"crashes\":[{" CRASH "1764860000500}]}", 1 }, /* clocks differ */
+  { "a1", "{\"crashes\":[7,null,{},[],\"\"," SOUND_CRASH "]}", 1 },
+  { "a1", "{\"crashes\":[{" CRASH "1864860000000}]}", 0 },
+  { "a1", "{\"crashes\":[{" CRASH "9223372036854775807}]}", 0 },
+  { "a1", "{\"crashes\":[{" CRASH "18446744073709551616}]}", 0 },
+  { "a1", "{\"crashes\":[{" CRASH "1e400}]}", 0 },
+  { "a1", "{\"crashes\":[{" CRASH "-1}]}", 0 },
+  { "a1", "{\"crashes\":[{" CRASH "\"1764859990000\"}]}", 0 },
+  { "a1", "{\"crashes\":[{\"upstream\":\"f1\",\"atMs\":1764859990000}]}", 0 },
+  { "a1", "{\"crashes\":[{\"upstream\":\"\",\"atMs\":1764859990000}]}", 0 },
+  { "a1", "{\"crashes\":[{\"upstream\":\"-000000000000001\",\"atMs\":1764859990000}]}",
+    0 },
+  { "a1", "{\"crashes\":[{\"upstream\":241,\"atMs\":1764859990000}]}", 0 },
+  { "a1", "{\"crashes\":{\"0\":" SOUND_CRASH "}}", 0 },
+  { "a1", "[" SOUND_CRASH "]", 0 },
+  { "a1", "", 0 },
+  { "a1", "\xff", 0 },
+  { "0", "{\"crashes\":[" SOUND_CRASH "]}", 0 },
+  { "-1", "{\"crashes\":[" SOUND_CRASH "]}", 0 },
+  { "A1", "{\"crashes\":[" SOUND_CRASH "]}", 0 },
+  { "0xa1", "{\"crashes\":[" SOUND_CRASH "]}", 0 },
+  { "00a1", "{\"crashes\":[" SOUND_CRASH "]}", 0 },
+  { "a1 ", "{\"crashes\":[" SOUND_CRASH "]}", 0 },
+  { "zebra", "{\"crashes\":[" SOUND_CRASH "]}", 0 },
+  { "1ffffffffffffffff", "{\"crashes\":[" SOUND_CRASH "]}", 0 },
+};
+
+/* Guards against a quarantine, and a removal, of a part that the row of another writer is
+ * not about, and against one that never ends because its crashes are in the future. */
+static void
+only_sound_evidence_is_read (void)
+{
+  for (size_t i = 0; i < TEST_COUNT (evidence_cases); i++) {
+    const EvidenceCase *item = &evidence_cases[i];
+    char key[BURDOCK_QUARANTINE_KEY_BYTES];
+    BurdockQuarantineRow row;
+    int status =
+        burdock_quarantine_row_decode (item->key, bytes_of (item->value), WALL_MS, &row);
+
+    if ((status == 0) != (item->count > 0) || (status == 0 && row.count != item->count)) {
+      CU_FAIL (item->value);
+      continue;
+    }
+    if (status < 0)
+      continue;
+    burdock_quarantine_row_key (row.part, key);
+    CU_ASSERT_STRING_EQUAL (key, item->key);
+    CU_ASSERT_EQUAL (row.items[0].upstream_id, 0xf1);
+    CU_ASSERT_TRUE (row.items[0].age_ms <= 10000);
+  }
+}
+
+/* Guards against evidence that is altered on its way through the store. */
+static void
+evidence_is_stored_as_it_is (void)
+{
+  BurdockQuarantineRow row = { .part = 0xa1, .count = BURDOCK_PART_CRASHES_MAX };
+  BurdockQuarantineRow read;
+  char *text;
+
+  for (uint32_t i = 0; i < row.count; i++)
+    row.items[i] = (BurdockPartItem){ .part = 0xa1,
+                                      .kind = i % 2 == 0 ? BURDOCK_PART_CRASHED
+                                                         : BURDOCK_PART_CRASHED_BEGUN,
+                                      .upstream_id = UINT64_MAX - i,
+                                      .depth = i == 0 ? BURDOCK_REQUEST_DEPTH : i,
+                                      .age_ms = i * 1000 };
+  text = burdock_quarantine_row_encode (&row, WALL_MS);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (text);
+  CU_ASSERT_EQUAL (burdock_quarantine_row_decode ("a1", bytes_of (text), WALL_MS, &read),
+                   0);
+  CU_ASSERT_EQUAL (read.count, row.count);
+  for (uint32_t i = 0; i < row.count; i++) {
+    CU_ASSERT_EQUAL (read.items[i].kind, row.items[i].kind);
+    CU_ASSERT_EQUAL (read.items[i].upstream_id, row.items[i].upstream_id);
+    CU_ASSERT_EQUAL (read.items[i].depth, row.items[i].depth);
+    CU_ASSERT_EQUAL (read.items[i].age_ms, row.items[i].age_ms);
+  }
+  free (text);
+}
+
 typedef struct {
   const char *list;
   uint32_t count;
@@ -341,6 +437,8 @@
   { "a sound route is lost beside odd ones, or those fill the log",
     sound_routes_beside_odd_ones_are_used },
   { "a number out of range is used", odd_numbers_of_a_route_count_as_missing },
+  { "a part is quarantined by a row that is not about it", only_sound_evidence_is_read },
+  { "evidence is altered in the store", evidence_is_stored_as_it_is },
   { "a shared part of a prompt is not recognized", shared_parts_of_a_prompt_are_parsed },
 };
 
