Merge the stored quarantine at once, up to 512 rows of it

A gateway that starts compared all parts after each row of the stored quarantine. Outdated rows were all removed through the queue of 64 rows in which evidence waits to be stored, with a line of the log for each that did not fit; now 16 are, and the others at later starts.

--- a/gateway/control.c
+++ b/gateway/control.c
@@ -326,7 +326,7 @@
                                     .end = upstream_end,
                                     .reachable = upstream_reachable };
   BurdockTableHandler quarantine = { .ctx = gateway,
-                                     .begin = ignore_begin,
+                                     .begin = burdock_gateway_quarantine_begin,
                                      .row = burdock_gateway_quarantine_row,
                                      .end = burdock_gateway_quarantine_listed,
                                      .reachable = quarantine_reachable };
@@ -372,6 +372,7 @@
   burdock_table_watch_free (control->upstream_watch);
   burdock_table_watch_free (control->quarantine_watch);
   burdock_row_writer_free (control->quarantine_writer);
+  burdock_gateway_quarantine_clear (gateway);
   burdock_upstream_registry_free (control->upstreams);
   burdock_runtime_clear (&control->runtime);
 }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -139,6 +139,8 @@
  * @handover_done: the start is over
  * @quarantine_watch: reads the stored quarantine once, then NULL
  * @quarantine_listed: the stored quarantine was read
+ * @stored_evidence: rows of it that were read so far, NULL for none
+ * @outdated_rows: rows of it that were removed
  */
 typedef struct {
   BurdockRuntime runtime;
@@ -160,6 +162,8 @@
   BurdockTableWatch *quarantine_watch;
   BurdockRowWriter *quarantine_writer;
   bool quarantine_listed;
+  struct BurdockStoredEvidence *stored_evidence;
+  uint32_t outdated_rows;
 } BurdockGatewayControl;
 
 /**
--- a/gateway/quarantine.c
+++ b/gateway/quarantine.c
@@ -32,6 +32,23 @@
   BurdockQuarantineRow row;
 } Evidence;
 
+/* All rows are merged at once, as each merge compares all parts: 2,000 rows took 15 s one
+ * by one. More parts than this are not kept in any case. */
+#define STORED_ROWS_MAX 512
+
+/* Rows that are removed because they are outdated wait in the same queue as evidence that
+ * is to be stored, so that only a part of it is used. Others remain until the next start.
+ */
+#define OUTDATED_ROWS_MAX 16
+
+/* Stored evidence that was read, on its way to the traffic thread. */
+struct BurdockStoredEvidence {
+  BurdockGateway *gateway;
+  uint32_t rows;
+  uint32_t count;
+  BurdockPartItem items[STORED_ROWS_MAX * BURDOCK_PART_CRASHES_MAX];
+};
+
 static uint64_t
 wall_ms (void)
 {
@@ -75,14 +92,13 @@
 
 /* Runs on the traffic thread. */
 static void
-merge_evidence (void *ctx)
+merge_stored_evidence (void *ctx)
 {
-  Evidence *evidence = ctx;
+  struct BurdockStoredEvidence *stored = ctx;
 
-  burdock_part_quarantine_merge (evidence->gateway->traffic.quarantine,
-                                 evidence->row.items, evidence->row.count,
-                                 burdock_loop_now_us ());
-  free (evidence);
+  burdock_part_quarantine_merge (stored->gateway->traffic.quarantine, stored->items,
+                                 stored->count, burdock_loop_now_us ());
+  free (stored);
 }
 
 static void
@@ -93,36 +109,82 @@
   gateway->traffic.quarantine_loaded = true;
 }
 
+static void
+remove_outdated (BurdockGateway *gateway, const BurdockQuarantineRow *row)
+{
+  Evidence *evidence;
+
+  if (gateway->control.outdated_rows++ >= OUTDATED_ROWS_MAX)
+    return;
+  evidence = new_evidence (gateway, row->part);
+  evidence->due_us = burdock_loop_now_us ();
+  store_evidence (evidence);
+}
+
+/* Returns false if there is no room for the row. */
+static bool
+add_stored (BurdockGateway *gateway, const BurdockQuarantineRow *row)
+{
+  struct BurdockStoredEvidence *stored = gateway->control.stored_evidence;
+
+  if (stored == NULL)
+    stored = gateway->control.stored_evidence = calloc (1, sizeof *stored);
+  if (stored == NULL)
+    abort ();
+  stored->gateway = gateway;
+  if (stored->rows == STORED_ROWS_MAX)
+    return false;
+  stored->rows++;
+  for (uint32_t i = 0; i < row->count; i++)
+    stored->items[stored->count++] = row->items[i];
+  return true;
+}
+
+void
+burdock_gateway_quarantine_begin (void *ctx, uint64_t era)
+{
+  BurdockGateway *gateway = ctx;
+
+  burdock_gateway_quarantine_clear (gateway);
+}
+
+void
+burdock_gateway_quarantine_clear (BurdockGateway *gateway)
+{
+  free (gateway->control.stored_evidence);
+  gateway->control.stored_evidence = NULL;
+}
+
 const char *
 burdock_gateway_quarantine_row (void *ctx, const BurdockTableRow *row)
 {
   BurdockGateway *gateway = ctx;
-  Evidence *evidence = new_evidence (gateway, 0);
+  BurdockQuarantineRow evidence;
 
   if (row->value.data == NULL ||
-      burdock_quarantine_row_decode (row->key, row->value, wall_ms (), &evidence->row) <
-          0) {
-    free (evidence);
+      burdock_quarantine_row_decode (row->key, row->value, wall_ms (), &evidence) < 0)
     return "the evidence is invalid and ignored";
-  }
-  if (burdock_part_quarantine_is_outdated (evidence->row.items, evidence->row.count)) {
-    evidence->row.count = 0;
-    evidence->due_us = burdock_loop_now_us ();
-    store_evidence (evidence);
+  if (burdock_part_quarantine_is_outdated (evidence.items, evidence.count)) {
+    remove_outdated (gateway, &evidence);
     return NULL;
   }
-  burdock_loop_post (gateway->traffic.runtime.loop, merge_evidence, evidence);
-  return NULL;
+  return add_stored (gateway, &evidence) ? NULL
+                                         : "there are too many parts, it is ignored";
 }
 
 void
 burdock_gateway_quarantine_listed (void *ctx, bool listing)
 {
   BurdockGateway *gateway = ctx;
+  BurdockGatewayControl *control = &gateway->control;
 
-  if (!listing || gateway->control.quarantine_listed)
+  if (!listing || control->quarantine_listed)
     return;
-  gateway->control.quarantine_listed = true;
+  control->quarantine_listed = true;
+  if (control->stored_evidence != NULL)
+    burdock_loop_post (gateway->traffic.runtime.loop, merge_stored_evidence,
+                       control->stored_evidence);
+  control->stored_evidence = NULL;
   burdock_loop_post (gateway->traffic.runtime.loop, mark_loaded, gateway);
 }
 
--- a/gateway/quarantine.h
+++ b/gateway/quarantine.h
@@ -28,6 +28,14 @@
  * has returned from a copy; on the traffic thread */
 void burdock_gateway_quarantine_store_again (void *ctx);
 
+/** burdock_gateway_quarantine_begin() - a listing of the stored rows starts; on the
+ * control thread */
+void burdock_gateway_quarantine_begin (void *ctx, uint64_t era);
+
+/** burdock_gateway_quarantine_clear() - releases what was read of the stored rows; on the
+ * control thread */
+void burdock_gateway_quarantine_clear (BurdockGateway *gateway);
+
 /** burdock_gateway_quarantine_row() - handles a stored row; on the control thread;
  * returns why it is ignored, for the log, or NULL */
 const char *burdock_gateway_quarantine_row (void *ctx, const BurdockTableRow *row);
