--- a/tests/test-platform-client.c
+++ b/tests/test-platform-client.c
@@ -14,6 +14,7 @@
 #include <string.h>
 
 #define TIMEOUT_US UINT64_C (20000000)
+#define ANSWER_US UINT64_C (50000)
 #define SHORT_TIMEOUT_US UINT64_C (2000000)
 #define TEXT_BYTES 512
 
@@ -28,6 +29,8 @@
   uint64_t timeout_at_us;
   bool timed_out;
   bool finished;
+  uint64_t ends_at_us; /* 0 for no such time */
+  uint32_t hosted_bytes;
   bool keeps_last; /* of @seen, when it is full */
   char seen[TEXT_BYTES];
   const char *expected_text;
@@ -50,6 +53,8 @@
   if (fixture->expected_text != NULL &&
       strstr (fixture->seen, fixture->expected_text) != NULL)
     fixture->finished = true;
+  if (fixture->ends_at_us != 0 && now_us > fixture->ends_at_us)
+    fixture->finished = true;
   fixture->timed_out = now_us > fixture->timeout_at_us;
   if (fixture->finished || fixture->timed_out)
     burdock_loop_stop (fixture->loop);
@@ -583,6 +588,161 @@
   }
 }
 
+#define REPORT(epoch, rank, size, step)                                                  \
+  "200 {\"group\":{\"name\":\"g\",\"epoch\":" epoch ",\"rank\":" rank                    \
+  ",\"state\":\"open\"},\"size\":" size ",\"active\":1,\"step\":" step "}"
+#define HUGE_NUMBER "36893488147419103232"
+#define LONG_NAME "\"" LONG_KEY "\""
+
+static const char *const odd_reports[] = {
+  "200 ",
+  "200 null",
+  "200 []",
+  "200 {\"group\":[],\"step\":1}",
+  "200 {\"group\":{\"name\":" LONG_NAME ",\"epoch\":1,\"rank\":0,\"state\":\"open\"},"
+  "\"size\":4,\"active\":1,\"step\":5}",
+  REPORT ("1", "0", "4", "-5"),
+  REPORT ("1", "0", "4", HUGE_NUMBER),
+  REPORT ("1", "0", "4", "1e400"),
+  REPORT ("1", "4294967296", "4", "5"),
+  REPORT ("1", "0", "4294967300", "5"),
+  REPORT ("1", "-1", "4", "5"),
+  REPORT ("1", "0.5", "4", "5"),
+  REPORT ("1", "\"0\"", "4", "5"),
+  REPORT ("1", HUGE_NUMBER, HUGE_NUMBER, "5"),
+  REPORT ("-1", "0", "4", "5"),
+  REPORT (HUGE_NUMBER, "0", "4", "5"),
+};
+
+/* Guards against an agent that takes the place of another rank, or joins another group,
+ * because a number of the report is wrapped or taken for 0, or a name is cut. */
+static void
+odd_reports_are_rejected (void)
+{
+  for (size_t i = 0; i < TEST_COUNT (odd_reports); i++) {
+    BurdockRunnerHandler handler;
+    BurdockRunner *runner;
+    Fixture fixture;
+
+    open_fixture (&fixture, &odd_reports[i], 1);
+    handler = (BurdockRunnerHandler){ .ctx = &fixture, .report = record_report };
+    runner = burdock_runner_new (fixture.client, fixture.url, &handler);
+    burdock_runner_query_report (runner);
+    burdock_loop_run (fixture.loop);
+    if (fixture.report.group[0] != '\0')
+      CU_FAIL (odd_reports[i]);
+    close_fixture (&fixture);
+    burdock_runner_free (runner);
+  }
+}
+
+typedef struct {
+  const char *answer;
+  uint32_t length_bytes; /* 0 if it is rejected */
+} HostedCase;
+
+static const HostedCase hosted_cases[] = {
+  { "200 {\"epoch\":1,\"mapping\":{\"version\":1,\"experts\":[[0,255],[]]}}", 4 },
+  { "200 {\"epoch\":1,\"mapping\":{\"version\":1,\"experts\":[[0.0,1e1]]}}", 3 },
+  { "200 {\"epoch\":1,\"mapping\":{\"version\":1,\"experts\":[[256]]}}", 0 },
+  { "200 {\"epoch\":1,\"mapping\":{\"version\":1,\"experts\":[[-1]]}}", 0 },
+  { "200 {\"epoch\":1,\"mapping\":{\"version\":1,\"experts\":[[" HUGE_NUMBER "]]}}", 0 },
+  { "200 {\"epoch\":1,\"mapping\":{\"version\":1,\"experts\":[[\"1\"]]}}", 0 },
+  { "200 {\"epoch\":1,\"mapping\":{\"version\":1,\"experts\":[[[1]]]}}", 0 },
+  { "200 {\"epoch\":1,\"mapping\":{\"version\":1,\"experts\":[[1],7]}}", 0 },
+  { "200 {\"epoch\":1,\"mapping\":{\"version\":1,\"experts\":{\"0\":[1]}}}", 0 },
+  { "200 {\"epoch\":-1,\"mapping\":{\"version\":1,\"experts\":[[1]]}}", 0 },
+  { "200 {\"epoch\":1,\"mapping\":{\"version\":" HUGE_NUMBER ",\"experts\":[[1]]}}", 0 },
+  { "200 {\"epoch\":1,\"mapping\":[]}", 0 },
+};
+
+static void
+record_hosted_experts (void *ctx, uint64_t epoch, uint64_t version, const uint8_t *hosted,
+                       uint32_t length_bytes)
+{
+  Fixture *fixture = ctx;
+
+  fixture->hosted_bytes = length_bytes;
+}
+
+/* The runner does not report a rejected answer: waits for a while after the answer. */
+static void
+run_until_answered (Fixture *fixture)
+{
+  fixture->ends_at_us = burdock_loop_now_us () + ANSWER_US;
+  burdock_loop_run (fixture->loop);
+}
+
+/* Guards against an expert that is taken for another one. */
+static void
+odd_lists_of_experts_are_rejected (void)
+{
+  for (size_t i = 0; i < TEST_COUNT (hosted_cases); i++) {
+    const char *answers[] = { hosted_cases[i].answer };
+    BurdockRunnerHandler handler;
+    BurdockRunner *runner;
+    Fixture fixture;
+
+    open_fixture (&fixture, answers, 1);
+    handler = (BurdockRunnerHandler){ .ctx = &fixture,
+                                      .hosted_experts = record_hosted_experts };
+    runner = burdock_runner_new (fixture.client, fixture.url, &handler);
+    burdock_runner_query_hosted_experts (runner);
+    run_until_answered (&fixture);
+    if (fixture.hosted_bytes != hosted_cases[i].length_bytes)
+      CU_FAIL (hosted_cases[i].answer);
+    close_fixture (&fixture);
+    burdock_runner_free (runner);
+  }
+}
+
+typedef struct {
+  const char *answer;
+  uint32_t count; /* 0 if it is rejected */
+} CountsCase;
+
+static const CountsCase counts_cases[] = {
+  { "200 {\"counts\":[0,1.0,18446744073709549568]}", 3 },
+  { "200 {\"counts\":[0,-1]}", 0 },
+  { "200 {\"counts\":[0,1e300]}", 0 },
+  { "200 {\"counts\":[0,\"1\"]}", 0 },
+  { "200 {\"counts\":[[0],1]}", 0 },
+  { "200 {\"counts\":[0,null]}", 0 },
+  { "200 {\"counts\":[]}", 0 },
+  { "200 {\"counts\":7}", 0 },
+};
+
+static void
+record_counts (void *ctx, const uint64_t *counts, uint32_t count)
+{
+  Fixture *fixture = ctx;
+
+  fixture->hosted_bytes = count;
+}
+
+/* Guards against a count that is taken for 0, after which the next sound one counts as
+ * all tokens since the start of the runner. */
+static void
+odd_counts_are_rejected (void)
+{
+  for (size_t i = 0; i < TEST_COUNT (counts_cases); i++) {
+    const char *answers[] = { counts_cases[i].answer };
+    BurdockRunnerHandler handler;
+    BurdockRunner *runner;
+    Fixture fixture;
+
+    open_fixture (&fixture, answers, 1);
+    handler = (BurdockRunnerHandler){ .ctx = &fixture, .token_counts = record_counts };
+    runner = burdock_runner_new (fixture.client, fixture.url, &handler);
+    burdock_runner_query_token_counts (runner);
+    run_until_answered (&fixture);
+    if (fixture.hosted_bytes != counts_cases[i].count)
+      CU_FAIL (counts_cases[i].answer);
+    close_fixture (&fixture);
+    burdock_runner_free (runner);
+  }
+}
+
 /* Regression test, found with a fault injection run (sementeira-campina, scale-2, seed
  * 716127795627): a long poll that started at the end of an outage returned 8 s later with
  * the removal of a row. The return of the store was dated to the end of that call, and
@@ -721,6 +881,9 @@
     a_long_poll_of_an_ended_era_is_replaced },
   { "a table is not followed because of the key of a row",
     rows_beside_odd_keys_are_read },
+  { "a report with numbers out of range is used", odd_reports_are_rejected },
+  { "an expert is taken for another one", odd_lists_of_experts_are_rejected },
+  { "a count of tokens is taken for 0", odd_counts_are_rejected },
   { "odd rows fill the log", many_odd_rows_have_few_log_lines },
   { "a listing does not pass the key of a row", listings_pass_odd_keys },
   { "a listing has no end", a_page_that_repeats_is_a_failure },
