Play odd rows among real gateways and rank agents

The scenario odd-rows leaves thousands of odd rows in the tables of the upstreams, of the configuration and of the quarantine, and dozens of odd configurations, while callers send requests. No process may end, new upstreams and configurations have to be followed, requests answered, and memory and log lines stay bounded. The stand-in of the store now honours pages.

--- a/Makefile
+++ b/Makefile
@@ -49,6 +49,7 @@
 	python3 tests/soak/scenarios.py faulty-answers --build $(BUILD) --seed $(SEED) --seconds 15 --callers 24
 	python3 tests/soak/scenarios.py silent-poll-all --build $(BUILD) --seed $(SEED) --seconds 12
 	python3 tests/soak/scenarios.py planned-stop --build $(BUILD) --seed $(SEED) --seconds 45 --callers 24
+	python3 tests/soak/scenarios.py odd-rows --build $(BUILD) --seed $(SEED)
 	python3 tests/soak/scenarios.py restored --build $(BUILD) --seed $(SEED) --seconds 24
 
 load: build
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -12,6 +12,7 @@
 silent-poll: open connections of some gateways to the store go silent for good.
 silent-poll-no-era: the same with a store that names no era.
 silent-poll-all: the same at all gateways.
+odd-rows: other writers leave odd rows in all tables, and odd configurations.
 planned-stop: gateways are stopped while callers stay with them and upstreams are slow.
 restored: the store returns from a copy some seconds old, twice.
 """
@@ -25,6 +26,7 @@
 import soak
 from faulty import FaultyAnswersScenario
 from leaving import LateRowScenario, LeavingAnswersScenario, RetryAfterScenario
+from oddrows import OddRowsMixin
 from restored import RestoredScenario
 from standin import CRASHING_PART, CRASHING_PATH, CRASHING_STREAM_PATH, Runner
 from stops import StopScenario
@@ -367,9 +369,13 @@
     gateway_count = 3
 
 
+class OddRowsScenario(OddRowsMixin, soak.Soak):
+    gateway_count = 3
+
+
 SCENARIOS = {"faulty-answers": FaultyAnswersScenario, "late-row": LateRowScenario,
              "leaving-answers": LeavingAnswersScenario,
-             "limit": LimitScenario, "planned-stop": PlannedStopScenario, "prompt-part": PromptPartScenario,
+             "limit": LimitScenario, "odd-rows": OddRowsScenario, "planned-stop": PlannedStopScenario, "prompt-part": PromptPartScenario,
              "request": RequestScenario, "restored": RestoredScenario,
              "retry-after": RetryAfterScenario,
              "stream-request": StreamRequestScenario,
--- a/tests/soak/standin.py
+++ b/tests/soak/standin.py
@@ -155,6 +155,15 @@
             self.change_log.append((self.version, table, key, data))
             self.changed.notify_all()
 
+    async def write_all(self, rows):
+        """Writes the data of many rows, by table and key, as one change."""
+        async with self.changed:
+            self.version += 1
+            for (table, key), data in rows.items():
+                self.rows[(table, key)] = (data, self.version)
+                self.change_log.append((self.version, table, key, data))
+            self.changed.notify_all()
+
     def discard_history(self):
         self.oldest_known = self.version
         self.change_log.clear()
@@ -202,10 +211,11 @@
         return self.answer(200, body)
 
     def get(self, query):
-        table = query["tableName"][0]
+        table, first = query["tableName"][0], query.get("from", [""])[0]
         rows = [self.row(t, k, d, v) for (t, k), (d, v) in sorted(self.rows.items())
-                if t == table]
-        body = {"rows": rows, "hasMore": False, "schemaVersion": self.version}
+                if t == table and k >= first]
+        size = int(query["pageSize"][0])
+        body = {"rows": rows[:size], "hasMore": len(rows) > size, "schemaVersion": self.version}
         return self.answer(200, body)
 
     async def transact(self, call):
