Take no fencing token that no holder can have had

The row of a lease may be replaced by another writer. A token of -2 or of 2^63 - 1 in it was continued: the next holder wrote a token that does not fit into the row, and the one after it had a lower token, which groups refuse. A token is at most the version that its row had when it was written, so that a higher or negative one is now ignored.

--- a/libburdock/lease-controller.c
+++ b/libburdock/lease-controller.c
@@ -197,6 +197,17 @@
   return slot->row_fence + 1 > first ? slot->row_fence + 1 : first;
 }
 
+/* Token in a row, 0 for one that no holder has had: each is at most the version of the
+ * row that it was written with. The token after a higher one could be the last one. */
+static uint64_t
+read_fence (const LeaseSlot *slot, const json_t *value)
+{
+  uint64_t highest = (slot->leases->era << FENCE_ERA_SHIFT) + slot->version;
+  json_int_t fence = json_integer_value (value);
+
+  return fence > 0 && (uint64_t)fence <= highest ? (uint64_t)fence : 0;
+}
+
 /* Reads holder and fencing token of a row; a malformed row counts as held by another. */
 static void
 parse_row (LeaseSlot *slot, BurdockBytes value)
@@ -208,7 +219,7 @@
   const char *holder = json_string_value (json_object_get (root, "holder"));
 
   snprintf (own, sizeof own, "%016" PRIx64, self->settings.incarnation);
-  slot->row_fence = (uint64_t)json_integer_value (json_object_get (root, "fence"));
+  slot->row_fence = read_fence (slot, json_object_get (root, "fence"));
   slot->row_own = incarnation != NULL && strcmp (incarnation, own) == 0 &&
                   holder != NULL && strcmp (holder, self->settings.name) == 0;
   slot->row_released = json_is_true (json_object_get (root, "released"));
--- a/tests/test-lease.c
+++ b/tests/test-lease.c
@@ -333,7 +333,64 @@
   fleet_free (fleet);
 }
 
+/* Replaces the value of a row, as another writer does. */
+static void
+overwrite (Fleet *fleet, const char *key, const char *value)
+{
+  const FakeRow *row = fake_store_row (&fleet->store, key);
+  BurdockStoreResult result;
+  BurdockStoreCall call = { .op = BURDOCK_STORE_ROW_PUT_IF, .put_count = 1 };
+
+  call.puts[0] = (BurdockStorePut){ key,
+                                    { (const uint8_t *)value, (uint32_t)strlen (value) },
+                                    row != NULL ? row->version : 0 };
+  fake_store_apply (&fleet->store, &call, &result);
+  CU_ASSERT_EQUAL (result.status, 0);
+}
+
+/* Values of a row that another writer has left. */
+static const char *const odd_rows[] = {
+  "",
+  "null",
+  "[[[[",
+  "\xff",
+  "{\"holder\":7,\"incarnation\":{},\"fence\":[]}",
+  "{\"holder\":\"x\",\"incarnation\":\"1\",\"fence\":-1}",
+  "{\"holder\":\"x\",\"incarnation\":\"1\",\"fence\":-2}",
+  "{\"holder\":\"x\",\"incarnation\":\"1\",\"fence\":-9223372036854775808}",
+  "{\"holder\":\"x\",\"incarnation\":\"1\",\"fence\":9223372036854775807}",
+  "{\"holder\":\"x\",\"incarnation\":\"1\",\"fence\":9223372036854775808}",
+  "{\"holder\":\"x\",\"incarnation\":\"1\",\"fence\":1e300}",
+  "{\"holder\":\"x\",\"incarnation\":\"1\",\"fence\":1e400}",
+};
+
+/* Guards against a group without a coordinator, and against a fencing token so high that
+ * no later one is larger, after another writer has replaced the row of a lease. */
+static void
+odd_rows_are_survived (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (odd_rows); i++) {
+    Fleet *fleet = start_fleet (i + 1);
+    LeaseMonitor monitor = { .holder = -1 };
+    uint64_t fence;
+
+    run_monitored (fleet, 10 * US_PER_S, &monitor);
+    fence = monitor.fence;
+    overwrite (fleet, ROW, odd_rows[i]);
+    run_monitored (fleet, 25 * US_PER_S, &monitor);
+    fleet_kill (fleet, holder_of (fleet));
+    run_monitored (fleet, 25 * US_PER_S, &monitor);
+    CU_ASSERT_NOT_EQUAL (holder_of (fleet), UINT32_MAX);
+    CU_ASSERT_EQUAL (monitor.double_holders, 0);
+    CU_ASSERT_EQUAL (monitor.fence_faults, 0);
+    if (monitor.fence <= fence || monitor.fence > fence + 1000)
+      CU_FAIL (odd_rows[i]);
+    fleet_free (fleet);
+  }
+}
+
 static const Test tests[] = {
+  { "the row of another writer ends the changes of a lease", odd_rows_are_survived },
   { "two processes hold a lease at a time, or a fencing token does not grow",
     one_valid_holder_in_every_fault },
   { "a lease is taken over before its holder has noticed the expiry",
