Ignore the row of an upstream whose start is out of range

Of two upstreams at one address, the one that started later stays. A row of another writer with the address of a sound upstream and a 'born' beyond any time took its place, and no row of the sound one won it back. Such a row is invalid now, beyond 2^53 ms.

--- a/tests/test-platform-decode.c
+++ b/tests/test-platform-decode.c
@@ -56,13 +56,26 @@
   { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":0,"
     "\"state\":\"available\"}",
     -EINVAL, false },
+  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":12,"
+    "\"state\":\"available\",\"born\":9007199254740993}",
+    -EINVAL, false },
+  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":12,"
+    "\"state\":\"available\",\"born\":18446744073709549568}",
+    -EINVAL, false },
+  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":12,"
+    "\"state\":\"available\",\"born\":1e400}",
+    -EINVAL, false },
+  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":12,"
+    "\"state\":\"available\",\"born\":-1}",
+    0, false },
   { "[1,2]", -EINVAL, false },
   { "\xff\xfe{", -EINVAL, false },
   { "", -EINVAL, false },
 };
 
 /* Guards against sending requests to an upstream whose row is incomplete, has fields of
- * the wrong type or was written by another program. Unknown fields are ignored. */
+ * the wrong type or was written by another program. Unknown fields are ignored. A start
+ * beyond 2^53 ms would make the upstream the last one at its address for good. */
 static void
 invalid_upstream_rows_are_rejected (void)
 {
