--- a/tests/test-platform-client.c
+++ b/tests/test-platform-client.c
@@ -110,7 +110,7 @@
             row->value.length_bytes < 8 ? (int)row->value.length_bytes : 8,
             row->value.data != NULL ? (const char *)row->value.data : "");
   append_seen (ctx, text);
-  return row->value.length_bytes > 0 && row->value.data[0] == '-' ? "not valid" : NULL;
+  return row->value.data != NULL && row->value.data[0] == '-' ? "not valid" : NULL;
 }
 
 static void
@@ -263,7 +263,7 @@
   "7",
   "null",
   "[\"a\"]",
-  "\"" LONG_KEY "\"",
+  ("\"" LONG_KEY "\""),
 };
 
 /* Guards against a table that is no longer followed because of the key of one row, in
--- a/tests/test-platform-decode.c
+++ b/tests/test-platform-decode.c
@@ -195,6 +195,12 @@
   burdock_route_table_unref (table);
 }
 
+#define ROUTE(host, prefix, service)                                                     \
+  "{\"host\":\"" host "\",\"prefix\":\"" prefix "\",\"service\":\"" service              \
+  "\",\"routeType\":\"idempotent\"}"
+#define UNUSABLE_ROUTES                                                                  \
+  ROUTE ("", "/a/", "s") "," ROUTE ("h", "", "s") "," ROUTE ("h", "/a/", "")
+
 static const char *const invalid_configurations[] = {
   "",
   "{",
@@ -213,10 +219,7 @@
   "{\"version\":7,\"version\":8,\"routes\":[]}",
   "{\"version\":7,\"routes\":{}}",
   "{\"version\":7,\"routes\":[7,null,{},[]]}",
-  "{\"version\":7,\"routes\":[{\"host\":\"\",\"prefix\":\"/a/\",\"service\":\"s\","
-  "\"routeType\":\"idempotent\"},{\"host\":\"h\",\"prefix\":\"\",\"service\":\"s\","
-  "\"routeType\":\"idempotent\"},{\"host\":\"h\",\"prefix\":\"/a/\",\"service\":\"\","
-  "\"routeType\":\"idempotent\"}]}",
+  ("{\"version\":7,\"routes\":[" UNUSABLE_ROUTES "]}"),
   "{\"version\":7,\"routes\":[]} \xff",
   "{\"version\":7,\"routes\":[],\"name\":\"a\\u0000\"}",
 };
@@ -301,7 +304,9 @@
                                                            &error),
                            0);
     route = burdock_route_table_find (table, "h", "/a/x");
-    CU_ASSERT_PTR_NOT_NULL_FATAL (route);
+    CU_ASSERT_PTR_NOT_NULL (route);
+    if (route == NULL)
+      return;
     CU_ASSERT_EQUAL (route->timeout_ms, 0);
     CU_ASSERT_EQUAL (route->objective_ms, 0);
     CU_ASSERT_EQUAL (route->attempts_max, 1);
