--- a/tests/test-platform-client.c
+++ b/tests/test-platform-client.c
@@ -803,6 +803,34 @@
   close_fixture (&fixture);
 }
 
+/* Guards against a long answer that is asked for again and again before it has arrived,
+ * as other gateways are already further. An answer that stops half way is given up. */
+static void
+a_call_whose_answer_arrives_is_not_repeated (void)
+{
+  static const char *const answers[] = { "HTTP/1.1 200 x\r\nContent-Length: 100\r\n\r\n{",
+                                         SCRIPT_STALL };
+  uint64_t now_us;
+  Fixture fixture;
+
+  open_watch (&fixture, answers, 2);
+  fixture.ends_at_us = burdock_loop_now_us () + 4 * ANSWER_US;
+  burdock_loop_run (fixture.loop);
+  now_us = burdock_loop_now_us ();
+  burdock_table_watch_call_again (fixture.watch, 1000, now_us);
+  burdock_table_watch_tick (fixture.watch, now_us);
+  CU_ASSERT_EQUAL (fixture.store.calls, 1);
+  now_us += 3000000;
+  burdock_table_watch_call_again (fixture.watch, 1000, now_us);
+  burdock_table_watch_tick (fixture.watch, now_us);
+  CU_ASSERT_EQUAL (fixture.store.calls, 2);
+  fixture.ends_at_us = 0;
+  fixture.finished = false;
+  run_until_answered (&fixture);
+  close_fixture (&fixture);
+  CU_ASSERT_PTR_NOT_NULL (strstr (script_server_request_lines (), "pageSize=250 "));
+}
+
 typedef struct {
   const char *value; /* NULL to remove the row */
   const char *answers[2];
@@ -893,6 +921,8 @@
   { "a row is lost when a write fails", rows_are_written_once_the_store_answers },
   { "a change is missed for as long as a long poll lasts",
     a_call_without_an_answer_can_be_repeated },
+  { "a call is repeated while its answer arrives",
+    a_call_whose_answer_arrives_is_not_repeated },
   { "a row removed long after an outage is taken for an expired one",
     reachability_dates_from_the_start_of_the_call },
   { "a change of a table is lost or reverted", watch_delivers_the_table },
