Refuse a configuration row whose generation is out of range

A row of another writer with generation 2^63 - 1 was read, and the next submission would have written one that does not fit into the row, which no member can read. A row without a generation, or with one of another type, counted as generation 0, which in the row of an attempt means that it was settled. Such rows are malformed now.

--- a/libburdock/config-row.c
+++ b/libburdock/config-row.c
@@ -7,6 +7,10 @@
 #include <sodium.h>
 #include <string.h>
 
+/* JSON numbers are exact up to 2^53. After a higher one there may be no generation that a
+ * row can have. */
+#define GENERATION_MAX (INT64_C (1) << 53)
+
 void
 burdock_config_hash (BurdockBytes body, uint8_t hash[BURDOCK_HASH_BYTES])
 {
@@ -26,10 +30,12 @@
   const char *hash = json_string_value (json_object_get (root, "hash"));
   const char *attempt = json_string_value (json_object_get (root, "attempt"));
   const char *operator_name = json_string_value (json_object_get (root, "operator"));
-  json_int_t generation = json_integer_value (json_object_get (root, "generation"));
+  const json_t *number = json_object_get (root, "generation");
+  json_int_t generation = json_integer_value (number);
   size_t hash_bytes = 0;
 
-  if (attempt == NULL || generation < 0)
+  if (attempt == NULL || !json_is_integer (number) || generation < 0 ||
+      generation > GENERATION_MAX)
     return -EPROTO;
   burdock_copy_name (row->attempt_id, sizeof row->attempt_id, attempt);
   if (operator_name != NULL)
--- a/tests/test-config-controller.c
+++ b/tests/test-config-controller.c
@@ -469,7 +469,56 @@
   fleet_free (fleet);
 }
 
+#define HASH_TEXT "00000000000000000000000000000000000000000000000000000000000000ff"
+
+typedef struct {
+  const char *value;
+  int status;
+  uint64_t generation;
+} RowCase;
+
+static const RowCase row_cases[] = {
+  { "{\"generation\":7,\"hash\":\"" HASH_TEXT "\",\"attempt\":\"a\",\"operator\":\"o\"}",
+    0, 7 },
+  { "{\"generation\":9007199254740992,\"hash\":\"" HASH_TEXT "\",\"attempt\":\"a\"}", 0,
+    UINT64_C (1) << 53 },
+  { "{\"generation\":0,\"attempt\":\"a\"}", 0, 0 },
+  { "{\"generation\":9007199254740993,\"hash\":\"" HASH_TEXT "\",\"attempt\":\"a\"}",
+    -EPROTO, 0 },
+  { "{\"generation\":9223372036854775807,\"hash\":\"" HASH_TEXT "\",\"attempt\":\"a\"}",
+    -EPROTO, 0 },
+  { "{\"generation\":1e300,\"hash\":\"" HASH_TEXT "\",\"attempt\":\"a\"}", -EPROTO, 0 },
+  { "{\"generation\":\"7\",\"hash\":\"" HASH_TEXT "\",\"attempt\":\"a\"}", -EPROTO, 0 },
+  { "{\"hash\":\"" HASH_TEXT "\",\"attempt\":\"a\"}", -EPROTO, 0 },
+  { "{\"generation\":-1,\"hash\":\"" HASH_TEXT "\",\"attempt\":\"a\"}", -EPROTO, 0 },
+  { "{\"generation\":7,\"hash\":\"" HASH_TEXT "00\",\"attempt\":\"a\"}", -EPROTO, 0 },
+  { "{\"generation\":7,\"hash\":\"x\",\"attempt\":\"a\"}", -EPROTO, 0 },
+  { "{\"generation\":7,\"hash\":7,\"attempt\":\"a\"}", -EPROTO, 0 },
+  { "{\"generation\":7,\"hash\":\"" HASH_TEXT "\"}", -EPROTO, 0 },
+  { "[[[[", -EPROTO, 0 },
+  { "", -EPROTO, 0 },
+};
+
+/* Guards against a row of another writer whose generation is the last one that a row can
+ * have, so that no configuration after it is accepted, and against one without a
+ * generation that is taken for an attempt that was settled. */
+static void
+odd_rows_are_malformed (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (row_cases); i++) {
+    const char *value = row_cases[i].value;
+    BurdockBytes bytes = { (const uint8_t *)value, (uint32_t)strlen (value) };
+    BurdockConfigRow row;
+
+    if (burdock_config_row_parse (bytes, &row) != row_cases[i].status ||
+        row.generation != row_cases[i].generation)
+      CU_FAIL (value);
+  }
+}
+
 static const Test tests[] = {
+  { "the row of another writer keeps out all later configurations",
+    odd_rows_are_malformed },
   { "an accepted configuration is reported wrongly or accepted twice",
     acceptance_survives_lost_answers },
   { "two operators both win a race, or neither does, or the loser is not notified",
