Ignore a repeated SIGTERM in a planned stop, and end it early at SIGINT

A platform may send SIGTERM again until a process has ended. The second one ended the stop at once, so that running requests were cut off. It is logged and ignored now; SIGINT in a stop ends it early, as the second signal did.

--- a/daemon/stop.c
+++ b/daemon/stop.c
@@ -53,7 +53,17 @@
   return (uint64_t)now.tv_sec * MS_PER_S + (uint64_t)now.tv_nsec / NS_PER_MS;
 }
 
-/* Returns the signal received, or 0 at @until_ms. */
+/* Whether a signal that is received in a stop changes nothing. */
+static bool
+is_ignored (int signo)
+{
+  if (signo == SIGTERM)
+    burdock_log (BURDOCK_LOG_INFO, "planned stop", "-", "repeated SIGTERM ignored");
+  return signo == SIGTERM || signo == SIGHUP ||
+         (signo == SIGUSR1 && !atomic_load (&drained));
+}
+
+/* Returns SIGUSR1 once the process is drained, SIGINT, or 0 at @until_ms. */
 static int
 wait_signal (const sigset_t *set, uint64_t until_ms)
 {
@@ -64,7 +74,7 @@
                                 .tv_nsec = (long)(left_ms % MS_PER_S) * NS_PER_MS };
     int signo = sigtimedwait (set, NULL, &timeout);
 
-    if ((signo == SIGUSR1 && !atomic_load (&drained)) || signo == SIGHUP)
+    if (is_ignored (signo))
       continue;
     if (signo > 0)
       return signo;
@@ -109,6 +119,6 @@
     burdock_log (BURDOCK_LOG_INFO, "planned stop", "-", "drained");
     return true;
   }
-  give_up (stop, &set, signo == 0 ? "the stop limit" : "a second signal");
+  give_up (stop, &set, signo == 0 ? "the stop limit" : "SIGINT");
   return false;
 }
--- a/daemon/stop.h
+++ b/daemon/stop.h
@@ -2,9 +2,10 @@
  * DOC: stop.h - signals and graceful shutdown ("planned stop") of a daemon
  *
  * The main thread only waits for signals. The first SIGTERM or SIGINT starts a planned
- * stop, in which the process drains its requests; at a second one or at the stop limit it
- * gives up those that still run. SIGHUP is ignored, and logged unless a stop is in
- * progress.
+ * stop, in which the process drains its requests. At the stop limit, or at SIGINT in the
+ * stop, it gives up those that still run. A repeated SIGTERM is logged and ignored, as a
+ * platform may repeat it until the process has ended. SIGHUP is ignored, and logged
+ * unless a stop is in progress.
  */
 #ifndef BURDOCK_STOP_H
 #define BURDOCK_STOP_H
@@ -27,8 +28,8 @@
  * @limit_ms: time from the first signal until requests that still run are given up
  * @finish_ms: time for the last answers to be written after that
  * @drain: called at the first signal
- * @finish: called if the process is not drained at the limit, or at a second signal; ends
- *   the open requests and has burdock_stop_notify_drained() called. May be NULL
+ * @finish: called if the process is not drained at the limit, or at SIGINT; ends the open
+ *   requests and has burdock_stop_notify_drained() called. May be NULL
  */
 typedef struct {
   void *ctx;
--- a/tests/system/faults.py
+++ b/tests/system/faults.py
@@ -441,7 +441,7 @@
 
 def entry_stop_cut_short(trial):
     """
-    Guards against requests without an outcome when a second signal cuts a stop short.
+    Guards against requests without an outcome when SIGINT cuts a stop short.
 
     The entry exits at once with status 1, after it has ended its open requests as "unknown"
     with the reason "leaving".
@@ -459,8 +459,8 @@
         for request in interrupted.requests), 10)
     entry.signal(signal.SIGTERM)
     wait_until("the start of the planned stop", lambda: "planned stop" in entry.log_tail(), 10)
-    entry.signal(signal.SIGTERM)
-    expect(entry.wait_exit(10) == 1, "entry-0 does not exit with status 1 after a second SIGTERM")
+    entry.signal(signal.SIGINT)
+    expect(entry.wait_exit(10) == 1, "entry-0 does not exit with status 1 after SIGINT")
     for request in interrupted.join():
         expect(request.outcome == "unknown" and request.reason == "leaving",
                f"{request.key}: {request.outcome}: {request.reason}")
@@ -468,6 +468,25 @@
         expect(request.outcome == "answered", f"{request.key}: {request.outcome}")
 
 
+def sigterm_repeated(trial):
+    """
+    Guards against streams that are cut off because a platform repeats SIGTERM.
+
+    An entry and an agent get SIGTERM three times while long streams run. All streams are
+    answered, and both processes exit with status 0.
+    """
+    repeatable, once, _, agent = start_long_streams(trial, "repeated")
+    processes = [trial.cluster.entries["entry-0"], trial.cluster.agents[agent]]
+    for _ in range(3):
+        for process in processes:
+            process.signal(signal.SIGTERM)
+        time.sleep(0.1)
+    for request in repeatable.join() + once.join():
+        expect(request.outcome == "answered", f"{request.key}: {request.outcome}")
+    for process in processes:
+        expect(process.wait_exit(20) == 0, f"{process.name} does not exit with status 0")
+
+
 def agent_stops(trial):
     """Guards against requests that a planned stop of an agent cuts, and new work for it."""
     load = trial.start_load(16)
@@ -602,8 +621,8 @@
              coordinator_killed_mid_switch, agent_killed_mid_switch, store_down,
              store_restored,
              lost_answer_of_accept, lost_answer_of_claim, operators_race, lease_holder_frozen,
-             same_key_twice, entry_stops, entry_stop_cut_short, agent_stops, agent_stops_in_hold,
-             agent_stops_before_hold, instance_list_notice, entry_and_agent_killed,
+             same_key_twice, entry_stops, entry_stop_cut_short, sigterm_repeated, agent_stops,
+             agent_stops_in_hold, agent_stops_before_hold, instance_list_notice, entry_and_agent_killed,
              agent_killed_twice, entry_restarts_in_outage]
 
 
