Refuse what has not run at the end of an entry's planned stop as not run

When a stop was cut short, the entry answered all open requests as "unknown", also those that had not been sent to an agent, so that their callers could not send them again. burdock_dispatcher_give_up() now refuses these as not run, after their claim is released or 0.5 s later, and refuses what still comes. main.c no longer polls: the traffic thread gives the requests up in the finish phase of daemon/stop.h and reports when all are answered.

entry_stop_cut_short of make faults also has a request whose claim is not written yet.

--- a/entry/callers.c
+++ b/entry/callers.c
@@ -13,7 +13,7 @@
  * struct Call - state of a caller's request, attached to its HTTP request
  * @key: request key as a quoted JSON string
  * @stream: whether the answer is streamed, one JSON line per token
- * @finished: the last part of the answer was delivered, or the request was abandoned
+ * @finished: the last part of the answer was delivered
  * @answer: text of the tokens received so far, if the answer is not streamed
  */
 typedef struct {
@@ -378,16 +378,3 @@
   free (call);
   burdock_http_set_data (http, NULL);
 }
-
-void
-burdock_callers_abandon (void *ctx, BurdockHttpRequest *http)
-{
-  BurdockEntryTraffic *traffic = ctx;
-  Call *call = burdock_http_data (http);
-
-  if (call == NULL || call->finished)
-    return;
-  call->finished = true;
-  burdock_dispatcher_cancel (traffic->dispatcher, burdock_http_id (http));
-  deliver_failure (traffic, http, call, BURDOCK_REASON_LEAVING, BURDOCK_RAN_UNKNOWN);
-}
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -75,8 +75,7 @@
   atomic_uint in_flight;
 };
 
-/* Functions posted to a loop (*_leave, *_finish, burdock_entry_traffic_abandon()) have
- * the entry as @ctx. */
+/* Functions posted to a loop (*_leave, *_finish, *_give_up) have the entry as @ctx. */
 
 /* Control thread, control-thread.c. */
 
@@ -114,10 +113,11 @@
 void burdock_entry_traffic_finish (void *ctx);
 
 /**
- * burdock_entry_traffic_abandon() - answers all open requests with "unknown"
- * Called when a planned stop is cut short.
+ * burdock_entry_traffic_give_up() - ends all open requests and accepts no further
+ * connections
+ * Called at the end of a planned stop in which the entry was not drained.
  */
-void burdock_entry_traffic_abandon (void *ctx);
+void burdock_entry_traffic_give_up (void *ctx);
 
 /* Requests of callers, callers.c. */
 
@@ -136,12 +136,6 @@
 void burdock_callers_handle_closed (BurdockEntryTraffic *traffic,
                                     BurdockHttpRequest *http, bool complete);
 
-/**
- * burdock_callers_abandon() - answers an open request of a caller with "unknown"
- * @ctx: the &BurdockEntryTraffic
- */
-void burdock_callers_abandon (void *ctx, BurdockHttpRequest *http);
-
 /* Calls of operators, and metrics, admin.c. */
 
 /** burdock_admin_handle_request() - authenticates and handles a call of an operator */
--- a/entry/main.c
+++ b/entry/main.c
@@ -8,14 +8,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
 
 #define PROGRAM "burdock-entry"
 
-/* When a planned stop is cut short, open requests get up to 1 s for their final answers
- * to be written. */
-#define ABANDON_POLLS 100
-#define ABANDON_POLL_US 10000
+/* Time for the last answers of a planned stop; those that wait for the store to release a
+ * claim are written after half of it at the latest. */
+#define FINISH_MS 1000
 
 static void
 log_addresses (const BurdockEntry *entry)
@@ -39,14 +37,11 @@
 }
 
 static void
-abandon_requests (BurdockEntry *entry)
+give_up_requests (void *ctx)
 {
-  burdock_loop_post (entry->traffic.runtime.loop, burdock_entry_traffic_abandon, entry);
-  for (uint32_t i = 0; i < ABANDON_POLLS; i++) {
-    usleep (ABANDON_POLL_US);
-    if (atomic_load (&entry->in_flight) == 0)
-      return;
-  }
+  BurdockEntry *entry = ctx;
+
+  burdock_loop_post (entry->traffic.runtime.loop, burdock_entry_traffic_give_up, entry);
 }
 
 /* The HTTP address is bound first: with port 0, control must know the port that was bound
@@ -56,7 +51,9 @@
 {
   BurdockStop stop = { .ctx = entry,
                        .limit_ms = entry->settings.library.stop_limit_ms,
-                       .drain = start_planned_stop };
+                       .finish_ms = FINISH_MS,
+                       .drain = start_planned_stop,
+                       .finish = give_up_requests };
   bool drained;
 
   if (burdock_entry_traffic_init (entry) < 0) {
@@ -73,8 +70,6 @@
       burdock_runtime_start (&entry->control.runtime) < 0)
     return EXIT_FAILURE;
   drained = burdock_stop_wait (&stop);
-  if (!drained)
-    abandon_requests (entry);
   burdock_runtime_stop (&entry->control.runtime);
   burdock_runtime_stop (&entry->traffic.runtime);
   /* Functions that one thread has posted to the other still refer to the objects that are
--- a/entry/traffic-thread.c
+++ b/entry/traffic-thread.c
@@ -231,11 +231,10 @@
 }
 
 void
-burdock_entry_traffic_abandon (void *ctx)
+burdock_entry_traffic_give_up (void *ctx)
 {
   BurdockEntry *entry = ctx;
 
-  burdock_http_server_quiesce (entry->traffic.http);
-  burdock_http_server_each (entry->traffic.http, burdock_callers_abandon,
-                            &entry->traffic);
+  burdock_dispatcher_give_up (entry->traffic.dispatcher);
+  burdock_entry_traffic_finish (entry);
 }
--- a/libburdock/burdock.h
+++ b/libburdock/burdock.h
@@ -630,6 +630,20 @@
 void burdock_dispatcher_submit (BurdockDispatcher *dispatcher,
                                 const BurdockRequest *request);
 
+/**
+ * burdock_dispatcher_begin_stop() - begins a planned stop
+ * @end_us: time at which burdock_dispatcher_give_up() follows, by env->now_us
+ * From now on, requests whose deadline is after the end are refused as not run.
+ */
+void burdock_dispatcher_begin_stop (BurdockDispatcher *dispatcher, uint64_t end_us);
+
+/**
+ * burdock_dispatcher_give_up() - ends all open requests at the end of a planned stop
+ * A request that has not run is refused as not run, once its claim is released or after
+ * 500 ms; any other one ends as unknown. Requests from now on are refused as not run.
+ */
+void burdock_dispatcher_give_up (BurdockDispatcher *dispatcher);
+
 /** burdock_dispatcher_cancel() - the caller disconnected; no further delivery follows */
 void burdock_dispatcher_cancel (BurdockDispatcher *dispatcher, uint64_t handle);
 
--- a/libburdock/dispatch.c
+++ b/libburdock/dispatch.c
@@ -93,8 +93,9 @@
   remove_request (dispatcher, state);
 }
 
-static void
-deliver_refusal (BurdockDispatcher *dispatcher, BurdockRequestState *state)
+void
+burdock_dispatch_deliver_refusal (BurdockDispatcher *dispatcher,
+                                  BurdockRequestState *state)
 {
   BurdockEndpoint *endpoint = &dispatcher->endpoint;
   BurdockDelivery delivery = { .handle = state->request.handle,
@@ -147,7 +148,7 @@
       return;
   } else if (claim != NULL)
     burdock_claims_keep (claim);
-  deliver_refusal (dispatcher, state);
+  burdock_dispatch_deliver_refusal (dispatcher, state);
 }
 
 void
@@ -366,7 +367,7 @@
   if (state == NULL)
     return;
   if (state->phase == BURDOCK_REQUEST_RELEASING) {
-    deliver_refusal (dispatcher, state);
+    burdock_dispatch_deliver_refusal (dispatcher, state);
     return;
   }
   record_event (dispatcher, state, BURDOCK_EVENT_DECISION, "claim settled",
--- a/libburdock/dispatcher-private.h
+++ b/libburdock/dispatcher-private.h
@@ -11,7 +11,14 @@
 #include "admission.h"
 #include "outcomes.h"
 #include "router.h"
+#include "stop-policy.h"
 
+/**
+ * struct BurdockDispatcher - state of a dispatcher
+ * @stop: planned stop of the process
+ * @release_limit_us: time at which refused requests are answered although the claim is
+ *   not released yet; UINT64_MAX until the requests are given up
+ */
 struct BurdockDispatcher {
   BurdockEndpoint endpoint;
   BurdockSnapshot *snapshot;
@@ -20,6 +27,8 @@
   BurdockOutcomes *outcomes;
   BurdockAdmission *admission;
   BurdockRouter *router;
+  BurdockStopPolicy stop;
+  uint64_t release_limit_us;
 };
 
 /* Outcomes; each function removes and frees the request, some after a store call. */
@@ -37,6 +46,11 @@
 void burdock_dispatch_refuse (BurdockDispatcher *dispatcher, BurdockRequestState *state,
                               BurdockReason reason);
 
+/** burdock_dispatch_deliver_refusal() - delivers the outcome of a request in phase
+ * RELEASING, whose claim need not be released yet */
+void burdock_dispatch_deliver_refusal (BurdockDispatcher *dispatcher,
+                                       BurdockRequestState *state);
+
 /** burdock_dispatch_drop() - ends a request whose caller disconnected; no delivery */
 void burdock_dispatch_drop (BurdockDispatcher *dispatcher, BurdockRequestState *state);
 
--- a/libburdock/dispatcher.c
+++ b/libburdock/dispatcher.c
@@ -29,6 +29,10 @@
 #define CLAIM_READS_PER_S 300
 #define CLAIM_QUEUE_LIMIT 256
 
+/* Time for the release of claims when the requests are given up; the answer of the table
+ * service usually takes a few milliseconds. */
+#define GIVE_UP_RELEASE_US (500 * US_PER_MS)
+
 #define PREFIX_BLOCK_BYTES 64
 #define FNV_OFFSET UINT64_C (0xcbf29ce484222325)
 #define FNV_PRIME UINT64_C (0x100000001b3)
@@ -49,6 +53,7 @@
   dispatcher->outcomes = burdock_outcomes_new (OUTCOME_LIMIT);
   dispatcher->admission = burdock_admission_new ();
   dispatcher->router = burdock_router_new (endpoint->member_id);
+  dispatcher->release_limit_us = UINT64_MAX;
   return dispatcher;
 }
 
@@ -212,26 +217,19 @@
   return effective->deadline_ms > 0 ? effective->deadline_ms : DEFAULT_DEADLINE_MS;
 }
 
-void
-burdock_dispatcher_submit (BurdockDispatcher *dispatcher, const BurdockRequest *request)
+static void
+add_request (BurdockDispatcher *dispatcher, const BurdockRequest *request,
+             const BurdockEffectiveSettings *effective, const BurdockPool *pool,
+             uint64_t deadline_us)
 {
   uint64_t now_us = burdock_endpoint_now (&dispatcher->endpoint);
-  const BurdockEffectiveSettings *effective = NULL;
-  const BurdockPool *pool = NULL;
-  BurdockReason reason = check_request (dispatcher, request, &effective, &pool);
+  BurdockRequestState *state =
+      burdock_requests_add (dispatcher->requests, request, now_us);
   BurdockRequestState *evicted;
-  BurdockRequestState *state;
+  BurdockReason reason;
 
-  burdock_count (&dispatcher->endpoint.counters, BURDOCK_COUNTER_REQUESTS, 1);
-  if (reason != BURDOCK_REASON_NONE) {
-    refuse_submission (dispatcher, request, reason, BURDOCK_RAN_NOT_RUN);
-    return;
-  }
-  if (answer_from_outcome (dispatcher, request))
-    return;
-  state = burdock_requests_add (dispatcher->requests, request, now_us);
   state->priority = request->has_priority ? request->priority : effective->priority;
-  state->deadline_us = now_us + choose_deadline_ms (request, effective) * US_PER_MS;
+  state->deadline_us = deadline_us;
   hash_prefixes (state);
   if (!request->idempotent)
     burdock_outcomes_begin (dispatcher->outcomes, request->workspace, request->key,
@@ -247,6 +245,61 @@
   burdock_dispatch_queued (dispatcher);
 }
 
+void
+burdock_dispatcher_submit (BurdockDispatcher *dispatcher, const BurdockRequest *request)
+{
+  uint64_t now_us = burdock_endpoint_now (&dispatcher->endpoint);
+  const BurdockEffectiveSettings *effective = NULL;
+  const BurdockPool *pool = NULL;
+  BurdockReason reason = check_request (dispatcher, request, &effective, &pool);
+  uint64_t deadline_us;
+
+  burdock_count (&dispatcher->endpoint.counters, BURDOCK_COUNTER_REQUESTS, 1);
+  if (reason != BURDOCK_REASON_NONE) {
+    refuse_submission (dispatcher, request, reason, BURDOCK_RAN_NOT_RUN);
+    return;
+  }
+  if (answer_from_outcome (dispatcher, request))
+    return;
+  deadline_us = now_us + choose_deadline_ms (request, effective) * US_PER_MS;
+  if (burdock_stop_policy_admits (&dispatcher->stop, deadline_us))
+    add_request (dispatcher, request, effective, pool, deadline_us);
+  else
+    refuse_submission (dispatcher, request, BURDOCK_REASON_LEAVING, BURDOCK_RAN_NOT_RUN);
+}
+
+/* Planned stop */
+
+void
+burdock_dispatcher_begin_stop (BurdockDispatcher *dispatcher, uint64_t end_us)
+{
+  burdock_stop_policy_begin (&dispatcher->stop,
+                             burdock_endpoint_now (&dispatcher->endpoint), end_us);
+}
+
+void
+burdock_dispatcher_give_up (BurdockDispatcher *dispatcher)
+{
+  BurdockEndpoint *endpoint = &dispatcher->endpoint;
+  uint64_t now_us = burdock_endpoint_now (endpoint);
+  BurdockRequestState *next;
+
+  burdock_timeline_add (endpoint->timeline, BURDOCK_LOG_WARNING, BURDOCK_EVENT_DRAIN,
+                        "requests given up", "-", endpoint->name, "%u open",
+                        burdock_requests_count (dispatcher->requests));
+  burdock_dispatcher_begin_stop (dispatcher, now_us);
+  dispatcher->release_limit_us = now_us + GIVE_UP_RELEASE_US;
+  for (BurdockRequestState *state = burdock_requests_first (dispatcher->requests);
+       state != NULL; state = next) {
+    next = state->next;
+    if (state->phase == BURDOCK_REQUEST_RELEASING)
+      continue;
+    if (state->phase == BURDOCK_REQUEST_RUNNING)
+      burdock_dispatch_cancel_attempt (dispatcher, state);
+    burdock_dispatch_refuse (dispatcher, state, BURDOCK_REASON_LEAVING);
+  }
+}
+
 void
 burdock_dispatcher_cancel (BurdockDispatcher *dispatcher, uint64_t handle)
 {
@@ -482,8 +535,11 @@
 check_timeouts (BurdockDispatcher *dispatcher, BurdockRequestState *state,
                 uint64_t now_us)
 {
-  if (state->phase == BURDOCK_REQUEST_RELEASING)
+  if (state->phase == BURDOCK_REQUEST_RELEASING) {
+    if (dispatcher->release_limit_us <= now_us)
+      burdock_dispatch_deliver_refusal (dispatcher, state);
     return;
+  }
   if (state->deadline_us <= now_us) {
     if (state->phase == BURDOCK_REQUEST_RUNNING)
       burdock_dispatch_cancel_attempt (dispatcher, state);
@@ -505,8 +561,11 @@
 
   for (const BurdockRequestState *state = burdock_requests_first (dispatcher->requests);
        state != NULL; state = state->next) {
-    if (state->phase == BURDOCK_REQUEST_RELEASING)
+    if (state->phase == BURDOCK_REQUEST_RELEASING) {
+      if (dispatcher->release_limit_us < next_us)
+        next_us = dispatcher->release_limit_us;
       continue;
+    }
     if (state->deadline_us < next_us)
       next_us = state->deadline_us;
     if (state->phase == BURDOCK_REQUEST_WAITING && state->not_before_us > now_us &&
--- a/tests/system/faults.py
+++ b/tests/system/faults.py
@@ -443,10 +443,17 @@
     """
     Guards against requests without an outcome when SIGINT cuts a stop short.
 
-    The entry exits at once with status 1, after it has ended its open requests as "unknown"
-    with the reason "leaving".
+    The entry exits at once with status 1, after it has ended its open requests with the
+    reason "leaving": as "unknown" if they run, as "not-run" if their claim is not written
+    yet.
     """
     port, entry = trial.entry_port("entry-0"), trial.cluster.entries["entry-0"]
+    platform = trial.cluster.platform
+    hits = platform.stats()["faults_hit"]
+    platform.fault("stall", path="/table/transaction", match="waiting", count=1, ms=8000)
+    waiting = trial.start_requests([booking_request("waiting", idempotent=False)],
+                                   FixedDirectory(port))
+    wait_until("the write of the claim", lambda: platform.stats()["faults_hit"] > hits, 10)
     repeatable = trial.start_requests(
         [model_request(f"again-{i}", LONG_TOKENS) for i in range(6)],
         FixedDirectory(port, *trial.other_ports("entry-0")), retries=4)
@@ -461,6 +468,9 @@
     wait_until("the start of the planned stop", lambda: "planned stop" in entry.log_tail(), 10)
     entry.signal(signal.SIGINT)
     expect(entry.wait_exit(10) == 1, "entry-0 does not exit with status 1 after SIGINT")
+    request = waiting.join()[0]
+    expect(request.outcome == "not-run" and request.reason == "leaving",
+           f"{request.key}: {request.outcome}: {request.reason}")
     for request in interrupted.join():
         expect(request.outcome == "unknown" and request.reason == "leaving",
                f"{request.key}: {request.outcome}: {request.reason}")
@@ -621,8 +631,9 @@
              coordinator_killed_mid_switch, agent_killed_mid_switch, store_down,
              store_restored,
              lost_answer_of_accept, lost_answer_of_claim, operators_race, lease_holder_frozen,
-             same_key_twice, entry_stops, entry_stop_cut_short, sigterm_repeated, agent_stops,
-             agent_stops_in_hold, agent_stops_before_hold, instance_list_notice, entry_and_agent_killed,
+             same_key_twice, entry_stops, entry_stop_cut_short, sigterm_repeated,
+             agent_stops, agent_stops_in_hold,
+             agent_stops_before_hold, instance_list_notice, entry_and_agent_killed,
              agent_killed_twice, entry_restarts_in_outage]
 
 
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -237,6 +237,20 @@
     burdock_dispatcher_set_snapshot (dispatcher,
                                      traffic_snapshot (2, AGENT_INCARNATION, 4));
     break;
+  case 'b': /* a planned stop begins, with time for the request */
+    burdock_dispatcher_begin_stop (dispatcher, traffic.now_us + (DEADLINE_MS + 100) *
+                                                                    TRAFFIC_US_PER_MS);
+    break;
+  case 'B': /* a planned stop begins, which ends before the request */
+    burdock_dispatcher_begin_stop (dispatcher, traffic.now_us + (DEADLINE_MS + 99) *
+                                                                    TRAFFIC_US_PER_MS);
+    break;
+  case 'U': /* the planned stop ends */
+    burdock_dispatcher_give_up (dispatcher);
+    break;
+  case 'm': /* a second request with another key */
+    submit (2, idempotent, service, "other");
+    break;
   case 'w': /* wait for the backoff */
     advance (300 * TRAFFIC_US_PER_MS);
     break;
@@ -341,6 +355,28 @@
   { "same key after an unknown outcome", UNIQUE_CALL, "Cxk", 1, 0,
     ENDED (2, REFUSED, CLAIMED, UNKNOWN) },
   { "sending fails: another upstream", STREAM, "xswuwwwwwD", 2, 0, END (0) },
+  { "end of the stop in a stream", STREAM, "ttBUtw", 1, 1,
+    ENDED (1, BROKEN, LEAVING, UNKNOWN) },
+  { "end of the stop before the first token", STREAM, "BUtw", 1, 1,
+    ENDED (1, REFUSED, LEAVING, UNKNOWN) },
+  { "end of the stop without the start of one: second signal", STREAM, "tU", 1, 1,
+    ENDED (1, BROKEN, LEAVING, UNKNOWN) },
+  { "end of the stop while it waits: not run", STREAM, "GBU", 1, 0,
+    ENDED (1, REFUSED, LEAVING, NOT_RUN) },
+  { "end of the stop in a call", UNIQUE_CALL, "CBUw", 1, 1,
+    ENDED (1, REFUSED, LEAVING, UNKNOWN) },
+  { "end of the stop while claiming: not run", UNIQUE_CALL, "BUC", 0, 0,
+    ENDED (1, REFUSED, LEAVING, NOT_RUN) },
+  { "end of the stop, claim held: answered once it is released", UNIQUE_CALL, "CGBUw", 1,
+    0, NOTHING },
+  { "end of the stop, claim released: not run", UNIQUE_CALL, "CGBUC", 1, 0,
+    ENDED (1, REFUSED, LEAVING, NOT_RUN) },
+  { "end of the stop, the store is silent: not run", UNIQUE_CALL, "CGBUww", 1, 0,
+    ENDED (1, REFUSED, LEAVING, NOT_RUN) },
+  { "end of the stop while a refusal waits for the store", UNIQUE_CALL, "CGWBUww", 1, 0,
+    ENDED (1, REFUSED, DEADLINE, NOT_RUN) },
+  { "after the end of the stop: not run", STREAM, "DUm", 1, 0,
+    ENDED (2, REFUSED, LEAVING, NOT_RUN) },
 };
 
 static void
