Refuse requests that may outlast the planned stop of an entry

As the gateways did, an entry took requests in a stop whatever time was left, and those that ran at the stop limit ended as "unknown", also if they must not run twice. A request whose deadline is after the end of the stop is now refused at once as leaving, not-run (burdock_stop_policy_admits()).

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -65,6 +65,8 @@
  * @snapshot_slot: newest snapshot, from the control thread to the traffic thread
  * @usage_slot: newest load figures, from the traffic thread to the control thread
  * @in_flight: number of open requests, written by the traffic thread
+ * @stop_end_us: time at which a planned stop gives up the requests that still run; set
+ *   before the traffic thread is told of the stop
  */
 struct BurdockEntry {
   BurdockDaemonSettings settings;
@@ -73,6 +75,7 @@
   BurdockSlot snapshot_slot;
   BurdockSlot usage_slot;
   atomic_uint in_flight;
+  uint64_t stop_end_us;
 };
 
 /* Functions posted to a loop (*_leave, *_finish, *_give_up) have the entry as @ctx. */
@@ -103,7 +106,8 @@
 /** burdock_entry_traffic_clear() - releases everything; the thread must have ended */
 void burdock_entry_traffic_clear (BurdockEntry *entry);
 
-/** burdock_entry_traffic_leave() - from now on, each answer ends its connection */
+/** burdock_entry_traffic_leave() - from now on, each answer ends its connection, and
+ * requests that may outlast the stop are refused */
 void burdock_entry_traffic_leave (void *ctx);
 
 /**
--- a/entry/main.c
+++ b/entry/main.c
@@ -11,6 +11,8 @@
 
 #define PROGRAM "burdock-entry"
 
+#define US_PER_MS UINT64_C (1000)
+
 /* Time for the last answers of a planned stop; those that wait for the store to release a
  * claim are written after half of it at the latest. */
 #define FINISH_MS 1000
@@ -31,7 +33,9 @@
 start_planned_stop (void *ctx)
 {
   BurdockEntry *entry = ctx;
+  uint64_t limit_us = entry->settings.library.stop_limit_ms * US_PER_MS;
 
+  entry->stop_end_us = burdock_loop_now_us () + limit_us;
   burdock_loop_post (entry->traffic.runtime.loop, burdock_entry_traffic_leave, entry);
   burdock_loop_post (entry->control.runtime.loop, burdock_entry_control_leave, entry);
 }
--- a/entry/traffic-thread.c
+++ b/entry/traffic-thread.c
@@ -219,6 +219,7 @@
   BurdockEntry *entry = ctx;
 
   burdock_http_server_disable_keepalive (entry->traffic.http);
+  burdock_dispatcher_begin_stop (entry->traffic.dispatcher, entry->stop_end_us);
 }
 
 void
--- a/tests/system/faults.py
+++ b/tests/system/faults.py
@@ -497,6 +497,98 @@
         expect(process.wait_exit(20) == 0, f"{process.name} does not exit with status 0")
 
 
+def limit_stop(trial, processes, limit_ms):
+    """Restarts daemons with this stop limit and waits until all entries serve again."""
+    for process in processes:
+        process.signal(signal.SIGTERM)
+    for process in processes:
+        expect(process.wait_exit(20) == 0, f"{process.name} does not exit with status 0")
+        process.argv = process.argv + ["--stop-limit-ms", str(limit_ms)]
+        process.start()
+    for process in processes:
+        wait_until(f"{process.name} answers /health", lambda p=process: call(
+            trial.cluster.http_ports[p.name], "GET", "/health"), 10)
+    trial.cluster.wait_generation(1)
+    trial.cluster.wait_serving()
+
+
+def request_in_stop(number):
+    """Requests of 3 s, longer than a short stop, and requests that end before it does."""
+    once = number % 2 == 1
+    if number % 4 < 2:
+        return model_request(f"stop-long-{number}", 2 * LONG_TOKENS, idempotent=not once)
+    return model_request(f"stop-short-{number}", 10, idempotent=not once, stream=once,
+                         deadline_ms=700)
+
+
+def expect_no_loss(request):
+    """Checks that a request from a stop was answered, refused, or late on its own account."""
+    expect(request.outcome in ("answered", "not-run") or request.reason == "deadline",
+           f"{request.key}: {request.outcome}: {request.reason}")
+
+
+def entry_stops_at_limit(trial):
+    """
+    Guards against requests that an entry takes in a stop and cuts off at the stop limit.
+
+    The stop limit is 2 s. A request that is sent to the entry in the stop is answered, or
+    refused as not run so that another entry can serve it. One from before the stop that
+    still runs at the limit ends as "unknown" with the reason "leaving".
+    """
+    port, entry = trial.entry_port("entry-0"), trial.cluster.entries["entry-0"]
+    limit_stop(trial, [entry], 2000)
+    before = trial.start_requests([model_request(f"before-{i}", 3 * LONG_TOKENS, stream=i > 1)
+                                   for i in range(4)], FixedDirectory(port))
+    wait_until("all requests run", lambda: len(trial.agent_by_request(before.requests)) == 4, 10)
+    entry.signal(signal.SIGTERM)
+    batches = []
+    for number in range(24):
+        batches.append(trial.start_requests([request_in_stop(number)], FixedDirectory(port)))
+        time.sleep(0.05)
+    requests = [request for batch in batches for request in batch.join()]
+    for request in requests:
+        expect_no_loss(request)
+    for request in before.join():
+        expect(request.outcome == "unknown" and request.reason == "leaving",
+               f"{request.key}: {request.outcome}: {request.reason}")
+    expect(sum(request.outcome == "answered" for request in requests) > 0,
+           "no request was answered in the stop")
+    expect(entry.wait_exit(10) == 1, "entry-0 does not exit with status 1 at its stop limit")
+
+
+def agent_stops_at_limit(trial):
+    """
+    Guards against requests without an outcome, or second runs, when an agent reaches its
+    stop limit, and against streams that its engine goes on with.
+
+    The stop limit is 1 s. Idempotent streams that still run are resumed elsewhere, others
+    end as "unknown". Requests sent in the stop are not lost.
+    """
+    ranks = [f"west-{rank}" for rank in range(4)]
+    limit_stop(trial, [trial.cluster.agents[name] for name in ranks], 1000)
+    old = trial.start_requests([model_request(f"old-{i}", 3 * LONG_TOKENS, idempotent=i % 2 == 0)
+                                for i in range(24)])
+    old.wait_started()
+    agent_of = trial.agent_by_request(old.requests)
+    victim = max(ranks, key=lambda name: len(
+        {r.idempotent for r in old.requests if agent_of.get(r.key) == name}))
+    agent = trial.cluster.agents[victim]
+    agent.signal(signal.SIGTERM)
+    batches = []
+    for number in range(24):
+        batches.append(trial.start_requests([request_in_stop(number)]))
+        time.sleep(0.05)
+    expect(agent.wait_exit(10) == 1, f"{victim} does not exit with status 1 at its stop limit")
+    wait_until(f"the engine of {victim} has no stream", lambda: trial.cluster.group_stats(
+        "west")[ranks.index(victim)]["streams"] == 0, 1)
+    for request in [request for batch in batches for request in batch.join()]:
+        expect_no_loss(request)
+    for request in old.join():
+        cut = agent_of.get(request.key) == victim and not request.idempotent
+        expect(request.outcome == ("unknown" if cut else "answered"),
+               f"{request.key}: {request.outcome}: {request.reason}")
+
+
 def agent_stops(trial):
     """Guards against requests that a planned stop of an agent cuts, and new work for it."""
     load = trial.start_load(16)
@@ -632,7 +724,7 @@
              store_restored,
              lost_answer_of_accept, lost_answer_of_claim, operators_race, lease_holder_frozen,
              same_key_twice, entry_stops, entry_stop_cut_short, sigterm_repeated,
-             agent_stops, agent_stops_in_hold,
+             entry_stops_at_limit, agent_stops_at_limit, agent_stops, agent_stops_in_hold,
              agent_stops_before_hold, instance_list_notice, entry_and_agent_killed,
              agent_killed_twice, entry_restarts_in_outage]
 
