Tell entries the outcome of attempts at the end of an agent's planned stop

At its stop limit an agent ended without a word; the entries saw a closed connection, which proves nothing about an attempt. In the finish phase of daemon/stop.h the agent now cancels its attempts at the engine and sends their outcome: refused if the engine has not run them, so that the entry may send them elsewhere, also those that must not run twice; otherwise "unknown". An engine that is silent is waited for 250 ms. Attempts that still come are refused.

test-executor has the end of a stop; without the change of the reason and of the refusals: "not run at the engine: reason cancelled" and "an attempt is refused: starts 1".

--- a/agent/agent.h
+++ b/agent/agent.h
@@ -37,12 +37,14 @@
  * struct BurdockAgentTraffic - state of the traffic thread
  * @runtime: must be the first member, as in &BurdockAgentControl
  * @next_usage_us: time of the next load report to the control thread
+ * @finishing: the process ends once the outcome of each attempt is written
  */
 typedef struct {
   BurdockRuntime runtime;
   BurdockAgent *agent;
   BurdockExecutor *executor;
   uint64_t next_usage_us;
+  bool finishing;
 } BurdockAgentTraffic;
 
 /**
@@ -88,6 +90,10 @@
 /** burdock_agent_traffic_clear() - releases everything; the thread must have ended */
 void burdock_agent_traffic_clear (BurdockAgent *agent);
 
+/** burdock_agent_traffic_give_up() - ends all attempts at the end of a planned stop in
+ * which the agent was not drained; @ctx is the &BurdockAgent */
+void burdock_agent_traffic_give_up (void *ctx);
+
 /**
  * burdock_agent_set_snapshot() - passes the newest published snapshot to the executor
  * @ctx: the &BurdockAgentTraffic; runs on the traffic thread
--- a/agent/main.c
+++ b/agent/main.c
@@ -9,6 +9,10 @@
 
 #define PROGRAM "burdock-agent"
 
+/* Time for the last outcomes of a planned stop; the executor waits for half of it until
+ * the engine confirms that an attempt has ended. */
+#define FINISH_MS 500
+
 static void
 log_addresses (const BurdockSettings *settings)
 {
@@ -31,16 +35,24 @@
   burdock_loop_post (agent->control.runtime.loop, burdock_agent_control_leave, agent);
 }
 
+static void
+give_up_attempts (void *ctx)
+{
+  BurdockAgent *agent = ctx;
+
+  burdock_loop_post (agent->traffic.runtime.loop, burdock_agent_traffic_give_up, agent);
+}
+
 /* The traffic address is bound first: with port 0, control must know the port that was
- * bound before it announces the address. If the process ends while attempts are running,
- * it reports nothing about them: their entries see the connection end and report the
- * outcome to the callers. */
+ * bound before it announces the address. */
 static int
 run (BurdockAgent *agent)
 {
   BurdockStop stop = { .ctx = agent,
                        .limit_ms = agent->settings.library.stop_limit_ms,
-                       .drain = start_planned_stop };
+                       .finish_ms = FINISH_MS,
+                       .drain = start_planned_stop,
+                       .finish = give_up_attempts };
   bool drained;
 
   if (burdock_agent_traffic_init (agent) < 0) {
--- a/agent/traffic-thread.c
+++ b/agent/traffic-thread.c
@@ -1,4 +1,5 @@
 #include "agent.h"
+#include "stop.h"
 
 #include <errno.h>
 #include <stdlib.h>
@@ -58,16 +59,27 @@
 {
   BurdockAgentTraffic *traffic = ctx;
   uint64_t due_us = burdock_executor_tick (traffic->executor);
-
   /* A planned stop also waits for the last answers to be written. */
-  atomic_store (&traffic->agent->in_flight,
-                burdock_executor_in_flight (traffic->executor) +
-                    burdock_transport_pending_count (traffic->runtime.transport));
+  uint32_t in_flight = burdock_executor_in_flight (traffic->executor) +
+                       burdock_transport_pending_count (traffic->runtime.transport);
+
+  atomic_store (&traffic->agent->in_flight, in_flight);
+  if (traffic->finishing && in_flight == 0)
+    burdock_stop_notify_drained ();
   if (now_us >= traffic->next_usage_us)
     report_usage (traffic, now_us);
   return due_us < traffic->next_usage_us ? due_us : traffic->next_usage_us;
 }
 
+void
+burdock_agent_traffic_give_up (void *ctx)
+{
+  BurdockAgent *agent = ctx;
+
+  agent->traffic.finishing = true;
+  burdock_executor_give_up (agent->traffic.executor);
+}
+
 int
 burdock_agent_traffic_init (BurdockAgent *agent)
 {
--- a/libburdock/burdock.h
+++ b/libburdock/burdock.h
@@ -690,6 +690,20 @@
 void burdock_executor_free (BurdockExecutor *executor);
 void burdock_executor_set_snapshot (BurdockExecutor *executor, BurdockSnapshot *snapshot);
 
+/**
+ * burdock_executor_begin_stop() - begins a planned stop
+ * @end_us: time at which burdock_executor_give_up() follows, by env->now_us
+ * From now on, attempts whose deadline is after the end are refused.
+ */
+void burdock_executor_begin_stop (BurdockExecutor *executor, uint64_t end_us);
+
+/**
+ * burdock_executor_give_up() - ends all attempts at the end of a planned stop
+ * They are cancelled at the engine, and the entries get the outcome when the engine
+ * confirms it, or "unknown" after 250 ms. Attempts from now on are refused.
+ */
+void burdock_executor_give_up (BurdockExecutor *executor);
+
 /** burdock_executor_receive() - handles one frame from an entry; errors as above */
 int burdock_executor_receive (BurdockExecutor *executor, BurdockAddress from,
                               const uint8_t *frame, uint32_t length_bytes);
--- a/libburdock/executor.c
+++ b/libburdock/executor.c
@@ -2,6 +2,7 @@
 #include "endpoint.h"
 #include "error.h"
 #include "snapshot.h"
+#include "stop-policy.h"
 
 #include <errno.h>
 #include <stdlib.h>
@@ -33,6 +34,9 @@
  * -ETIMEDOUT. */
 #define CANCEL_TIMEOUT_US (2000 * US_PER_MS)
 
+/* The same at the end of a planned stop, when the process has little time left. */
+#define GIVE_UP_TIMEOUT_US (250 * US_PER_MS)
+
 typedef struct {
   BurdockAddress address;
   uint64_t last_received_us;
@@ -47,6 +51,8 @@
   uint32_t peer_allocated;
   ExecutorPeer *peers;
   uint64_t leaving_since_us; /* 0 while not leaving */
+  BurdockStopPolicy stop;
+  bool given_up; /* the attempts were ended at the end of the stop */
   uint64_t load_sent_us;
   uint32_t load_sent_running;
   bool load_urgent;
@@ -243,6 +249,9 @@
   if (executor->leaving_since_us != 0 &&
       now_us >= executor->leaving_since_us + LEAVING_GRACE_US)
     return BURDOCK_REASON_LEAVING;
+  if (!burdock_stop_policy_admits (&executor->stop,
+                                   now_us + message->deadline_ms * US_PER_MS))
+    return BURDOCK_REASON_LEAVING;
   if (message->generation < snapshot->generation)
     return BURDOCK_REASON_STALE_GENERATION;
   if (message->deadline_ms == 0)
@@ -344,17 +353,46 @@
 cancel_at_engine (BurdockExecutor *executor, BurdockAttempt *attempt)
 {
   const BurdockEnv *env = &executor->endpoint.env;
-  uint64_t give_up_us = burdock_endpoint_now (&executor->endpoint) + CANCEL_TIMEOUT_US;
+  uint64_t timeout_us = executor->given_up ? GIVE_UP_TIMEOUT_US : CANCEL_TIMEOUT_US;
+  uint64_t give_up_us = burdock_endpoint_now (&executor->endpoint) + timeout_us;
   BurdockEngineCall call = { .op = BURDOCK_ENGINE_CANCEL,
                              .target_id = attempt->engine_id };
 
+  if (!attempt->cancelled || give_up_us < attempt->deadline_us)
+    attempt->deadline_us = give_up_us;
   if (attempt->cancelled)
     return;
   attempt->cancelled = true;
-  attempt->deadline_us = give_up_us;
   env->engine (env->ctx, &call);
 }
 
+/* Planned stop */
+
+void
+burdock_executor_begin_stop (BurdockExecutor *executor, uint64_t end_us)
+{
+  burdock_stop_policy_begin (&executor->stop, burdock_endpoint_now (&executor->endpoint),
+                             end_us);
+}
+
+void
+burdock_executor_give_up (BurdockExecutor *executor)
+{
+  BurdockEndpoint *endpoint = &executor->endpoint;
+  BurdockAttempt *next;
+
+  burdock_timeline_add (endpoint->timeline, BURDOCK_LOG_WARNING, BURDOCK_EVENT_DRAIN,
+                        "attempts given up", "-", endpoint->name, "%u running",
+                        running_count (executor));
+  burdock_executor_begin_stop (executor, burdock_endpoint_now (endpoint));
+  executor->given_up = true;
+  for (BurdockAttempt *attempt = burdock_attempts_first_running (executor->attempts);
+       attempt != NULL; attempt = next) {
+    next = attempt->next;
+    cancel_at_engine (executor, attempt);
+  }
+}
+
 static void
 receive_cancel (BurdockExecutor *executor, BurdockAddress from, uint64_t hlc,
                 const BurdockAttemptId *id)
@@ -475,7 +513,8 @@
 
   if (not_run) {
     refuse_attempt (executor, attempt,
-                    attempt->cancelled         ? BURDOCK_REASON_CANCELLED
+                    executor->given_up         ? BURDOCK_REASON_LEAVING
+                    : attempt->cancelled       ? BURDOCK_REASON_CANCELLED
                     : event->status == -EAGAIN ? BURDOCK_REASON_OVERLOAD
                                                : BURDOCK_REASON_UPSTREAM_FAILED);
     return;
--- a/tests/test-executor.c
+++ b/tests/test-executor.c
@@ -147,6 +147,15 @@
     NONE, YES },
   { "leaving: refused after 2 s", "99B", BURDOCK_REASON_LEAVING, 0, 0, 1, 0,
     BURDOCK_REASON_LEAVING, YES },
+  { "end of the stop: the engine confirms", "A0Uf", NONE, 1, 1, 0, 1, NONE, UNKNOWN },
+  { "end of the stop: the engine is silent", "A0UW", NONE, 1, 1, 0, 1, NONE, UNKNOWN },
+  { "end of the stop: the engine is silent after a cancel", "A0cUW", NONE, 1, 1, 0, 1,
+    NONE, UNKNOWN },
+  { "end of the stop: a call ends nevertheless", "SUd", NONE, 1, 1, 0, 1, NONE, YES },
+  { "end of the stop: not run at the engine", "SUn", NONE, 1, 1, 1, 0,
+    BURDOCK_REASON_LEAVING, YES },
+  { "end of the stop: an attempt is refused", "UA", NONE, 0, 0, 1, 0,
+    BURDOCK_REASON_LEAVING, YES },
   { "leaving: running work is not cancelled", "L99", BURDOCK_REASON_LEAVING, 1, 0, 0, 0,
     NONE, YES },
 };
@@ -212,6 +221,18 @@
   case 'l': /* the connection to the entry is lost */
     burdock_executor_peer_lost (executor, (BurdockAddress){ 9, 9 });
     break;
+  case 'b': /* a planned stop begins, with time for an attempt */
+    burdock_executor_begin_stop (executor, traffic.now_us + 1100 * TRAFFIC_US_PER_MS);
+    break;
+  case 'P': /* a planned stop begins, which ends before an attempt */
+    burdock_executor_begin_stop (executor, traffic.now_us + 1099 * TRAFFIC_US_PER_MS);
+    break;
+  case 'U': /* the planned stop ends */
+    burdock_executor_give_up (executor);
+    break;
+  case 'W': /* the time for last outcomes is over */
+    advance (250 * TRAFFIC_US_PER_MS);
+    break;
   case '9':
     advance (2 * TRAFFIC_US_PER_S);
     break;
