Refuse attempts that may outlast the planned stop of an agent

A leaving agent accepted attempts for 2 s, as entries may not know that it leaves, whatever time was left; those that ran at the stop limit were cut off, and what must not run twice was lost. An attempt whose deadline is after the end of the stop is now refused as leaving, which proves that it has not run, so that the entry sends it to another agent.

--- a/agent/agent.h
+++ b/agent/agent.h
@@ -53,6 +53,8 @@
  * @usage_slot: newest load figures, from the traffic thread to the control thread
  * @in_flight: number of attempts that have not ended, plus the number of connections with
  *   answers that are not written yet; set by the traffic thread
+ * @stop_end_us: time at which a planned stop gives up the attempts that still run; set
+ *   before the traffic thread is told of the stop
  */
 struct BurdockAgent {
   BurdockDaemonSettings settings;
@@ -61,6 +63,7 @@
   BurdockSlot snapshot_slot;
   BurdockSlot usage_slot;
   atomic_uint in_flight;
+  uint64_t stop_end_us;
 };
 
 /* Control thread, control-thread.c. */
@@ -90,6 +93,10 @@
 /** burdock_agent_traffic_clear() - releases everything; the thread must have ended */
 void burdock_agent_traffic_clear (BurdockAgent *agent);
 
+/** burdock_agent_traffic_leave() - from now on, attempts that may outlast the stop are
+ * refused; @ctx is the &BurdockAgent */
+void burdock_agent_traffic_leave (void *ctx);
+
 /** burdock_agent_traffic_give_up() - ends all attempts at the end of a planned stop in
  * which the agent was not drained; @ctx is the &BurdockAgent */
 void burdock_agent_traffic_give_up (void *ctx);
--- a/agent/main.c
+++ b/agent/main.c
@@ -9,6 +9,8 @@
 
 #define PROGRAM "burdock-agent"
 
+#define US_PER_MS UINT64_C (1000)
+
 /* Time for the last outcomes of a planned stop; the executor waits for half of it until
  * the engine confirms that an attempt has ended. */
 #define FINISH_MS 500
@@ -31,7 +33,10 @@
 start_planned_stop (void *ctx)
 {
   BurdockAgent *agent = ctx;
+  uint64_t limit_us = agent->settings.library.stop_limit_ms * US_PER_MS;
 
+  agent->stop_end_us = burdock_loop_now_us () + limit_us;
+  burdock_loop_post (agent->traffic.runtime.loop, burdock_agent_traffic_leave, agent);
   burdock_loop_post (agent->control.runtime.loop, burdock_agent_control_leave, agent);
 }
 
--- a/agent/traffic-thread.c
+++ b/agent/traffic-thread.c
@@ -71,6 +71,14 @@
   return due_us < traffic->next_usage_us ? due_us : traffic->next_usage_us;
 }
 
+void
+burdock_agent_traffic_leave (void *ctx)
+{
+  BurdockAgent *agent = ctx;
+
+  burdock_executor_begin_stop (agent->traffic.executor, agent->stop_end_us);
+}
+
 void
 burdock_agent_traffic_give_up (void *ctx)
 {
