Let restarted agents act in the simulated rank group

An agent without a report of its engine names no time for its next tick, and the simulation never called it again: after a restart an agent only answered messages, unless a report came in the same millisecond. burdock-rank runs its hooks after each report, and so does the simulation now. All cases of test-map-agent pass as before, with the same bounds.

--- a/tests/support/fake-group.c
+++ b/tests/support/fake-group.c
@@ -412,6 +412,10 @@
   uint32_t bytes = 0;
 
   burdock_map_agent_handle_report (process->agent, &report, group->now_us);
+  /* The loop of burdock-rank runs its hooks after each report; without a report, the agent
+   * names no time. */
+  if (process->next_tick_us == UINT64_MAX)
+    process->next_tick_us = group->now_us;
   if (!burdock_map_agent_needs_hosted_experts (process->agent))
     return;
   for (uint32_t layer = 0; layer < LAYERS; layer++) {
