Let the agent of a rank end only after the hold that it has to release

burdock-rank ended at once at SIGTERM. If it coordinated a switch at that moment, a rank held its next step: the group waited until the next coordinator noticed, and if all agents of the group were stopped, until they were started again. The agent now begins no switch in a planned stop, abandons one in which no step is held yet, and ends when it has released the hold, after 1.5 s at the latest.

--- a/libburdock/map-agent-private.h
+++ b/libburdock/map-agent-private.h
@@ -128,6 +128,7 @@
   uint32_t gateway_count;
   bool has_shape;
   bool has_report;
+  bool leaving; /* planned stop: no switch is begun any more */
   bool has_order_map;
   bool knows_map;
   bool has_counts;
@@ -202,8 +203,12 @@
 void burdock_coordinator_order_done (BurdockMapAgent *agent, uint64_t id, int32_t status,
                                      uint64_t now_us);
 
+/** burdock_coordinator_may_hold() - whether a rank may hold a step that this coordinator
+ * has to release */
+bool burdock_coordinator_may_hold (const BurdockMapAgent *agent);
+
 /** burdock_coordinator_tick() - runs the current phase; returns the time of the next
- * call, in us, UINT64_MAX if another agent coordinates */
+ * call, in us, UINT64_MAX if another agent coordinates or this one is done and leaves */
 uint64_t burdock_coordinator_tick (BurdockMapAgent *agent, uint64_t now_us);
 
 /** burdock_map_agent_log() - formats a detail and passes it to the log callback */
--- a/libburdock/map-agent.c
+++ b/libburdock/map-agent.c
@@ -710,6 +710,18 @@
   return agent->next_counts_us < next_us ? agent->next_counts_us : next_us;
 }
 
+void
+burdock_map_agent_leave (BurdockMapAgent *agent)
+{
+  agent->leaving = true;
+}
+
+bool
+burdock_map_agent_may_end (const BurdockMapAgent *agent)
+{
+  return !burdock_coordinator_may_hold (agent);
+}
+
 BurdockMapAgentStats
 burdock_map_agent_stats (const BurdockMapAgent *agent)
 {
--- a/libburdock/map-agent.h
+++ b/libburdock/map-agent.h
@@ -186,6 +186,14 @@
  * UINT64_MAX without a report of the engine */
 uint64_t burdock_map_agent_tick (BurdockMapAgent *agent, uint64_t now_us);
 
+/** burdock_map_agent_leave() - begins a planned stop: a switch in which no rank holds a
+ * step yet is abandoned, and no other one is begun */
+void burdock_map_agent_leave (BurdockMapAgent *agent);
+
+/** burdock_map_agent_may_end() - whether no rank holds a step that this agent would have
+ * to release; to be called after each tick while the agent leaves */
+bool burdock_map_agent_may_end (const BurdockMapAgent *agent);
+
 BurdockMapAgentStats burdock_map_agent_stats (const BurdockMapAgent *agent);
 
 #endif
--- a/libburdock/map-coordinator.c
+++ b/libburdock/map-coordinator.c
@@ -698,6 +698,26 @@
          now_us - agent->coordinator.coordinates_since_us >= SETTLE_US;
 }
 
+bool
+burdock_coordinator_may_hold (const BurdockMapAgent *agent)
+{
+  const BurdockCoordinator *self = &agent->coordinator;
+
+  switch (self->phase) {
+  case BURDOCK_COORDINATOR_IDLE:
+  case BURDOCK_COORDINATOR_LOADING:
+  case BURDOCK_COORDINATOR_SWITCHING:
+    return false;
+  case BURDOCK_COORDINATOR_HOLDING:
+    return self->direct_order_id != 0 || self->step != 0;
+  case BURDOCK_COORDINATOR_ARMING:
+  case BURDOCK_COORDINATOR_RELEASING:
+  case BURDOCK_COORDINATOR_PROMISING:
+    break;
+  }
+  return true;
+}
+
 uint64_t
 burdock_coordinator_tick (BurdockMapAgent *agent, uint64_t now_us)
 {
@@ -705,6 +725,8 @@
 
   decay_rates (agent, now_us);
   cancel_stale_switch (agent, now_us);
+  if (agent->leaving && !burdock_coordinator_may_hold (agent))
+    return UINT64_MAX;
   if (!burdock_coordinator_is_self (agent, now_us))
     self->coordinates_since_us = 0;
   else if (self->coordinates_since_us == 0)
--- a/rank/main.c
+++ b/rank/main.c
@@ -30,6 +30,10 @@
  * fraction of a second. */
 #define REPORT_INTERVAL_US (100 * US_PER_MS)
 
+/* A switch in which a step is held takes less than 0.1 s, and 0.3 s if agents of other
+ * ranks are gone. After this time, the next coordinator has to end it. */
+#define STOP_LIMIT_MAX_MS 1500
+
 typedef struct {
   BurdockDaemonSettings settings;
   BurdockRuntime runtime;
@@ -40,6 +44,7 @@
   uint64_t next_report_us;
   bool reachable;
   bool reachability_known;
+  bool leaving;
 } Rank;
 
 static void
@@ -199,14 +204,26 @@
     burdock_runner_query_report (rank->runner);
   }
   next_us = burdock_map_agent_tick (rank->agent, now_us);
+  if (rank->leaving && burdock_map_agent_may_end (rank->agent))
+    burdock_stop_notify_drained ();
   return next_us < rank->next_report_us ? next_us : rank->next_report_us;
 }
 
-/* Nothing to drain: the process may end at once. */
 static void
-begin_stop (void *ctx)
+leave (void *ctx)
 {
-  burdock_stop_notify_drained ();
+  Rank *rank = ctx;
+
+  rank->leaving = true;
+  burdock_map_agent_leave (rank->agent);
+}
+
+static void
+post_leave (void *ctx)
+{
+  Rank *rank = ctx;
+
+  burdock_loop_post (rank->runtime.loop, leave, rank);
 }
 
 static int
@@ -253,7 +270,7 @@
 main (int argc, char **argv)
 {
   static Rank rank;
-  BurdockStop stop = { .ctx = &rank, .drain = begin_stop };
+  BurdockStop stop = { .ctx = &rank, .drain = post_leave };
 
   burdock_stop_block_signals ();
   if (sodium_init () < 0 || apr_initialize () != APR_SUCCESS ||
@@ -269,6 +286,8 @@
   burdock_log (BURDOCK_LOG_INFO, "started", rank.settings.upstream_url,
                "failure domain %s", rank.settings.library.failure_domain);
   stop.limit_ms = rank.settings.library.stop_limit_ms;
+  if (stop.limit_ms > STOP_LIMIT_MAX_MS)
+    stop.limit_ms = STOP_LIMIT_MAX_MS;
   burdock_stop_wait (&stop);
   burdock_runtime_stop (&rank.runtime);
   burdock_log (BURDOCK_LOG_INFO, "stopped", "-", "orders %u",
--- a/tests/support/fake-group.c
+++ b/tests/support/fake-group.c
@@ -21,6 +21,9 @@
 #define REPORT_INTERVAL_US (100 * US_PER_MS)
 #define ROSTER_INTERVAL_US (500 * US_PER_MS)
 #define RESTART_DELAY_US (500 * US_PER_MS)
+#define STOP_INTERVAL_US (10000 * US_PER_MS)
+#define STOP_LIMIT_US (1500 * US_PER_MS)
+#define STOP_AWAY_US (5000 * US_PER_MS)
 #define FORM_GROUP_US (1000 * US_PER_MS)
 #define DEMAND_INTERVAL_US (3500 * US_PER_MS)
 #define PORT 7000
@@ -49,6 +52,7 @@
   uint64_t incarnation;
   uint64_t frozen_until_us;
   uint64_t next_tick_us;
+  uint64_t stop_end_us; /* end of a planned stop, 0 without one */
   bool wants_report;
   bool wants_counts;
 } Process;
@@ -88,6 +92,7 @@
   uint64_t next_kill_us;
   uint64_t next_crash_us;
   uint64_t next_herd_kill_us;
+  uint64_t next_stop_us;
   uint32_t states;
   uint32_t complete_maps;
   uint64_t gateway_state_us; /* last state that was sent to the gateway */
@@ -304,6 +309,8 @@
   group->next_kill_us = random_time_us (group, faults->kill_every_us);
   group->next_crash_us = random_time_us (group, faults->crash_every_us);
   group->next_herd_kill_us = random_time_us (group, faults->herd_kill_every_us);
+  group->next_stop_us =
+      faults->stopped_agents > 0 ? group->now_us + STOP_INTERVAL_US : UINT64_MAX;
   return group;
 }
 
@@ -412,8 +419,8 @@
   uint32_t bytes = 0;
 
   burdock_map_agent_handle_report (process->agent, &report, group->now_us);
-  /* The loop of burdock-rank runs its hooks after each report; without a report, the agent
-   * names no time. */
+  /* The loop of burdock-rank runs its hooks after each report; without a report, the
+   * agent names no time. */
   if (process->next_tick_us == UINT64_MAX)
     process->next_tick_us = group->now_us;
   if (!burdock_map_agent_needs_hosted_experts (process->agent))
@@ -631,9 +638,43 @@
   victim->frozen_until_us = group->now_us + RESTART_DELAY_US;
 }
 
+static bool
+any_engine_holds (const FakeGroup *group)
+{
+  for (uint32_t r = 0; r < group->ranks; r++) {
+    if (group->engines[r].held_step != 0)
+      return true;
+  }
+  return false;
+}
+
+/* An agent that is stopped runs on until it may end, as burdock-rank does. */
+static void
+run_planned_stops (FakeGroup *group)
+{
+  if (group->now_us >= group->next_stop_us && any_engine_holds (group)) {
+    group->next_stop_us = group->now_us + STOP_INTERVAL_US;
+    for (uint32_t r = 0; r < group->faults.stopped_agents && r < group->ranks; r++) {
+      group->processes[r].stop_end_us = group->now_us + STOP_LIMIT_US;
+      burdock_map_agent_leave (group->processes[r].agent);
+    }
+  }
+  for (uint32_t r = 0; r < group->ranks; r++) {
+    Process *process = &group->processes[r];
+
+    if (process->stop_end_us == 0 || (group->now_us < process->stop_end_us &&
+                                      !burdock_map_agent_may_end (process->agent)))
+      continue;
+    process->stop_end_us = 0;
+    kill_agent (group, process);
+    process->frozen_until_us = group->now_us + STOP_AWAY_US;
+  }
+}
+
 static void
 run_faults (FakeGroup *group)
 {
+  run_planned_stops (group);
   if (group->now_us >= group->next_freeze_us) {
     group->next_freeze_us = random_time_us (group, group->faults.freeze_every_us);
     pick_victim (group)->frozen_until_us =
--- a/tests/support/fake-group.h
+++ b/tests/support/fake-group.h
@@ -22,6 +22,8 @@
  * @herd_kill_every_us: mean time between kills of the agents of the lower three quarters
  *   of the ranks at once, 0 for none
  * @crash_every_us: mean time between crashes of ranks, 0 for none
+ * @stopped_agents: number of agents, from the lowest rank on, that get a planned stop in
+ * a hold every 10 s and are away for 5 s
  * @false_arm_ack: the engine of the last rank accepts arm orders without arming
  */
 typedef struct {
@@ -31,6 +33,7 @@
   uint64_t kill_every_us;
   uint64_t herd_kill_every_us;
   uint64_t crash_every_us;
+  uint32_t stopped_agents;
   bool false_arm_ack;
 } FakeFaults;
 
--- a/tests/test-map-agent.c
+++ b/tests/test-map-agent.c
@@ -159,6 +159,48 @@
   fake_group_free (group);
 }
 
+typedef struct {
+  const char *name;
+  uint32_t ranks;
+  uint32_t stopped;
+  uint64_t stall_max_us;
+} StopCase;
+
+/* A rank whose agent has ended is armed directly after 0.25 s, one every 10 ms. */
+static const StopCase stop_cases[] = {
+  { "coordinator of a small group", 4, 1, US_PER_S / 4 },
+  { "all agents of a small group", 4, 4, US_PER_S / 2 },
+  { "all agents of a group of one rank", 1, 1, US_PER_S / 4 },
+  { "all candidates of a large group", 24, 3, US_PER_S / 2 },
+  { "all agents of a large group", 24, 24, US_PER_S * 6 / 10 },
+};
+
+/* Guards against agents that get a planned stop in a hold and leave the group held: until
+ * the next coordinator notices, or, if all agents of the group are stopped, until they
+ * are started again 5 s later. */
+static void
+a_planned_stop_leaves_no_hold (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (stop_cases); i++) {
+    const StopCase *row = &stop_cases[i];
+
+    for (uint64_t seed = 1; seed <= 5; seed++) {
+      FakeFaults faults = { .stopped_agents = row->stopped };
+      FakeGroup *group = fake_group_new (seed, row->ranks, &faults);
+
+      fake_group_run (group, 40 * US_PER_S);
+      if (fake_group_mixed_steps (group) != 0 ||
+          fake_group_longest_stall_us (group) > row->stall_max_us) {
+        printf ("%s, seed %u: mixed %u, stalled %u ms\n", row->name, (unsigned)seed,
+                fake_group_mixed_steps (group),
+                (unsigned)(fake_group_longest_stall_us (group) / 1000));
+        CU_FAIL (row->name);
+      }
+      fake_group_free (group);
+    }
+  }
+}
+
 /* Shows that the check above can fail: an engine that accepts an arm order without arming
  * keeps the old map, as if the coordinator had not waited for that rank. */
 static void
@@ -272,6 +314,7 @@
     gateways_hear_of_a_group_all_the_time },
   { "complete maps are sent although the ranks know the one in use",
     maps_are_sent_as_changes },
+  { "a planned stop of agents leaves a group held", a_planned_stop_leaves_no_hold },
   { "the check for mixed maps cannot fail", check_detects_mixed_maps },
 };
 
