Refuse requests of open connections for 0.2 s after an entry ends listening

At the end of a planned stop an entry closed its listening socket and ended within milliseconds, also if callers had connections and sent requests on them. It now stays 0.2 s longer and refuses what comes as not run. The traffic thread ends its loop itself, right after the HTTP server has read, so that nothing is read that is not answered; `stopped` in the log names what was cut off or left unread.

New scenario entry_stops_with_kept_connections of make faults: 20 callers with a connection send when new connections are refused.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -45,7 +45,8 @@
  * @snapshot: snapshot in use, with a reference of its own
  * @line: buffer for the line of a streamed answer that is being written
  * @next_usage_us: time of the next load report to the control thread
- * @finishing: the process ends once no request is open
+ * @finishing: the entry listens no more; the process ends once no request is open
+ * @end_us: earliest time of that end
  * @finished: the main thread was notified that no request is open
  */
 typedef struct {
@@ -56,6 +57,7 @@
   BurdockSnapshot *snapshot;
   BurdockText line;
   uint64_t next_usage_us;
+  uint64_t end_us;
   bool finishing;
   bool finished;
 } BurdockEntryTraffic;
@@ -112,7 +114,7 @@
 
 /**
  * burdock_entry_traffic_finish() - accepts no further connections
- * Called when control is drained; the process ends once no request is open.
+ * Called when control is drained; the process ends 200 ms later, once no request is open.
  */
 void burdock_entry_traffic_finish (void *ctx);
 
--- a/entry/main.c
+++ b/entry/main.c
@@ -81,6 +81,10 @@
   while (burdock_loop_run_posted (entry->control.runtime.loop) ||
          burdock_loop_run_posted (entry->traffic.runtime.loop))
     ;
+  burdock_log (BURDOCK_LOG_INFO, "stopped", "-", "drained %s cut %u unread %u",
+               drained ? "yes" : "no",
+               burdock_http_server_open_count (entry->traffic.http),
+               burdock_http_server_unread_count (entry->traffic.http));
   burdock_entry_control_clear (entry);
   burdock_entry_traffic_clear (entry);
   burdock_snapshot_unref (burdock_slot_take (&entry->snapshot_slot));
--- a/entry/traffic-thread.c
+++ b/entry/traffic-thread.c
@@ -11,6 +11,11 @@
  * enough. */
 #define USAGE_INTERVAL_US UINT64_C (100000)
 
+/* Time between the end of listening and the end of the process, in which requests of open
+ * connections are refused. Covers a caller that has just connected and sends its request.
+ */
+#define CLOSE_NOTICE_US UINT64_C (200000)
+
 #define TLS_FILE_MAX_BYTES (1u << 20)
 
 static int
@@ -62,6 +67,18 @@
   return in_flight > open_answers ? in_flight : open_answers;
 }
 
+/* Ends the thread once nothing is open. The HTTP server reads in a hook before this one,
+ * so that no request is read any more that would not be answered. */
+static void
+end_if_finished (BurdockEntryTraffic *traffic, uint32_t open, uint64_t now_us)
+{
+  if (!traffic->finishing || open > 0 || now_us < traffic->end_us || traffic->finished)
+    return;
+  traffic->finished = true;
+  burdock_loop_stop (traffic->runtime.loop);
+  burdock_stop_notify_drained ();
+}
+
 static uint64_t
 traffic_hook (void *ctx, uint64_t now_us)
 {
@@ -70,10 +87,9 @@
   uint32_t open = count_open_requests (traffic);
 
   atomic_store (&traffic->entry->in_flight, open);
-  if (traffic->finishing && open == 0 && !traffic->finished) {
-    traffic->finished = true;
-    burdock_stop_notify_drained ();
-  }
+  end_if_finished (traffic, open, now_us);
+  if (traffic->finishing && now_us < traffic->end_us && traffic->end_us < due_us)
+    due_us = traffic->end_us;
   if (now_us >= traffic->next_usage_us)
     report_usage (traffic, now_us);
   return due_us < traffic->next_usage_us ? due_us : traffic->next_usage_us;
@@ -227,8 +243,11 @@
 {
   BurdockEntry *entry = ctx;
 
+  if (entry->traffic.finishing)
+    return;
   burdock_http_server_quiesce (entry->traffic.http);
   entry->traffic.finishing = true;
+  entry->traffic.end_us = burdock_loop_now_us () + CLOSE_NOTICE_US;
 }
 
 void
--- a/tests/system/faults.py
+++ b/tests/system/faults.py
@@ -7,12 +7,16 @@
 """
 
 import argparse
+import http.client
 import signal
+import socket
 import sys
 import threading
 import time
+from collections import Counter
 
-from callers import ConcurrentRequests, FixedDirectory, LoadGenerator, Request, send_with_retries
+from callers import (ConcurrentRequests, FixedDirectory, LoadGenerator, Request, check_refusal,
+                     send_with_retries)
 from cluster import Cluster
 from system import Failure, call, call_json, metrics, wait_until
 from verdict import check_outcomes
@@ -478,6 +482,37 @@
         expect(request.outcome == "answered", f"{request.key}: {request.outcome}")
 
 
+def entry_stops_with_kept_connections(trial):
+    """
+    Guards against requests that a stopped entry cuts as it closes its listening socket.
+
+    Callers that have a connection send their request when the entry refuses new ones. Each
+    gets a refusal as not run.
+    """
+    port, entry = trial.entry_port("entry-0"), trial.cluster.entries["entry-0"]
+    connections = [http.client.HTTPConnection("127.0.0.1", port, timeout=10) for _ in range(20)]
+    for connection in connections:
+        connection.connect()
+    entry.signal(signal.SIGTERM)
+    while True:
+        try:
+            socket.create_connection(("127.0.0.1", port), 1).close()
+        except ConnectionRefusedError:
+            break
+        time.sleep(0.002)
+    outcomes = []
+    for number, connection in enumerate(connections):
+        request = booking_request(f"kept-{number}", idempotent=False)
+        try:
+            connection.request("POST", "/v1/requests", request.body, request.header_fields())
+            outcomes.append(check_refusal(request, connection.getresponse()))
+        except (OSError, http.client.HTTPException) as error:
+            outcomes.append(repr(error))
+    expect(set(outcomes) == {"not-run"}, f"outcomes {Counter(outcomes)}")
+    expect(entry.wait_exit(10) == 0, "entry-0 does not exit with status 0")
+    trial.start_requests([model_request("after")]).join()
+
+
 def sigterm_repeated(trial):
     """
     Guards against streams that are cut off because a platform repeats SIGTERM.
@@ -723,7 +758,8 @@
              coordinator_killed_mid_switch, agent_killed_mid_switch, store_down,
              store_restored,
              lost_answer_of_accept, lost_answer_of_claim, operators_race, lease_holder_frozen,
-             same_key_twice, entry_stops, entry_stop_cut_short, sigterm_repeated,
+             same_key_twice, entry_stops,
+             entry_stops_with_kept_connections, entry_stop_cut_short, sigterm_repeated,
              entry_stops_at_limit, agent_stops_at_limit, agent_stops, agent_stops_in_hold,
              agent_stops_before_hold, instance_list_notice, entry_and_agent_killed,
              agent_killed_twice, entry_restarts_in_outage]
