--- a/daemon/stop.h
+++ b/daemon/stop.h
@@ -22,6 +22,10 @@
  * callable from any thread */
 void burdock_stop_notify_drained (void);
 
+/* Time for the last answers of a planned stop: the last phase of stop-policy.h, and some
+ * hundred answers on an instance with a quarter of a core. */
+#define BURDOCK_STOP_FINISH_MS 450
+
 /**
  * struct BurdockStop - what a daemon does in a planned stop; the functions are called on
  * the thread of burdock_stop_wait()
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -8,11 +8,16 @@
 #include "exchange.h"
 #include "gateway.h"
 
+/* Delay that is suggested to callers unless the balancer computed one; a new process gets
+ * its configuration within about this time. */
+#define BURDOCK_RETRY_AFTER_DEFAULT_MS 1000
+
 /** enum BurdockForwardPhase - progress of a request; the value is logged */
 typedef enum {
   BURDOCK_FORWARD_WAITING = 1, /* queued by the balancer */
   BURDOCK_FORWARD_SENT,        /* sent to an upstream */
   BURDOCK_FORWARD_CHECKING,    /* waits to know whether its upstream has ended */
+  BURDOCK_FORWARD_RESUMING,    /* a stream that waits before it is queued again */
   BURDOCK_FORWARD_DONE,        /* its final answer was passed to the HTTP server */
 } BurdockForwardPhase;
 
@@ -33,6 +38,8 @@
  *   and the first event
  * @check_until_us: time at which a request that waits for the check of its upstream is
  *   retried
+ * @resume_at_us: time at which a stream that waits is queued again
+ * @retry_paid: the next attempt is paid for from the retry budget
  * @attempt_event_count: events of the current attempt that were delivered
  * @reason: why the request was not placed
  * @upstream_version: version of the last change of the upstreams that was known when the
@@ -73,6 +80,8 @@
   bool attempt_sent; /* a part of the last attempt may have reached its upstream */
   bool attempt_broke;
   uint64_t check_until_us;
+  uint64_t resume_at_us;
+  bool retry_paid;
   uint32_t attempt_event_count;
   BurdockReason reason;
   BurdockEventStream event_stream;
@@ -90,6 +99,23 @@
   const char *outcome;
 };
 
+/**
+ * burdock_forward_answer_error() - answers a request with an error of the gateway
+ * @text: body, JSON
+ * @retry_after_ms: delay that is suggested to the caller, 0 for none
+ */
+void burdock_forward_answer_error (BurdockHttpRequest *request, uint32_t status,
+                                   const char *text, uint32_t retry_after_ms);
+
+/** burdock_forward_retry_after_stop_ms() - delay to suggest to callers that are refused
+ * in a planned stop */
+uint32_t burdock_forward_retry_after_stop_ms (const BurdockGateway *gateway);
+
+/** burdock_forward_refuse_quarantined() - ends a request whose prompt crashes upstreams
+ * and that no upstream runs */
+void burdock_forward_refuse_quarantined (BurdockForward *forward,
+                                         uint32_t retry_after_ms);
+
 /** burdock_forward_send() - starts an attempt at @forward->upstream; its end, or a
  * failure to start it, leads to burdock_forward_attempt_ended() */
 void burdock_forward_send (BurdockForward *forward);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -8,6 +8,7 @@
 #ifndef BURDOCK_GATEWAY_H
 #define BURDOCK_GATEWAY_H
 
+#include "answer-times.h"
 #include "balancer.h"
 #include "config-stamp.h"
 #include "datagram.h"
@@ -100,8 +101,9 @@
  * @connections: connections opened to upstreams
  * @quarantined: requests refused because a part of their prompt crashes upstreams
  * @stop_requests: requests received in a planned stop
- * @stop_cut: requests that may have run and that the end of the process has ended without
- *   a whole answer
+ * @stop_given_up: requests that may have run and that were given up at the end of the
+ *   stop: failed, or broken off
+ * @stop_cut: requests whose answer was not delivered when the process ended
  * @stop_unread: connections that the end of the process has reset, with bytes of a caller
  *   that had not been read
  * @first_event_ms: histogram of the time from a request to its first event
@@ -119,6 +121,7 @@
   uint64_t connections;
   uint64_t quarantined;
   uint64_t stop_requests;
+  uint64_t stop_given_up;
   uint64_t stop_cut;
   uint64_t stop_unread;
   uint64_t first_event_ms[BURDOCK_HISTOGRAM_BUCKETS];
@@ -170,6 +173,7 @@
  * @buffered_bytes: memory of the answers that are buffered until they are complete
  * @mean_first_event_us: moving average of the time from sending a request to its first
  *   event, 0 before the first one
+ * @answer_times: times of the answers that are not streams, by route
  * @leaving_upstreams: starts of upstreams that have said that they leave
  * @quarantine: prompt parts that crash upstreams
  * @quarantine_loaded: the stored quarantine was received from the control thread
@@ -180,7 +184,6 @@
  *   before an upstream has sent a keep-alive timeout
  * @leaving: the gateway is shutting down
  * @stop: which requests it takes meanwhile
- * @finishing: requests that still ran at the end of the shutdown were given up
  * @ended: the process ends; requests that are still open are cut off
  * @store_share: when the state of the store is sent to the other gateways
  * @roster_round: number of times that rosters were sent to all agents
@@ -198,6 +201,7 @@
   BurdockHttpServer *peer_server;
   BurdockDatagramSocket *datagrams;
   BurdockBalancer *balancer;
+  BurdockAnswerTimes *answer_times;
   BurdockLeavingUpstreams *leaving_upstreams;
   BurdockPartQuarantine *quarantine;
   BurdockRouteTable *table;
@@ -211,11 +215,10 @@
   uint32_t gone_count;
   BurdockGoneUpstream *gone;
   bool handover_done;
-  uint32_t keep_alive_max_s;
   bool leaving;
-  BurdockStopPolicy stop;
-  bool finishing;
   bool ended;
+  uint32_t keep_alive_max_s;
+  BurdockStopPolicy stop;
   uint64_t next_heartbeat_us;
   uint64_t next_roster_us;
   BurdockStoreShare store_share;
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -13,9 +13,6 @@
 
 #define US_PER_MS UINT64_C (1000)
 
-/* Time for the last answers of a planned stop. */
-#define FINISH_MS 250
-
 static void
 post_drain (void *ctx)
 {
@@ -47,13 +44,24 @@
   burdock_gateway_free_upstreams (burdock_slot_take (&gateway->published_upstreams));
 }
 
+static void
+log_stopped (const BurdockGatewayCounters *counters, bool drained)
+{
+  bool lost = counters->stop_given_up + counters->stop_cut + counters->stop_unread > 0;
+
+  burdock_log (lost ? BURDOCK_LOG_WARNING : BURDOCK_LOG_INFO, "stopped", "-",
+               "drained %d received %" PRIu64 " given_up %" PRIu64 " cut %" PRIu64
+               " unread %" PRIu64,
+               drained, counters->stop_requests, counters->stop_given_up,
+               counters->stop_cut, counters->stop_unread);
+}
+
 static int
 run (BurdockGateway *gateway)
 {
-  const BurdockGatewayCounters *counters = &gateway->traffic.counters;
   BurdockStop stop = { .ctx = gateway,
                        .limit_ms = gateway->settings.library.stop_limit_ms,
-                       .finish_ms = FINISH_MS,
+                       .finish_ms = BURDOCK_STOP_FINISH_MS,
                        .drain = post_drain,
                        .finish = post_finish };
   bool drained;
@@ -72,10 +80,7 @@
   free_published (gateway);
   burdock_gateway_control_clear (gateway);
   burdock_gateway_traffic_clear (gateway);
-  burdock_log (counters->stop_cut > 0 ? BURDOCK_LOG_WARNING : BURDOCK_LOG_INFO, "stopped",
-               "-", "drained %d taken %" PRIu64 " cut %" PRIu64 " unread %" PRIu64,
-               drained, counters->stop_requests, counters->stop_cut,
-               counters->stop_unread);
+  log_stopped (&gateway->traffic.counters, drained);
   return EXIT_SUCCESS;
 }
 
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -28,10 +28,6 @@
 /* Longer than the configured time for which callers may keep a connection idle. */
 #define CONNECTION_IDLE_S 75
 
-/* Minimum time of a shutdown. Callers may cache directory answers with this address for
- * three times DIRECTORY_TTL_S. */
-#define DRAIN_MIN_US UINT64_C (3500000)
-
 static void
 apply_table (BurdockGateway *gateway)
 {
@@ -129,17 +125,28 @@
 {
   BurdockGateway *gateway = ctx;
 
-  gateway->traffic.finishing = true;
+  burdock_stop_policy_close (&gateway->traffic.stop, burdock_loop_now_us ());
   burdock_forward_give_up_all (gateway);
 }
 
-/* Whether all requests of a shutdown have been answered. */
-static bool
-is_drained (const BurdockGatewayTraffic *traffic, uint64_t now_us)
+static uint64_t
+stop_tick (BurdockGatewayTraffic *traffic, uint64_t now_us)
 {
-  return traffic->leaving &&
-         burdock_http_server_open_count (traffic->caller_server) == 0 &&
-         (traffic->finishing || now_us >= traffic->stop.began_us + DRAIN_MIN_US);
+  BurdockHttpServer *server = traffic->caller_server;
+  uint64_t next_us;
+  bool busy;
+
+  if (!traffic->leaving)
+    return BURDOCK_LOOP_NEVER_US;
+  busy = burdock_http_server_open_count (server) > 0 ||
+         burdock_http_server_unread_count (server) > 0 ||
+         burdock_http_server_has_pending (server);
+  next_us = burdock_stop_policy_update (&traffic->stop, busy, now_us);
+  if (traffic->stop.phase >= BURDOCK_STOP_CLOSING)
+    burdock_http_server_quiesce (server);
+  if (traffic->stop.phase == BURDOCK_STOP_ENDED)
+    burdock_stop_notify_drained ();
+  return next_us;
 }
 
 static uint64_t
@@ -151,9 +158,9 @@
   uint64_t quarantine_us = burdock_gateway_quarantine_tick (gateway, now_us);
   uint64_t forward_us = burdock_forward_tick (gateway, now_us);
   uint64_t peers_us = burdock_gateway_peers_tick (gateway, now_us);
+  uint64_t stop_us = stop_tick (traffic, now_us);
 
-  if (is_drained (traffic, now_us))
-    burdock_stop_notify_drained ();
+  next_us = stop_us < next_us ? stop_us : next_us;
   next_us = quarantine_us < next_us ? quarantine_us : next_us;
   next_us = forward_us < next_us ? forward_us : next_us;
   return peers_us < next_us ? peers_us : next_us;
@@ -240,9 +247,10 @@
   memcpy (settings.failure_domain, gateway->settings.library.failure_domain,
           sizeof settings.failure_domain);
   traffic->balancer = burdock_balancer_new (&settings, &handler);
+  traffic->answer_times = burdock_answer_times_new ();
   traffic->leaving_upstreams = burdock_leaving_upstreams_new (gateway->id);
-  if (traffic->balancer == NULL || traffic->leaving_upstreams == NULL ||
-      burdock_gateway_quarantine_init (gateway) < 0)
+  if (traffic->balancer == NULL || traffic->answer_times == NULL ||
+      traffic->leaving_upstreams == NULL || burdock_gateway_quarantine_init (gateway) < 0)
     return -ENOMEM;
   burdock_loop_add_hook (traffic->runtime.loop, traffic_hook, gateway);
   return listen_on_all (gateway);
@@ -264,6 +272,7 @@
   burdock_http_server_free (traffic->peer_server);
   burdock_datagram_socket_free (traffic->datagrams);
   burdock_balancer_free (traffic->balancer);
+  burdock_answer_times_free (traffic->answer_times);
   burdock_leaving_upstreams_free (traffic->leaving_upstreams);
   burdock_part_quarantine_free (traffic->quarantine);
   burdock_route_table_unref (traffic->table);
--- a/libburdock/attempt-policy.c
+++ b/libburdock/attempt-policy.c
@@ -16,15 +16,40 @@
  * missed by then. */
 #define STALL_OBJECTIVE_FACTOR 1.2
 
-bool
-burdock_attempt_is_stalled (const BurdockRoute *route, bool has_events,
-                            uint64_t silent_us)
+/* The same as a multiple of the time within which most answers come elsewhere. Times that
+ * vary as those of most services (exponential, or log-normal with a shape of up to 1)
+ * exceed it in at most 3 of 100 requests. */
+#define STALL_ANSWER_FACTOR 2
+
+/* With less time left until the deadline, another attempt cannot complete. */
+#define ATTEMPT_TIME_MIN_US (150 * US_PER_MS)
+
+uint64_t
+burdock_attempt_stall_timeout_us (const BurdockRoute *route, bool has_events,
+                                  const BurdockAnswerEstimate *estimate)
 {
-  double limit_ms = route->objective_ms * STALL_OBJECTIVE_FACTOR;
+  uint64_t timeout_us =
+      (uint64_t)(route->objective_ms * STALL_OBJECTIVE_FACTOR * US_PER_MS);
 
   if (route->kind == BURDOCK_ROUTE_STREAM)
-    limit_ms = has_events ? NEXT_EVENT_TIMEOUT_MS : FIRST_EVENT_TIMEOUT_MS;
-  return silent_us > (uint64_t)(limit_ms * US_PER_MS);
+    return (has_events ? NEXT_EVENT_TIMEOUT_MS : FIRST_EVENT_TIMEOUT_MS) * US_PER_MS;
+  if (timeout_us < estimate->long_us * STALL_ANSWER_FACTOR)
+    timeout_us = estimate->long_us * STALL_ANSWER_FACTOR;
+  return timeout_us < estimate->longest_us ? estimate->longest_us : timeout_us;
+}
+
+uint64_t
+burdock_attempt_silence_us (uint64_t now_us, uint64_t last_activity_us)
+{
+  return now_us > last_activity_us ? now_us - last_activity_us : 0;
+}
+
+bool
+burdock_attempt_has_time (uint64_t now_us, uint64_t deadline_us, uint64_t needed_us)
+{
+  if (needed_us < ATTEMPT_TIME_MIN_US)
+    needed_us = ATTEMPT_TIME_MIN_US;
+  return now_us + needed_us < deadline_us;
 }
 
 static bool
@@ -50,13 +75,24 @@
   return state->run_count == 0 ? BURDOCK_ACTION_REFUSE : BURDOCK_ACTION_FAIL;
 }
 
+/* Upstreams that are full have room again before the deadline of a stream; its caller
+ * leaves earlier if the gap is too long for it. */
+BurdockAttemptAction
+burdock_attempt_unpaid_action (const BurdockAttemptContext *state)
+{
+  if (state->answer_started && state->enough_time && may_run_again (state))
+    return BURDOCK_ACTION_WAIT;
+  return burdock_attempt_final_action (state);
+}
+
 BurdockAttemptAction
 burdock_attempt_next_action (const BurdockAttemptContext *state)
 {
   if (state->result == BURDOCK_ATTEMPT_COMPLETE)
     return BURDOCK_ACTION_FORWARD;
-  if (!state->enough_time || !may_run_again (state) ||
-      state->send_count >= state->route->attempts_max + NOT_RUN_SENDS_MAX)
+  if (!state->enough_time || !may_run_again (state))
     return burdock_attempt_final_action (state);
+  if (state->send_count >= state->route->attempts_max + NOT_RUN_SENDS_MAX)
+    return burdock_attempt_unpaid_action (state);
   return state->answer_started ? BURDOCK_ACTION_RESUME : BURDOCK_ACTION_RETRY;
 }
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -12,7 +12,10 @@
 silent-poll: open connections of some gateways to the store go silent for good.
 silent-poll-no-era: the same with a store that names no era.
 silent-poll-all: the same at all gateways.
+paused-stream: a stream pauses while all other upstreams are full.
 planned-stop: gateways are stopped while callers stay with them and upstreams are slow.
+stop-limit: requests run longer than the stops of their gateways.
+stop-end: requests are sent when a gateway that is stopped would end.
 restored: the store returns from a copy some seconds old, twice.
 """
 import argparse
@@ -24,10 +27,11 @@
 
 import soak
 from faulty import FaultyAnswersScenario
-from leaving import LateRowScenario, LeavingAnswersScenario, RetryAfterScenario
+from leaving import (LateRowScenario, LeavingAnswersScenario, PausedStreamScenario,
+                     RetryAfterScenario)
 from restored import RestoredScenario
 from standin import CRASHING_PART, CRASHING_PATH, CRASHING_STREAM_PATH, Runner
-from stops import StopScenario
+from stops import StopEndScenario, StopLimitScenario, StopScenario
 
 # Bounds of the users' pages.
 STABILITY_S = 3.0
@@ -367,12 +371,22 @@
     gateway_count = 3
 
 
+class RequestsAtLimitScenario(StopLimitScenario, soak.Soak):
+    gateway_count = 2
+
+
+class LateRequestScenario(StopEndScenario, soak.Soak):
+    pass
+
+
 SCENARIOS = {"faulty-answers": FaultyAnswersScenario, "late-row": LateRowScenario,
              "leaving-answers": LeavingAnswersScenario,
-             "limit": LimitScenario, "planned-stop": PlannedStopScenario, "prompt-part": PromptPartScenario,
+             "limit": LimitScenario, "paused-stream": PausedStreamScenario,
+             "planned-stop": PlannedStopScenario, "prompt-part": PromptPartScenario,
              "request": RequestScenario, "restored": RestoredScenario,
              "retry-after": RetryAfterScenario,
              "stream-request": StreamRequestScenario,
+             "stop-end": LateRequestScenario, "stop-limit": RequestsAtLimitScenario,
              "silent-poll": SilentPollScenario, "silent-poll-no-era": SilentPollNoEraScenario,
              "silent-poll-all": SilentPollAllScenario}
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -174,7 +174,7 @@
             f"{self.options.build}/gateway/burdock-gateway", f"--name=gateway-{k}",
             "--failure-domain=z", f"--control={ip}:7000", f"--http={ip}:8080",
             f"--ready={ip}:8081", f"--directory={ip}:8082", f"--store=http://{ip}:8600",
-            f"--seeds={seeds}", "--stop-limit-ms=7200", "--retry-ratio=0.2",
+            f"--seeds={seeds}", "--grace-s=8", "--retry-ratio=0.2",
             "--retry-allowance=90"])
 
     def agent_process(self, k):
@@ -275,18 +275,22 @@
             sent.end_with_status(int(result[0]))
         return result
 
+    async def write_request(self, writer, head, body):
+        writer.write(head + body)
+        await writer.drain()
+
     async def send_and_receive(self, sent, connection, header_lines, own_prefix, own_key):
         reader, writer, _ = connection
         kind, attempt = sent.kind, sent.attempt
         prefix, method, limit = self.kinds[kind]
         prefix = own_prefix or prefix
         key = own_key or self.random.choice(list(WORKSPACES_BY_KEY))
-        body = "x" * 20 if method == "POST" else ""
-        writer.write((f"{method} {prefix}p?q=1 HTTP/1.1\r\nHost: h\r\n"
-                      f"Burdockwind-Attempt-Id: {attempt}\r\n"
-                      f"Burdockwind-Deadline-Ms: {limit}\r\nAuthorization: Bearer {key}\r\n"
-                      f"{header_lines}Content-Length: {len(body)}\r\n\r\n{body}").encode())
-        await writer.drain()
+        body = b"x" * 20 if method == "POST" else b""
+        head = (f"{method} {prefix}p?q=1 HTTP/1.1\r\nHost: h\r\n"
+                f"Burdockwind-Attempt-Id: {attempt}\r\n"
+                f"Burdockwind-Deadline-Ms: {limit}\r\nAuthorization: Bearer {key}\r\n"
+                f"{header_lines}Content-Length: {len(body)}\r\n\r\n").encode()
+        await self.write_request(writer, head, body)
         sent.sent_at = time.monotonic()
         head = await read_head(reader)
         if head is None:
@@ -441,10 +445,18 @@
         await self.store.put("servers", runner.id, runner.store_row())
 
     async def stop_when_calm(self):
-        """Stops a gateway when all are calm. With --sabotage stop it is killed at once, so that
-        the check of lost requests has to fail."""
+        """Stops a gateway when all are calm. With --sabotage stop it is killed while a request
+        runs that it has just taken, so that the check of lost requests has to fail."""
         await asyncio.sleep(STABILITY_S + 1)
-        await stop_process(self.random.choice(self.gateways), self.options.sabotage == "stop")
+        if self.options.sabotage != "stop":
+            await stop_process(self.random.choice(self.gateways))
+            return
+        for runner in self.plain_runners:
+            runner.work_s = (1.0, 1.2)
+        began = time.monotonic()
+        while (request := self.stops.find_running(began)) is None:
+            await asyncio.sleep(0.01)
+        await stop_process(self.gateways[request.gateway], sabotage=True)
 
     async def run(self):
         self.began = time.monotonic()
@@ -464,7 +476,7 @@
             if task.exception():
                 raise task.exception()
         await asyncio.gather(self.drain_when_calm(), self.stop_when_calm(), *callers)
-        self.stops.report()
+        print(self.stops.report())
         served, asked = self.late_requests
         if asked == 0 or served < 0.9 * asked:
             self.check.add_violation("RECOVER", f"{served} of {asked} requests succeeded after the "
