Accept the waiting connections before an entry ends listening

Closing the listening socket resets the connections in its queue, although their callers have sent requests. The entry now closes it only when no connection waits.

New scenario entry_stops_with_new_connections of make faults: an entry that is frozen at the end of its stop, and 100 requests that wait to be accepted.

--- a/entry/entry.h
+++ b/entry/entry.h
@@ -45,8 +45,8 @@
  * @snapshot: snapshot in use, with a reference of its own
  * @line: buffer for the line of a streamed answer that is being written
  * @next_usage_us: time of the next load report to the control thread
- * @finishing: the entry listens no more; the process ends once no request is open
- * @end_us: earliest time of that end
+ * @finishing: the entry ends listening; the process ends once no request is open
+ * @end_us: earliest time of that end, 0 while the entry listens
  * @finished: the main thread was notified that no request is open
  */
 typedef struct {
--- a/entry/traffic-thread.c
+++ b/entry/traffic-thread.c
@@ -67,12 +67,23 @@
   return in_flight > open_answers ? in_flight : open_answers;
 }
 
+/* Ends listening once all connections are accepted: closing the socket resets those that
+ * wait in its queue. */
+static void
+end_listening (BurdockEntryTraffic *traffic, uint64_t now_us)
+{
+  if (traffic->end_us != 0 || burdock_http_server_has_pending (traffic->http))
+    return;
+  burdock_http_server_quiesce (traffic->http);
+  traffic->end_us = now_us + CLOSE_NOTICE_US;
+}
+
 /* Ends the thread once nothing is open. The HTTP server reads in a hook before this one,
  * so that no request is read any more that would not be answered. */
 static void
 end_if_finished (BurdockEntryTraffic *traffic, uint32_t open, uint64_t now_us)
 {
-  if (!traffic->finishing || open > 0 || now_us < traffic->end_us || traffic->finished)
+  if (traffic->end_us == 0 || open > 0 || now_us < traffic->end_us || traffic->finished)
     return;
   traffic->finished = true;
   burdock_loop_stop (traffic->runtime.loop);
@@ -87,8 +98,10 @@
   uint32_t open = count_open_requests (traffic);
 
   atomic_store (&traffic->entry->in_flight, open);
+  if (traffic->finishing)
+    end_listening (traffic, now_us);
   end_if_finished (traffic, open, now_us);
-  if (traffic->finishing && now_us < traffic->end_us && traffic->end_us < due_us)
+  if (now_us < traffic->end_us && traffic->end_us < due_us)
     due_us = traffic->end_us;
   if (now_us >= traffic->next_usage_us)
     report_usage (traffic, now_us);
@@ -243,11 +256,7 @@
 {
   BurdockEntry *entry = ctx;
 
-  if (entry->traffic.finishing)
-    return;
-  burdock_http_server_quiesce (entry->traffic.http);
   entry->traffic.finishing = true;
-  entry->traffic.end_us = burdock_loop_now_us () + CLOSE_NOTICE_US;
 }
 
 void
--- a/tests/system/faults.py
+++ b/tests/system/faults.py
@@ -598,6 +598,29 @@
     trial.start_requests([model_request("after")]).join()
 
 
+def entry_stops_with_new_connections(trial):
+    """
+    Guards against connections that a stopped entry resets as it closes its listening socket.
+
+    The entry is frozen at that moment, so that connections with requests wait to be
+    accepted. Each gets a refusal as not run.
+    """
+    port, entry = trial.entry_port("entry-0"), trial.cluster.entries["entry-0"]
+    entry.signal(signal.SIGTERM)
+    time.sleep(1.3)
+    entry.signal(signal.SIGSTOP)
+    time.sleep(0.4)
+    batch = trial.start_requests([booking_request(f"new-{i}", idempotent=False)
+                                  for i in range(100)], FixedDirectory(port))
+    time.sleep(0.3)
+    entry.signal(signal.SIGCONT)
+    for request in batch.join():
+        expect(request.outcome == "not-run" and request.reason == "leaving",
+               f"{request.key}: {request.outcome}: {request.reason}")
+    expect(entry.wait_exit(10) == 0, "entry-0 does not exit with status 0")
+    trial.start_requests([model_request("after")]).join()
+
+
 def sigterm_repeated(trial):
     """
     Guards against streams that are cut off because a platform repeats SIGTERM.
@@ -845,7 +868,8 @@
              lost_answer_of_accept, lost_answer_of_claim, operators_race, lease_holder_frozen,
              coordinator_wakes_in_switch, lease_handed_over_in_switch,
              same_key_twice, entry_stops,
-             entry_stops_with_kept_connections, entry_stop_cut_short, sigterm_repeated,
+             entry_stops_with_kept_connections, entry_stops_with_new_connections,
+             entry_stop_cut_short, sigterm_repeated,
              entry_stops_at_limit, agent_stops_at_limit, agent_stops, agent_stops_in_hold,
              agent_stops_before_hold, instance_list_notice, entry_and_agent_killed,
              agent_killed_twice, entry_restarts_in_outage]
