--- a/agent/agent.h
+++ b/agent/agent.h
@@ -37,12 +37,14 @@
  * struct BurdockAgentTraffic - state of the traffic thread
  * @runtime: must be the first member, as in &BurdockAgentControl
  * @next_usage_us: time of the next load report to the control thread
+ * @finishing: the process ends once the outcome of each attempt is written
  */
 typedef struct {
   BurdockRuntime runtime;
   BurdockAgent *agent;
   BurdockExecutor *executor;
   uint64_t next_usage_us;
+  bool finishing;
 } BurdockAgentTraffic;
 
 /**
@@ -51,6 +53,8 @@
  * @usage_slot: newest load figures, from the traffic thread to the control thread
  * @in_flight: number of attempts that have not ended, plus the number of connections with
  *   answers that are not written yet; set by the traffic thread
+ * @stop_end_us: time at which a planned stop gives up the attempts that still run; set
+ *   before the traffic thread is told of the stop
  */
 struct BurdockAgent {
   BurdockDaemonSettings settings;
@@ -59,6 +63,7 @@
   BurdockSlot snapshot_slot;
   BurdockSlot usage_slot;
   atomic_uint in_flight;
+  uint64_t stop_end_us;
 };
 
 /* Control thread, control-thread.c. */
@@ -88,6 +93,14 @@
 /** burdock_agent_traffic_clear() - releases everything; the thread must have ended */
 void burdock_agent_traffic_clear (BurdockAgent *agent);
 
+/** burdock_agent_traffic_leave() - from now on, attempts that may outlast the stop are
+ * refused; @ctx is the &BurdockAgent */
+void burdock_agent_traffic_leave (void *ctx);
+
+/** burdock_agent_traffic_give_up() - ends all attempts at the end of a planned stop in
+ * which the agent was not drained; @ctx is the &BurdockAgent */
+void burdock_agent_traffic_give_up (void *ctx);
+
 /**
  * burdock_agent_set_snapshot() - passes the newest published snapshot to the executor
  * @ctx: the &BurdockAgentTraffic; runs on the traffic thread
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -45,7 +45,8 @@
  * @snapshot: snapshot in use, with a reference of its own
  * @line: buffer for the line of a streamed answer that is being written
  * @next_usage_us: time of the next load report to the control thread
- * @finishing: the process ends once no request is open
+ * @finishing: the entry ends listening; the process ends once no request is open
+ * @end_us: earliest time of that end, 0 while the entry listens
  * @finished: the main thread was notified that no request is open
  */
 typedef struct {
@@ -56,6 +57,7 @@
   BurdockSnapshot *snapshot;
   BurdockText line;
   uint64_t next_usage_us;
+  uint64_t end_us;
   bool finishing;
   bool finished;
 } BurdockEntryTraffic;
@@ -65,6 +67,8 @@
  * @snapshot_slot: newest snapshot, from the control thread to the traffic thread
  * @usage_slot: newest load figures, from the traffic thread to the control thread
  * @in_flight: number of open requests, written by the traffic thread
+ * @stop_end_us: time at which a planned stop gives up the requests that still run; set
+ *   before the traffic thread is told of the stop
  */
 struct BurdockEntry {
   BurdockDaemonSettings settings;
@@ -73,10 +77,10 @@
   BurdockSlot snapshot_slot;
   BurdockSlot usage_slot;
   atomic_uint in_flight;
+  uint64_t stop_end_us;
 };
 
-/* Functions posted to a loop (*_leave, *_finish, burdock_entry_traffic_abandon()) have
- * the entry as @ctx. */
+/* Functions posted to a loop (*_leave, *_finish, *_give_up) have the entry as @ctx. */
 
 /* Control thread, control-thread.c. */
 
@@ -104,20 +108,22 @@
 /** burdock_entry_traffic_clear() - releases everything; the thread must have ended */
 void burdock_entry_traffic_clear (BurdockEntry *entry);
 
-/** burdock_entry_traffic_leave() - from now on, each answer ends its connection */
+/** burdock_entry_traffic_leave() - from now on, each answer ends its connection, and
+ * requests that may outlast the stop are refused */
 void burdock_entry_traffic_leave (void *ctx);
 
 /**
  * burdock_entry_traffic_finish() - accepts no further connections
- * Called when control is drained; the process ends once no request is open.
+ * Called when control is drained; the process ends 200 ms later, once no request is open.
  */
 void burdock_entry_traffic_finish (void *ctx);
 
 /**
- * burdock_entry_traffic_abandon() - answers all open requests with "unknown"
- * Called when a planned stop is cut short.
+ * burdock_entry_traffic_give_up() - ends all open requests and accepts no further
+ * connections
+ * Called at the end of a planned stop in which the entry was not drained.
  */
-void burdock_entry_traffic_abandon (void *ctx);
+void burdock_entry_traffic_give_up (void *ctx);
 
 /* Requests of callers, callers.c. */
 
@@ -136,12 +142,6 @@
 void burdock_callers_handle_closed (BurdockEntryTraffic *traffic,
                                     BurdockHttpRequest *http, bool complete);
 
-/**
- * burdock_callers_abandon() - answers an open request of a caller with "unknown"
- * @ctx: the &BurdockEntryTraffic
- */
-void burdock_callers_abandon (void *ctx, BurdockHttpRequest *http);
-
 /* Calls of operators, and metrics, admin.c. */
 
 /** burdock_admin_handle_request() - authenticates and handles a call of an operator */
--- a/entry/traffic-thread.c
+++ b/entry/traffic-thread.c
@@ -11,6 +11,11 @@
  * enough. */
 #define USAGE_INTERVAL_US UINT64_C (100000)
 
+/* Time between the end of listening and the end of the process, in which requests of open
+ * connections are refused. Covers a caller that has just connected and sends its request.
+ */
+#define CLOSE_NOTICE_US UINT64_C (200000)
+
 #define TLS_FILE_MAX_BYTES (1u << 20)
 
 static int
@@ -62,6 +67,29 @@
   return in_flight > open_answers ? in_flight : open_answers;
 }
 
+/* Ends listening once all connections are accepted: closing the socket resets those that
+ * wait in its queue. */
+static void
+end_listening (BurdockEntryTraffic *traffic, uint64_t now_us)
+{
+  if (traffic->end_us != 0 || burdock_http_server_has_pending (traffic->http))
+    return;
+  burdock_http_server_quiesce (traffic->http);
+  traffic->end_us = now_us + CLOSE_NOTICE_US;
+}
+
+/* Ends the thread once nothing is open. The HTTP server reads in a hook before this one,
+ * so that no request is read any more that would not be answered. */
+static void
+end_if_finished (BurdockEntryTraffic *traffic, uint32_t open, uint64_t now_us)
+{
+  if (traffic->end_us == 0 || open > 0 || now_us < traffic->end_us || traffic->finished)
+    return;
+  traffic->finished = true;
+  burdock_loop_stop (traffic->runtime.loop);
+  burdock_stop_notify_drained ();
+}
+
 static uint64_t
 traffic_hook (void *ctx, uint64_t now_us)
 {
@@ -70,10 +98,11 @@
   uint32_t open = count_open_requests (traffic);
 
   atomic_store (&traffic->entry->in_flight, open);
-  if (traffic->finishing && open == 0 && !traffic->finished) {
-    traffic->finished = true;
-    burdock_stop_notify_drained ();
-  }
+  if (traffic->finishing)
+    end_listening (traffic, now_us);
+  end_if_finished (traffic, open, now_us);
+  if (now_us < traffic->end_us && traffic->end_us < due_us)
+    due_us = traffic->end_us;
   if (now_us >= traffic->next_usage_us)
     report_usage (traffic, now_us);
   return due_us < traffic->next_usage_us ? due_us : traffic->next_usage_us;
@@ -219,6 +248,7 @@
   BurdockEntry *entry = ctx;
 
   burdock_http_server_disable_keepalive (entry->traffic.http);
+  burdock_dispatcher_begin_stop (entry->traffic.dispatcher, entry->stop_end_us);
 }
 
 void
@@ -226,16 +256,14 @@
 {
   BurdockEntry *entry = ctx;
 
-  burdock_http_server_quiesce (entry->traffic.http);
   entry->traffic.finishing = true;
 }
 
 void
-burdock_entry_traffic_abandon (void *ctx)
+burdock_entry_traffic_give_up (void *ctx)
 {
   BurdockEntry *entry = ctx;
 
-  burdock_http_server_quiesce (entry->traffic.http);
-  burdock_http_server_each (entry->traffic.http, burdock_callers_abandon,
-                            &entry->traffic);
+  burdock_dispatcher_give_up (entry->traffic.dispatcher);
+  burdock_entry_traffic_finish (entry);
 }
--- a/libburdock/burdock.h
+++ b/libburdock/burdock.h
@@ -634,6 +634,20 @@
 void burdock_dispatcher_submit (BurdockDispatcher *dispatcher,
                                 const BurdockRequest *request);
 
+/**
+ * burdock_dispatcher_begin_stop() - begins a planned stop
+ * @end_us: time at which burdock_dispatcher_give_up() follows, by env->now_us
+ * From now on, requests whose deadline is after the end are refused as not run.
+ */
+void burdock_dispatcher_begin_stop (BurdockDispatcher *dispatcher, uint64_t end_us);
+
+/**
+ * burdock_dispatcher_give_up() - ends all open requests at the end of a planned stop
+ * A request that has not run is refused as not run, once its claim is released or after
+ * 500 ms; any other one ends as unknown. Requests from now on are refused as not run.
+ */
+void burdock_dispatcher_give_up (BurdockDispatcher *dispatcher);
+
 /** burdock_dispatcher_cancel() - the caller disconnected; no further delivery follows */
 void burdock_dispatcher_cancel (BurdockDispatcher *dispatcher, uint64_t handle);
 
@@ -680,6 +694,20 @@
 void burdock_executor_free (BurdockExecutor *executor);
 void burdock_executor_set_snapshot (BurdockExecutor *executor, BurdockSnapshot *snapshot);
 
+/**
+ * burdock_executor_begin_stop() - begins a planned stop
+ * @end_us: time at which burdock_executor_give_up() follows, by env->now_us
+ * From now on, attempts whose deadline is after the end are refused.
+ */
+void burdock_executor_begin_stop (BurdockExecutor *executor, uint64_t end_us);
+
+/**
+ * burdock_executor_give_up() - ends all attempts at the end of a planned stop
+ * They are cancelled at the engine, and the entries get the outcome when the engine
+ * confirms it, or "unknown" after 250 ms. Attempts from now on are refused.
+ */
+void burdock_executor_give_up (BurdockExecutor *executor);
+
 /** burdock_executor_receive() - handles one frame from an entry; errors as above */
 int burdock_executor_receive (BurdockExecutor *executor, BurdockAddress from,
                               const uint8_t *frame, uint32_t length_bytes);
--- a/tests/system/faults.py
+++ b/tests/system/faults.py
@@ -10,11 +10,14 @@
 import http.client
 import re
 import signal
+import socket
 import sys
 import threading
 import time
+from collections import Counter
 
-from callers import ConcurrentRequests, FixedDirectory, LoadGenerator, Request, send_with_retries
+from callers import (ConcurrentRequests, FixedDirectory, LoadGenerator, Request, check_refusal,
+                     send_with_retries)
 from cluster import Cluster
 from system import Failure, call, call_json, metrics, wait_until
 from verdict import check_outcomes
@@ -527,12 +530,19 @@
 
 def entry_stop_cut_short(trial):
     """
-    Guards against requests without an outcome when a second signal cuts a stop short.
+    Guards against requests without an outcome when SIGINT cuts a stop short.
 
-    The entry exits at once with status 1, after it has ended its open requests as "unknown"
-    with the reason "leaving".
+    The entry exits at once with status 1, after it has ended its open requests with the
+    reason "leaving": as "unknown" if they run, as "not-run" if their claim is not written
+    yet.
     """
     port, entry = trial.entry_port("entry-0"), trial.cluster.entries["entry-0"]
+    platform = trial.cluster.platform
+    hits = platform.stats()["faults_hit"]
+    platform.fault("stall", path="/table/transaction", match="waiting", count=1, ms=8000)
+    waiting = trial.start_requests([booking_request("waiting", idempotent=False)],
+                                   FixedDirectory(port))
+    wait_until("the write of the claim", lambda: platform.stats()["faults_hit"] > hits, 10)
     repeatable = trial.start_requests(
         [model_request(f"again-{i}", LONG_TOKENS) for i in range(6)],
         FixedDirectory(port, *trial.other_ports("entry-0")), retries=4)
@@ -545,8 +555,11 @@
         for request in interrupted.requests), 10)
     entry.signal(signal.SIGTERM)
     wait_until("the start of the planned stop", lambda: "planned stop" in entry.log_tail(), 10)
-    entry.signal(signal.SIGTERM)
-    expect(entry.wait_exit(10) == 1, "entry-0 does not exit with status 1 after a second SIGTERM")
+    entry.signal(signal.SIGINT)
+    expect(entry.wait_exit(10) == 1, "entry-0 does not exit with status 1 after SIGINT")
+    request = waiting.join()[0]
+    expect(request.outcome == "not-run" and request.reason == "leaving",
+           f"{request.key}: {request.outcome}: {request.reason}")
     for request in interrupted.join():
         expect(request.outcome == "unknown" and request.reason == "leaving",
                f"{request.key}: {request.outcome}: {request.reason}")
@@ -554,6 +567,171 @@
         expect(request.outcome == "answered", f"{request.key}: {request.outcome}")
 
 
+def entry_stops_with_kept_connections(trial):
+    """
+    Guards against requests that a stopped entry cuts as it closes its listening socket.
+
+    Callers that have a connection send their request when the entry refuses new ones. Each
+    gets a refusal as not run.
+    """
+    port, entry = trial.entry_port("entry-0"), trial.cluster.entries["entry-0"]
+    connections = [http.client.HTTPConnection("127.0.0.1", port, timeout=10) for _ in range(20)]
+    for connection in connections:
+        connection.connect()
+    entry.signal(signal.SIGTERM)
+    while True:
+        try:
+            socket.create_connection(("127.0.0.1", port), 1).close()
+        except ConnectionRefusedError:
+            break
+        time.sleep(0.002)
+    outcomes = []
+    for number, connection in enumerate(connections):
+        request = booking_request(f"kept-{number}", idempotent=False)
+        try:
+            connection.request("POST", "/v1/requests", request.body, request.header_fields())
+            outcomes.append(check_refusal(request, connection.getresponse()))
+        except (OSError, http.client.HTTPException) as error:
+            outcomes.append(repr(error))
+    expect(set(outcomes) == {"not-run"}, f"outcomes {Counter(outcomes)}")
+    expect(entry.wait_exit(10) == 0, "entry-0 does not exit with status 0")
+    trial.start_requests([model_request("after")]).join()
+
+
+def entry_stops_with_new_connections(trial):
+    """
+    Guards against connections that a stopped entry resets as it closes its listening socket.
+
+    The entry is frozen at that moment, so that connections with requests wait to be
+    accepted. Each gets a refusal as not run.
+    """
+    port, entry = trial.entry_port("entry-0"), trial.cluster.entries["entry-0"]
+    entry.signal(signal.SIGTERM)
+    time.sleep(1.3)
+    entry.signal(signal.SIGSTOP)
+    time.sleep(0.4)
+    batch = trial.start_requests([booking_request(f"new-{i}", idempotent=False)
+                                  for i in range(100)], FixedDirectory(port))
+    time.sleep(0.3)
+    entry.signal(signal.SIGCONT)
+    for request in batch.join():
+        expect(request.outcome == "not-run" and request.reason == "leaving",
+               f"{request.key}: {request.outcome}: {request.reason}")
+    expect(entry.wait_exit(10) == 0, "entry-0 does not exit with status 0")
+    trial.start_requests([model_request("after")]).join()
+
+
+def sigterm_repeated(trial):
+    """
+    Guards against streams that are cut off because a platform repeats SIGTERM.
+
+    An entry and an agent get SIGTERM three times while long streams run. All streams are
+    answered, and both processes exit with status 0.
+    """
+    repeatable, once, _, agent = start_long_streams(trial, "repeated")
+    processes = [trial.cluster.entries["entry-0"], trial.cluster.agents[agent]]
+    for _ in range(3):
+        for process in processes:
+            process.signal(signal.SIGTERM)
+        time.sleep(0.1)
+    for request in repeatable.join() + once.join():
+        expect(request.outcome == "answered", f"{request.key}: {request.outcome}")
+    for process in processes:
+        expect(process.wait_exit(20) == 0, f"{process.name} does not exit with status 0")
+
+
+def limit_stop(trial, processes, limit_ms):
+    """Restarts daemons with this stop limit and waits until all entries serve again."""
+    for process in processes:
+        process.signal(signal.SIGTERM)
+    for process in processes:
+        expect(process.wait_exit(20) == 0, f"{process.name} does not exit with status 0")
+        process.argv = process.argv + ["--stop-limit-ms", str(limit_ms)]
+        process.start()
+    for process in processes:
+        wait_until(f"{process.name} answers /health", lambda p=process: call(
+            trial.cluster.http_ports[p.name], "GET", "/health"), 10)
+    trial.cluster.wait_generation(1)
+    trial.cluster.wait_serving()
+
+
+def request_in_stop(number):
+    """Requests of 3 s, longer than a short stop, and requests that end before it does."""
+    once = number % 2 == 1
+    if number % 4 < 2:
+        return model_request(f"stop-long-{number}", 2 * LONG_TOKENS, idempotent=not once)
+    return model_request(f"stop-short-{number}", 10, idempotent=not once, stream=once,
+                         deadline_ms=700)
+
+
+def expect_no_loss(request):
+    """Checks that a request from a stop was answered, refused, or late on its own account."""
+    expect(request.outcome in ("answered", "not-run") or request.reason == "deadline",
+           f"{request.key}: {request.outcome}: {request.reason}")
+
+
+def entry_stops_at_limit(trial):
+    """
+    Guards against requests that an entry takes in a stop and cuts off at the stop limit.
+
+    The stop limit is 2 s. A request that is sent to the entry in the stop is answered, or
+    refused as not run so that another entry can serve it. One from before the stop that
+    still runs at the limit ends as "unknown" with the reason "leaving".
+    """
+    port, entry = trial.entry_port("entry-0"), trial.cluster.entries["entry-0"]
+    limit_stop(trial, [entry], 2000)
+    before = trial.start_requests([model_request(f"before-{i}", 3 * LONG_TOKENS, stream=i > 1)
+                                   for i in range(4)], FixedDirectory(port))
+    wait_until("all requests run", lambda: len(trial.agent_by_request(before.requests)) == 4, 10)
+    entry.signal(signal.SIGTERM)
+    batches = []
+    for number in range(24):
+        batches.append(trial.start_requests([request_in_stop(number)], FixedDirectory(port)))
+        time.sleep(0.05)
+    requests = [request for batch in batches for request in batch.join()]
+    for request in requests:
+        expect_no_loss(request)
+    for request in before.join():
+        expect(request.outcome == "unknown" and request.reason == "leaving",
+               f"{request.key}: {request.outcome}: {request.reason}")
+    expect(sum(request.outcome == "answered" for request in requests) > 0,
+           "no request was answered in the stop")
+    expect(entry.wait_exit(10) == 1, "entry-0 does not exit with status 1 at its stop limit")
+
+
+def agent_stops_at_limit(trial):
+    """
+    Guards against requests without an outcome, or second runs, when an agent reaches its
+    stop limit, and against streams that its engine goes on with.
+
+    The stop limit is 1 s. Idempotent streams that still run are resumed elsewhere, others
+    end as "unknown". Requests sent in the stop are not lost.
+    """
+    ranks = [f"west-{rank}" for rank in range(4)]
+    limit_stop(trial, [trial.cluster.agents[name] for name in ranks], 1000)
+    old = trial.start_requests([model_request(f"old-{i}", 3 * LONG_TOKENS, idempotent=i % 2 == 0)
+                                for i in range(24)])
+    old.wait_started()
+    agent_of = trial.agent_by_request(old.requests)
+    victim = max(ranks, key=lambda name: len(
+        {r.idempotent for r in old.requests if agent_of.get(r.key) == name}))
+    agent = trial.cluster.agents[victim]
+    agent.signal(signal.SIGTERM)
+    batches = []
+    for number in range(24):
+        batches.append(trial.start_requests([request_in_stop(number)]))
+        time.sleep(0.05)
+    expect(agent.wait_exit(10) == 1, f"{victim} does not exit with status 1 at its stop limit")
+    wait_until(f"the engine of {victim} has no stream", lambda: trial.cluster.group_stats(
+        "west")[ranks.index(victim)]["streams"] == 0, 1)
+    for request in [request for batch in batches for request in batch.join()]:
+        expect_no_loss(request)
+    for request in old.join():
+        cut = agent_of.get(request.key) == victim and not request.idempotent
+        expect(request.outcome == ("unknown" if cut else "answered"),
+               f"{request.key}: {request.outcome}: {request.reason}")
+
+
 def agent_stops(trial):
     """Guards against requests that a planned stop of an agent cuts, and new work for it."""
     load = trial.start_load(16)
@@ -689,7 +867,10 @@
              store_restored,
              lost_answer_of_accept, lost_answer_of_claim, operators_race, lease_holder_frozen,
              coordinator_wakes_in_switch, lease_handed_over_in_switch,
-             same_key_twice, entry_stops, entry_stop_cut_short, agent_stops, agent_stops_in_hold,
+             same_key_twice, entry_stops,
+             entry_stops_with_kept_connections, entry_stops_with_new_connections,
+             entry_stop_cut_short, sigterm_repeated,
+             entry_stops_at_limit, agent_stops_at_limit, agent_stops, agent_stops_in_hold,
              agent_stops_before_hold, instance_list_notice, entry_and_agent_killed,
              agent_killed_twice, entry_restarts_in_outage]
 
