Soak: no drain time while the instance list cannot be read

The agent had not been told to stop:

From 86.36 s to 167.94 s every read of the instance list finds the store down: its faults overlap, and "down" ends only with the last of them. 2. At 106.36 s agent-g0-1 is listed as leaving; the change is in the list at 107.36 s. The check of the drain starts its 60 s at 106.36 s. 3. Only the list gives this notice, and only entries read it, through the store. No process can know of it; the agent is not leaving, so its attempts and board.rank.busy play no part. 4. At 166.41 s the check reports the agent. 5. At 168.50 s the first read succeeds, at 168.867 s an entry's heartbeat tells the agent, which begins its stop at once, with one attempt running. Its next incarnation is in service at 175.79 s.

This is a fault of the check: that the list alone cannot give a notice while the store is down is a known limit (docs/proofs.md, row 5). The 60 s now stand still while the agent has yet to learn of its stop and the store is down. Time in which the list can be read counts, also before and between outages, and so does all time after the agent has begun its stop. Stops by signal are checked as before.

--- a/bench/soak-faults.h
+++ b/bench/soak-faults.h
@@ -70,8 +70,9 @@
  * violation */
 void soak_leave (Soak *soak, SimNode *node);
 
-/** soak_list_leaving() - marks the instance as leaving in the platform's list; not
- * draining within 60 s is a violation */
+/** soak_list_leaving() - marks the instance of an agent as leaving in the platform's
+ * list; not draining within 60 s is a violation, without the time that the agent has yet
+ * to learn of it and the store is down */
 void soak_list_leaving (Soak *soak, SimNode *node);
 
 /** soak_kill() - kills a process and breaks the connections of its clients */
