Cut the release of rank 1 only once the load order at rank 3 is stalled

agent_stops_before_hold failed with "a load order at rank 3: not within 20 s" in one run of all fault scenarios. The group leaves its initial map by itself, at even popularity, a few seconds after the first lease is taken. In that run the scenario was late and set its faults within that switch: after its load order at rank 3, before its release at rank 1. Logged: lease taken 06:55:31.660, plan 36.317, commit 36.350, map in use at ranks 0, 2 and 3 36.584 to 36.591 and never at rank 1, then a settle round every 4 s. Rank 1 received no release, so that the group was blocked and no second switch could start. No fault of the programs: the scenario blocked the group itself and then waited for a switch.

The cut is now set when a load order at rank 3 has reached the stall. A map is loaded only after every rank has reported that it holds no step, so that no release of an earlier switch is due then, and no rank is held before rank 3 has loaded. The agent is told to stop in the same state as before.

--- a/tests/system/faults.py
+++ b/tests/system/faults.py
@@ -122,6 +122,19 @@
         self.cluster.set_popularity("west", weights)
         wait_until("a hold order at rank 3", lambda: engine.stats(3)["faults_hit"] > hits, 20)
 
+    def begin_stalled_load(self):
+        """
+        Starts a map switch; returns while the load order at rank 3 is stalled for 2 s.
+
+        No release of an earlier switch is due then. The group also leaves its initial map by
+        itself; a fault that is set earlier may hit that switch.
+        """
+        engine = self.cluster.engines["west"]
+        hits = engine.stats(3)["faults_hit"]
+        engine.fault("stall", path="/map/load", count=1, ms=2000, port=3)
+        self.cluster.set_popularity("west", SKEWED_WEIGHTS)
+        wait_until("a load order at rank 3", lambda: engine.stats(3)["faults_hit"] > hits, 20)
+
     def wait_group_advances(self):
         """Waits until all ranks of group west use one map epoch and steps continue."""
         before = self.cluster.group_stats("west")[0]["steps"]
@@ -778,10 +791,8 @@
     """
     load = trial.start_load(retries=20)
     cluster, engine = trial.cluster, trial.cluster.engines["west"]
+    trial.begin_stalled_load()
     engine.fault("cut", path="/map/release", port=1)
-    engine.fault("stall", path="/map/load", count=1, ms=2000, port=3)
-    cluster.set_popularity("west", SKEWED_WEIGHTS)
-    wait_until("a load order at rank 3", lambda: engine.stats(3)["faults_hit"] > 0, 20)
     cluster.stop_gracefully("west-1")
     engine.fault("none", port=1)
     trial.wait_group_advances()
