Cut the releases of three ranks only once a load order is stalled

agent_stops_in_hold has the fault of agent_stops_before_hold: it cut the releases of ranks 0 to 2 at any time. If the switch from the initial map is at its release then, one rank has been released and another is not; the group is blocked, and no rank that was released gets a release order again. The cuts are now set when a load order at rank 3 has reached the stall, before the releases of that switch.

--- a/tests/system/faults.py
+++ b/tests/system/faults.py
@@ -762,9 +762,9 @@
     """
     load = trial.start_load(2, retries=20)
     cluster, engine = trial.cluster, trial.cluster.engines["west"]
+    trial.begin_stalled_load()
     for rank in range(3):
         engine.fault("cut", path="/map/release", port=rank)
-    cluster.set_popularity("west", SKEWED_WEIGHTS)
     wait_until("release orders at ranks 0 to 2",
                lambda: all(engine.stats(r)["faults_hit"] for r in range(3)), 20)
     # Two callers leave at least one of three ranks without a stream.
