Add review case 2: streams that are broken off never end

CONFIG is broken: when model runners turn slow, streams reach the timeout of their route, and the gateway does not close their channels while another channel has been idle for longer.

--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -20,7 +20,8 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, os.path.join(ROOT, "tests", "soak"))
 
-from standin import Group, HttpServer, Store, answer, read_body, read_head  # noqa: E402
+from standin import (STEP_S, Group, HttpServer, Store, answer, read_body,  # noqa: E402
+                     read_head)
 
 HOST = "franchise.example"
 KEY, TENANT = "key-depot-1", "depot"
@@ -102,6 +103,18 @@
     return True
 
 
+class SteppingGroup(Group):
+    """Ranks in lock-step; slowness is how many times longer their steps take."""
+
+    slowness = 1.0
+
+    async def run(self):
+        while True:
+            await asyncio.sleep(STEP_S * self.slowness)
+            if self.open and self.step + 1 not in self.held:
+                self.begin_step()
+
+
 class Deployment:
     """Addresses: gateways at .11 and up, model runners at .101 and up, plain runners at .151 and
     up, the store at .2, proxies of the store at .31 and up."""
@@ -181,7 +194,7 @@
         self.store = Store(*self.store_address())
         self.store.names_era = False
         await self.store.http.start()
-        self.group = Group(self, "g1", self.rank_count)
+        self.group = SteppingGroup(self, "g1", self.rank_count)
         for k in range(self.rank_count):
             self.runners.append(make_runner(self, "burdock-pool", f"{self.net}.{101 + k}",
                                             self.group, k))
