--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -410,7 +410,7 @@
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
-        breaks = asyncio.run(asyncio.wait_for(play(record, trouble), 110))
+        breaks = asyncio.run(asyncio.wait_for(play(record, trouble), 116))
     except (CannotRun, OSError, asyncio.TimeoutError) as error:
         record.add(f"could not run: {error!r}")
         record.close()
