Report the end of a request to its handler from the server's turn only

Callers saw their connections closed without an answer, all those of a gateway at once: a runner whose stream went on without end made each gateway that read it end with SIGSEGV.

Cause: burdock_http_stream_write() reported the request as closed to its own handler when the output limit was exceeded, from within the call. The gateway then released the request, with the event parser that had just passed the event on and went on with it. Every caller of the function depended on who releases what and when, and a sound stream that is read slowly takes the same way.

The server now owns a request: it calls the closed callback from its own turn of the loop only, so that a handler may use a request, and what it attached to it, after a call that ends it. The output limit aborts the request, and later writes return -EPIPE. The sink of the event parser returns an error, which ends the feed and the transfer; the gateway then ends the request without another attempt and does not blame the upstream. "event not delivered" in the log says why. The entry uses the same functions and needs no change.

--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,7 @@
 	python3 tests/soak/scenarios.py late-row --build $(BUILD) --seed $(SEED) --seconds 10
 	python3 tests/soak/scenarios.py leaving-answers --build $(BUILD) --seed $(SEED) --seconds 10
 	python3 tests/soak/scenarios.py retry-after --build $(BUILD) --seed $(SEED) --seconds 14
+	python3 tests/soak/scenarios.py endless-streams --build $(BUILD) --seed $(SEED) --seconds 30 --callers 4
 	python3 tests/soak/scenarios.py faulty-answers --build $(BUILD) --seed $(SEED) --seconds 15 --callers 24
 	python3 tests/soak/scenarios.py silent-poll-all --build $(BUILD) --seed $(SEED) --seconds 12
 	python3 tests/soak/scenarios.py paused-stream --build $(BUILD) --seed $(SEED)
--- a/daemon/http-response.c
+++ b/daemon/http-response.c
@@ -235,11 +235,11 @@
                            uint32_t length_bytes)
 {
   if (request->aborted || request->ended)
-    return 0;
+    return -EPIPE;
   if (request->output_bytes + length_bytes > STREAM_MAX_BYTES ||
       !burdock_http_append (&request->output, &request->output_bytes,
                             &request->output_capacity, data, length_bytes)) {
-    burdock_http_terminate (request);
+    burdock_http_abort (request);
     return -ENOBUFS;
   }
   if (!request->streaming)
--- a/daemon/http-server-private.h
+++ b/daemon/http-server-private.h
@@ -31,7 +31,8 @@
  * @dispatched: the handler has received the request
  * @suspended: libmicrohttpd leaves the connection alone until burdock_http_resume()
  * @too_large: the request body is above the limit, or memory for it is exhausted
- * @aborted: the connection is to be closed before the end of the response
+ * @aborted: the connection is to be closed before the end of the response; the handler
+ *   may not have been told yet
  * @closed: the end of the request was reported to the handler
  * @streaming: the response is streamed through @output
  * @ended: the response is complete; a part of it may still be unsent
@@ -102,9 +103,6 @@
 /** burdock_http_resume() - lets libmicrohttpd continue with a suspended request */
 void burdock_http_resume (BurdockHttpRequest *request);
 
-/** burdock_http_terminate() - reports a request as closed and aborts its connection */
-void burdock_http_terminate (BurdockHttpRequest *request);
-
 /** burdock_http_append() - appends bytes and a terminating zero; false without memory */
 bool burdock_http_append (char **buffer, uint32_t *length_bytes, uint32_t *capacity,
                           const char *data, uint32_t added_bytes);
--- a/daemon/http-server.c
+++ b/daemon/http-server.c
@@ -321,12 +321,12 @@
   return received == 0 || (received < 0 && errno != EAGAIN && errno != EINTR);
 }
 
-void
-burdock_http_terminate (BurdockHttpRequest *request)
+/* Aborts a request from the server's own turn, in which the handler may be told. */
+static void
+terminate_request (BurdockHttpRequest *request)
 {
-  request->aborted = true;
+  burdock_http_abort (request);
   close_request (request, false);
-  burdock_http_resume (request);
 }
 
 static void
@@ -340,7 +340,7 @@
     if (request->aborted || !peer_disconnected (request))
       continue;
     if (request->suspended)
-      burdock_http_terminate (request);
+      terminate_request (request);
     else if (!request->dispatched)
       MHD_set_connection_option (request->connection, MHD_CONNECTION_OPTION_TIMEOUT,
                                  DISCONNECTED_TIMEOUT_S);
@@ -454,7 +454,7 @@
   burdock_loop_watch (server->loop, &server->source, 0);
   for (BurdockHttpRequest *request = server->open_requests; request != NULL;
        request = request->next)
-    burdock_http_terminate (request);
+    terminate_request (request);
   for (uint32_t i = 0; i < CLOSE_RUNS_MAX && server->open_count > 0; i++)
     MHD_run (server->daemon);
   MHD_stop_daemon (server->daemon);
@@ -526,7 +526,7 @@
   for (BurdockHttpRequest *request = server->open_requests; request != NULL;
        request = next) {
     next = request->next;
-    if (request->dispatched && !request->closed && !request->ended)
+    if (request->dispatched && !request->closed && !request->aborted && !request->ended)
       function (ctx, request);
   }
 }
--- a/daemon/http-server.h
+++ b/daemon/http-server.h
@@ -3,6 +3,12 @@
  *
  * libmicrohttpd runs without threads of its own: its epoll descriptor is a source of the
  * loop. A request that waits for its response is suspended, and resumed by the response.
+ *
+ * The server owns a request. It reports the end of a request to the handler, and releases
+ * the request, only from its own turn of the loop or from burdock_http_server_free(),
+ * never from within another call of the handler's. The handler may therefore use a
+ * request, and what it attached to it, until the closed callback, also after a call that
+ * ends the request. It must not free the server from within a callback.
  */
 #ifndef BURDOCK_HTTP_SERVER_H
 #define BURDOCK_HTTP_SERVER_H
@@ -158,14 +164,14 @@
 void burdock_http_stream_start (BurdockHttpRequest *request, uint32_t status);
 
 /** burdock_http_abort() - closes the connection, so that the peer sees an incomplete
- * response */
+ * response; the closed callback is called later */
 void burdock_http_abort (BurdockHttpRequest *request);
 
 /**
  * burdock_http_stream_write() - appends to a streamed response
  * Without burdock_http_stream_start(), the first call starts a response of JSON lines
  * with status 200. Returns 0; -ENOBUFS if more than 1 MiB would wait for a slow peer, in
- * which case the request was closed.
+ * which case the request is aborted; -EPIPE if it was aborted or completed before.
  */
 int burdock_http_stream_write (BurdockHttpRequest *request, const char *data,
                                uint32_t length_bytes);
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -141,7 +141,7 @@
   counters->first_event_ms[bucket]++;
 }
 
-static void
+static int
 deliver_event (void *ctx, const char *event, uint32_t length_bytes)
 {
   BurdockForward *forward = ctx;
@@ -149,6 +149,7 @@
   uint64_t now_us = burdock_loop_now_us ();
   uint64_t gap_us =
       forward->attempt_event_count > 0 ? now_us - forward->last_event_us : 0;
+  int status;
 
   if (!forward->answer_started) {
     forward->answer_started = true;
@@ -171,7 +172,15 @@
     forward->last_activity_us = now_us;
   forward->last_activity_id = forward->event_stream.last_id;
   traffic->counters.events++;
-  burdock_http_stream_write (forward->http_request, event, length_bytes);
+  status = burdock_http_stream_write (forward->http_request, event, length_bytes);
+  if (status < 0) {
+    forward->caller_lost = true;
+    burdock_log_subject (BURDOCK_LOG_INFO, "event not delivered",
+                         forward->caller.request_id, forward->upstream.id,
+                         "%s events %u bytes %u", strerror (-status),
+                         forward->attempt_event_count, length_bytes);
+  }
+  return status;
 }
 
 static int
@@ -318,7 +327,9 @@
   if (forward->attempt_event_count == 0)
     record_outcome (forward, attempt_result, result);
   burdock_forward_attempt_ended (forward, attempt_result,
-                                 upstream_outcome (attempt_result, result->sent));
+                                 forward->caller_lost
+                                     ? BURDOCK_UPSTREAM_ABANDONED
+                                     : upstream_outcome (attempt_result, result->sent));
 }
 
 static void
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -227,7 +227,8 @@
   if (result != BURDOCK_ATTEMPT_NOT_RUN && result != BURDOCK_ATTEMPT_MISDIRECTED)
     forward->run_count++;
   state.run_count = forward->run_count;
-  action = burdock_attempt_next_action (&state);
+  action =
+      forward->caller_lost ? BURDOCK_ACTION_ABORT : burdock_attempt_next_action (&state);
   /* An attempt that did not reach its upstream may be retried without using the retry
    * budget. */
   if ((action == BURDOCK_ACTION_RETRY || action == BURDOCK_ACTION_RESUME) &&
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -34,6 +34,7 @@
  * @answer_kind: kind of the attempt's answer, 0 before its headers were received
  * @http_status: HTTP status of the attempt's answer, 0 before its headers were received
  * @answer_started: a part of a stream was passed to the HTTP server
+ * @caller_lost: the HTTP server has refused a part of the stream and ends the request
  * @attempt_broke: the connection of the last attempt ended between the head of its answer
  *   and the first event
  * @check_until_us: time at which a request that waits for the check of its upstream is
@@ -77,6 +78,7 @@
   BurdockAnswerKind answer_kind;
   int32_t http_status;
   bool answer_started;
+  bool caller_lost;
   bool attempt_sent; /* a part of the last attempt may have reached its upstream */
   bool attempt_broke;
   uint64_t check_until_us;
--- a/libburdock/event-stream.c
+++ b/libburdock/event-stream.c
@@ -94,19 +94,19 @@
   return 0;
 }
 
-static void
+static int
 handle_event (BurdockEventStream *stream, const char *event, uint32_t length_bytes,
               BurdockEventStreamSink sink, void *ctx)
 {
   uint64_t id = event_id (event, length_bytes);
 
   if (id != 0 && id <= stream->last_id)
-    return;
+    return 0;
   if (id != 0) {
     stream->last_id = id;
     stream->idle_bytes = 0;
   }
-  sink (ctx, event, length_bytes);
+  return sink (ctx, event, length_bytes);
 }
 
 int
@@ -120,12 +120,14 @@
   if (status < 0)
     return status;
   stream->idle_bytes += length_bytes;
-  while ((length = event_length (stream, offset)) > 0) {
-    handle_event (stream, stream->buffer + offset, length, sink, ctx);
+  while (status == 0 && (length = event_length (stream, offset)) > 0) {
+    status = handle_event (stream, stream->buffer + offset, length, sink, ctx);
     offset += length;
     stream->scanned_bytes = stream->searched_bytes = 0;
   }
   stream->length_bytes -= offset;
   memmove (stream->buffer, stream->buffer + offset, stream->length_bytes);
+  if (status < 0)
+    return status;
   return stream->idle_bytes <= BURDOCK_STREAM_EVENT_MAX_BYTES ? 0 : -EMSGSIZE;
 }
--- a/libburdock/event-stream.h
+++ b/libburdock/event-stream.h
@@ -33,9 +33,10 @@
 } BurdockEventStream;
 
 /** typedef BurdockEventStreamSink - receives one complete event, including its
- * terminating empty line; the event is valid during the call only */
-typedef void (*BurdockEventStreamSink) (void *ctx, const char *event,
-                                        uint32_t length_bytes);
+ * terminating empty line; the event is valid during the call only. Returns 0, or a
+ * negative error, which ends the feed. Must not clear the parser. */
+typedef int (*BurdockEventStreamSink) (void *ctx, const char *event,
+                                       uint32_t length_bytes);
 
 /** burdock_event_stream_clear() - releases the buffer and resets the parser */
 void burdock_event_stream_clear (BurdockEventStream *stream);
@@ -49,7 +50,8 @@
  *
  * Events whose id is not above @last_id were already delivered and are dropped; blocks
  * without an id, such as comments, are passed on. Returns 0; -EMSGSIZE if more than
- * BURDOCK_STREAM_EVENT_MAX_BYTES arrive without an event that has a new id; -ENOMEM.
+ * BURDOCK_STREAM_EVENT_MAX_BYTES arrive without an event that has a new id; -ENOMEM; or
+ * the error of @sink, after which no further event is passed on.
  */
 int burdock_event_stream_feed (BurdockEventStream *stream, const char *data,
                                uint32_t length_bytes, BurdockEventStreamSink sink,
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -5,6 +5,7 @@
 request: one request that comes again crashes each upstream that runs it.
 stream-request: the same with a stream, at upstreams of two groups.
 limit: most upstreams name a limit of requests a second, and a gateway is started meanwhile.
+endless-streams: bodies of streams without end, read quickly and slowly.
 faulty-answers: refusals written twice, heads cut, errors where a stream is to be resumed.
 late-row: a row from before the notice of an upstream that leaves is written after it.
 leaving-answers: an upstream says in its answers that it leaves, and the store is silent.
@@ -27,6 +28,7 @@
 import time
 
 import soak
+from endless import EndlessStreamsScenario
 from faulty import FaultyAnswersScenario
 from leaving import (LateRowScenario, LeavingAnswersScenario, PausedStreamScenario,
                      RetryAfterScenario)
@@ -369,6 +371,10 @@
         pass
 
 
+class EndlessBodiesScenario(EndlessStreamsScenario, soak.Soak):
+    pass
+
+
 class PlannedStopScenario(StopScenario, soak.Soak):
     gateway_count = 3
 
@@ -385,7 +391,8 @@
     gateway_count = 3
 
 
-SCENARIOS = {"faulty-answers": FaultyAnswersScenario, "late-row": LateRowScenario,
+SCENARIOS = {"endless-streams": EndlessBodiesScenario,
+             "faulty-answers": FaultyAnswersScenario, "late-row": LateRowScenario,
              "leaving-answers": LeavingAnswersScenario,
              "limit": LimitScenario, "odd-rows": OddRowsScenario,
              "paused-stream": PausedStreamScenario,
--- a/tests/test-endless.c
+++ b/tests/test-endless.c
@@ -192,9 +192,10 @@
   { "an event that was delivered before", "id: 1\ndata: x\n\n" },
 };
 
-static void
+static int
 ignore_event (void *ctx, const char *event, uint32_t length_bytes)
 {
+  return 0;
 }
 
 /* Guards against a stream that is read for as long as its upstream sends bytes, although
--- a/tests/test-event-stream.c
+++ b/tests/test-event-stream.c
@@ -12,13 +12,14 @@
   uint32_t events;
 } Output;
 
-static void
+static int
 record_event (void *ctx, const char *event, uint32_t length_bytes)
 {
   Output *output = ctx;
 
   strncat (output->text, event, length_bytes);
   output->events++;
+  return 0;
 }
 
 typedef struct {
@@ -104,9 +105,34 @@
   burdock_event_stream_clear (&stream);
 }
 
-static void
+static int
 ignore_event (void *ctx, const char *event, uint32_t length_bytes)
 {
+  return 0;
+}
+
+static int
+refuse_event (void *ctx, const char *event, uint32_t length_bytes)
+{
+  uint32_t *count = ctx;
+
+  (*count)++;
+  return -EPIPE;
+}
+
+/* Guards against events that are passed on after their receiver has failed. */
+static void
+failed_sink_ends_the_feed (void)
+{
+  static const char events[] = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+  BurdockEventStream stream = { 0 };
+  uint32_t count = 0;
+
+  CU_ASSERT_EQUAL (burdock_event_stream_feed (&stream, events, sizeof events - 1,
+                                              refuse_event, &count),
+                   -EPIPE);
+  CU_ASSERT_EQUAL (count, 1);
+  burdock_event_stream_clear (&stream);
 }
 
 typedef struct {
@@ -146,6 +172,7 @@
     events_stay_complete_at_every_split },
   { "parts of events of two runs are joined", restart_drops_the_incomplete_event },
   { "an endless event uses all memory", oversized_event_is_an_error },
+  { "events go on after their receiver has failed", failed_sink_ends_the_feed },
   { "a stream that broke off looks complete", stream_that_broke_off_is_not_complete },
 };
 
