Read a stream from its upstream no faster than its caller reads it

Callers who read a large stream slowly lost it: with more than 1 MiB waiting, the gateway ended the stream, where a slower upstream would do.

Cause: nothing told the upstream to wait. Output that had been sent also counted as waiting until the caller had read all of it at one moment, so that a caller who is always a little behind met the limit after 1 MiB in all.

The gateway now stops to read from the upstream while 64 KiB wait for the caller (a paused transfer of libcurl), and reads on below 32 KiB. The time does not count as a silence of the upstream or as a gap between events; slow_caller_ms of "request ended" gives it. The output limit is 2 MiB, so that the largest event fits beside what waits.

--- a/daemon/http-client.c
+++ b/daemon/http-client.c
@@ -63,8 +63,10 @@
   struct curl_slist *headers;
   bool added;
   bool cancelled;
+  bool paused;
   void *ctx;
   int (*head) (void *ctx, BurdockHttpTransfer *transfer, int32_t http_status);
+  bool (*accepts) (void *ctx);
   int (*data) (void *ctx, const char *data, size_t length_bytes);
   void (*line) (void *ctx, const char *line, size_t line_bytes);
   void (*done) (void *ctx, const BurdockHttpResult *result);
@@ -217,6 +219,15 @@
   }
 }
 
+/* Does what had to wait for the end of the callbacks of libcurl. */
+static void
+leave_curl (BurdockHttpClient *client)
+{
+  client->in_curl = false;
+  release_cancelled (client);
+  add_waiting (client);
+}
+
 static void
 run_curl (BurdockHttpClient *client, curl_socket_t descriptor, int mask)
 {
@@ -224,12 +235,30 @@
 
   client->in_curl = true;
   curl_multi_socket_action (client->multi, descriptor, mask, &running);
-  client->in_curl = false;
-  release_cancelled (client);
-  add_waiting (client);
+  leave_curl (client);
   collect_results (client);
 }
 
+void
+burdock_http_transfer_resume (BurdockHttpTransfer *transfer)
+{
+  BurdockHttpClient *client = transfer->client;
+  CURLcode code;
+  bool cancelled;
+
+  if (!transfer->paused || transfer->cancelled)
+    return;
+  transfer->paused = false;
+  client->in_curl = true;
+  /* Passes on what libcurl holds of the body; an error ends the transfer, which libcurl
+   * does not report as its result. */
+  code = curl_easy_pause (transfer->handle.easy, CURLPAUSE_CONT);
+  cancelled = transfer->cancelled;
+  leave_curl (client);
+  if (code != CURLE_OK && !cancelled)
+    finish_transfer (transfer, code);
+}
+
 static void
 watch_ready (void *ctx, int16_t events)
 {
@@ -399,6 +428,10 @@
 
   if (transfer->cancelled)
     return 0;
+  if (transfer->accepts != NULL && !transfer->accepts (transfer->ctx)) {
+    transfer->paused = true;
+    return CURL_WRITEFUNC_PAUSE;
+  }
   if (transfer->data != NULL)
     return transfer->data (transfer->ctx, data, length_bytes) < 0 ? 0 : length_bytes;
   if (transfer->body_bytes + length_bytes > transfer->body_bytes_max) {
@@ -617,6 +650,7 @@
   transfer->client = client;
   transfer->ctx = call->ctx;
   transfer->head = call->head;
+  transfer->accepts = call->accepts;
   transfer->data = call->data;
   transfer->body_bytes_max =
       call->body_bytes_max > 0 ? call->body_bytes_max : BODY_MAX_BYTES;
--- a/daemon/http-client.h
+++ b/daemon/http-client.h
@@ -61,6 +61,8 @@
  *   NULL
  * @head: called once the headers of the final response are complete; may be NULL. A
  *   negative result ends the transfer
+ * @accepts: whether @data may be called now; may be NULL. After a negative answer nothing
+ *   is read from the peer until burdock_http_transfer_resume()
  * @data: receives the body as it arrives; may be NULL. A negative result ends the
  *   transfer
  * @done: called once, never from within burdock_http_client_start()
@@ -85,6 +87,7 @@
   uint32_t body_bytes_max;
   void *ctx;
   int (*head) (void *ctx, BurdockHttpTransfer *transfer, int32_t http_status);
+  bool (*accepts) (void *ctx);
   int (*data) (void *ctx, const char *data, size_t length_bytes);
   void (*line) (void *ctx, const char *line, size_t line_bytes);
   void (*done) (void *ctx, const BurdockHttpResult *result);
@@ -116,6 +119,15 @@
  */
 void burdock_http_transfer_cancel (BurdockHttpTransfer *transfer);
 
+/**
+ * burdock_http_transfer_resume() - reads on after @accepts of the call has paused it
+ *
+ * Does nothing to a transfer that is not paused. May call the callbacks of the transfer,
+ * its done callback included, after which @transfer is invalid. Must not be called from
+ * within a callback of the client.
+ */
+void burdock_http_transfer_resume (BurdockHttpTransfer *transfer);
+
 /** burdock_http_transfer_header() - response header, or NULL; valid in the callbacks */
 const char *burdock_http_transfer_header (BurdockHttpTransfer *transfer,
                                           const char *name);
--- a/daemon/http-response.c
+++ b/daemon/http-response.c
@@ -9,8 +9,9 @@
 
 #define STREAM_BLOCK_BYTES 4096
 
-/* Output buffered for a peer that reads slowly. */
-#define STREAM_MAX_BYTES (1u << 20)
+/* Output buffered for a peer that reads slowly: the largest event of a stream, 1 MiB,
+ * fits beside what waits when its handler stops to read its source. */
+#define STREAM_MAX_BYTES (2u << 20)
 
 bool
 burdock_http_append (char **buffer, uint32_t *length_bytes, uint32_t *capacity,
@@ -230,13 +231,33 @@
   burdock_http_resume (request);
 }
 
+/* Moves the output that waits to the start of its buffer. A peer that always reads later
+ * than the handler writes never empties the buffer. */
+static void
+discard_sent (BurdockHttpRequest *request)
+{
+  if (request->output_sent_bytes <= request->output_bytes / 2)
+    return;
+  request->output_bytes -= request->output_sent_bytes;
+  memmove (request->output, request->output + request->output_sent_bytes,
+           request->output_bytes);
+  request->output_sent_bytes = 0;
+}
+
+uint32_t
+burdock_http_stream_waiting_bytes (const BurdockHttpRequest *request)
+{
+  return request->output_bytes - request->output_sent_bytes;
+}
+
 int
 burdock_http_stream_write (BurdockHttpRequest *request, const char *data,
                            uint32_t length_bytes)
 {
   if (request->aborted || request->ended)
     return -EPIPE;
-  if (request->output_bytes + length_bytes > STREAM_MAX_BYTES ||
+  discard_sent (request);
+  if (burdock_http_stream_waiting_bytes (request) + length_bytes > STREAM_MAX_BYTES ||
       !burdock_http_append (&request->output, &request->output_bytes,
                             &request->output_capacity, data, length_bytes)) {
     burdock_http_abort (request);
--- a/daemon/http-server.h
+++ b/daemon/http-server.h
@@ -170,12 +170,17 @@
 /**
  * burdock_http_stream_write() - appends to a streamed response
  * Without burdock_http_stream_start(), the first call starts a response of JSON lines
- * with status 200. Returns 0; -ENOBUFS if more than 1 MiB would wait for a slow peer, in
+ * with status 200. Returns 0; -ENOBUFS if more than 2 MiB would wait for a slow peer, in
  * which case the request is aborted; -EPIPE if it was aborted or completed before.
  */
 int burdock_http_stream_write (BurdockHttpRequest *request, const char *data,
                                uint32_t length_bytes);
 
+/** burdock_http_stream_waiting_bytes() - output that the peer has not read yet; a handler
+ * that reads slower while much of it waits does not meet the limit of
+ * burdock_http_stream_write() */
+uint32_t burdock_http_stream_waiting_bytes (const BurdockHttpRequest *request);
+
 /** burdock_http_stream_end() - completes a streamed response */
 void burdock_http_stream_end (BurdockHttpRequest *request);
 
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -21,6 +21,12 @@
 /* Memory of all buffered answers together: an instance has 160 MB or more. */
 #define BUFFERED_ANSWERS_MAX_BYTES (32u << 20)
 
+/* Output that waits for a caller that reads slowly before the gateway stops to read from
+ * the upstream, and below which it reads on. An instance has 160 MB or more for a few
+ * hundred requests. */
+#define PAUSE_WAITING_BYTES (64u << 10)
+#define RESUME_WAITING_BYTES (32u << 10)
+
 /* Number of streams over which the moving average of the time to the first event is
  * taken. */
 #define FIRST_EVENT_MEAN_WEIGHT 16
@@ -183,6 +189,47 @@
   return status;
 }
 
+/* A stream is read no faster than its caller reads it, as by a slower upstream. */
+static bool
+accepts_data (void *ctx)
+{
+  BurdockForward *forward = ctx;
+
+  if (forward->answer_kind != BURDOCK_ANSWER_STREAM ||
+      burdock_http_stream_waiting_bytes (forward->http_request) < PAUSE_WAITING_BYTES)
+    return true;
+  forward->reading_paused = true;
+  forward->pause_began_us = burdock_loop_now_us ();
+  return false;
+}
+
+uint64_t
+burdock_forward_paused_us (const BurdockForward *forward, uint64_t now_us)
+{
+  return forward->paused_us +
+         (forward->reading_paused ? now_us - forward->pause_began_us : 0);
+}
+
+/* The upstream is not to blame for the time of the pause. */
+static void
+end_pause (BurdockForward *forward, uint64_t now_us)
+{
+  if (!forward->reading_paused)
+    return;
+  forward->paused_us = burdock_forward_paused_us (forward, now_us);
+  forward->reading_paused = false;
+  forward->last_event_us = forward->last_activity_us = now_us;
+}
+
+void
+burdock_forward_read_on (BurdockForward *forward, uint64_t now_us)
+{
+  if (burdock_http_stream_waiting_bytes (forward->http_request) >= RESUME_WAITING_BYTES)
+    return;
+  end_pause (forward, now_us);
+  burdock_http_transfer_resume (forward->transfer);
+}
+
 static int
 answer_data (void *ctx, const char *data, size_t length_bytes)
 {
@@ -317,6 +364,7 @@
                                             ? complete_transfer_result (forward)
                                             : failed_transfer_result (forward, result);
 
+  end_pause (forward, burdock_loop_now_us ());
   forward->attempt_sent = result->sent;
   if (result->new_connection)
     forward->gateway->traffic.counters.connections++;
@@ -380,6 +428,7 @@
                            .connect_timeout_ms = CONNECT_TIMEOUT_MS,
                            .ctx = forward,
                            .head = answer_head,
+                           .accepts = accepts_data,
                            .data = answer_data,
                            .done = answer_done };
   int status =
@@ -410,6 +459,7 @@
     return;
   burdock_http_transfer_cancel (forward->transfer);
   forward->transfer = NULL;
+  end_pause (forward, burdock_loop_now_us ());
   burdock_balancer_finish (forward->gateway->traffic.balancer, forward->upstream.key,
                            outcome, burdock_loop_now_us ());
 }
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -364,7 +364,7 @@
       "outcome %s status %u route %s pool %s generation %u upstreams %" PRIu64
       " delivered %d sent %u ran %u "
       "reason %s first_ms %u total_ms %u placed_ms %u events %u pause_ms %u "
-      "digest %016" PRIx64 " stop_ms %" PRId64,
+      "digest %016" PRIx64 " stop_ms %" PRId64 " slow_caller_ms %u",
       forward->outcome, forward->final_status, forward->route->name, forward->pool->name,
       (uint32_t)forward->table->version, forward->upstream_version, delivered,
       forward->send_count, forward->run_count, burdock_reason_name (forward->reason),
@@ -373,7 +373,8 @@
           ? (uint32_t)((forward->sent_us - forward->received_us) / US_PER_MS)
           : 0,
       forward->attempt_event_count, (uint32_t)(forward->longest_gap_us / US_PER_MS),
-      forward->digest, received_in_stop_ms (forward));
+      forward->digest, received_in_stop_ms (forward),
+      (uint32_t)(burdock_forward_paused_us (forward, now_us) / US_PER_MS));
 }
 
 /* A request whose answer is not delivered has lost its caller, unless the process ends.
@@ -538,7 +539,8 @@
 {
   BurdockAnswerEstimate unknown = { 0 };
 
-  return forward->phase == BURDOCK_FORWARD_SENT && is_stalled (forward, &unknown, now_us);
+  return forward->phase == BURDOCK_FORWARD_SENT && !forward->reading_paused &&
+         is_stalled (forward, &unknown, now_us);
 }
 
 static void
@@ -594,6 +596,8 @@
     else if (quarantines && forward->phase == BURDOCK_FORWARD_SENT &&
              !forward->answer_started && is_quarantined (forward))
       withdraw_quarantined (forward);
+    else if (forward->phase == BURDOCK_FORWARD_SENT && forward->reading_paused)
+      burdock_forward_read_on (forward, now_us);
     else if (may_be_stalled (forward, now_us))
       check_stall (forward, now_us);
   }
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -41,6 +41,9 @@
  *   retried
  * @resume_at_us: time at which a stream that waits is queued again
  * @retry_paid: the next attempt is paid for from the retry budget
+ * @reading_paused: nothing is read from the upstream until the caller has read more
+ * @pause_began_us: start of the current pause
+ * @paused_us: time of all pauses before it
  * @attempt_event_count: events of the current attempt that were delivered
  * @reason: why the request was not placed
  * @upstream_version: version of the last change of the upstreams that was known when the
@@ -84,6 +87,9 @@
   uint64_t check_until_us;
   uint64_t resume_at_us;
   bool retry_paid;
+  bool reading_paused;
+  uint64_t pause_began_us;
+  uint64_t paused_us;
   uint32_t attempt_event_count;
   BurdockReason reason;
   BurdockEventStream event_stream;
@@ -122,6 +128,13 @@
  * failure to start it, leads to burdock_forward_attempt_ended() */
 void burdock_forward_send (BurdockForward *forward);
 
+/** burdock_forward_read_on() - ends a pause of an attempt if its caller has read enough;
+ * the attempt may end */
+void burdock_forward_read_on (BurdockForward *forward, uint64_t now_us);
+
+/** burdock_forward_paused_us() - time in which nothing was read because of the caller */
+uint64_t burdock_forward_paused_us (const BurdockForward *forward, uint64_t now_us);
+
 /** burdock_forward_cancel() - cancels the current attempt, if there is one, and reports
  * @outcome to the balancer */
 void burdock_forward_cancel (BurdockForward *forward, BurdockUpstreamOutcome outcome);
--- a/tests/soak/endless.py
+++ b/tests/soak/endless.py
@@ -1,9 +1,10 @@
 """Model runners in trouble send bodies of streams without end, to quick and slow readers."""
 import asyncio
 import random
+import socket
 import time
 
-from standin import Runner, attempt_id
+from standin import Runner, attempt_id, read_head
 
 # Bodies of streams without end; {} is the attempt. The functions take the number of the block.
 BODIES = {
@@ -132,3 +133,73 @@
                 peak_kb = next(int(line.split()[1]) for line in file if line.startswith("VmHWM"))
             if peak_kb > MEMORY_MAX_KB:
                 self.check.add_violation("MEMORY", f"{gateway.name} took {peak_kb} KiB ({name})")
+
+
+class LargeStreamRunner(Runner):
+    """Sends sound streams as fast as they are read."""
+
+    EVENTS, EVENT_BYTES = 1500, 2000
+
+    def event(self, attempt, number):
+        return f"id: {number}\ndata: {attempt}{'y' * self.EVENT_BYTES}\n\n".encode()
+
+    async def stream(self, path, attempt, headers, writer):
+        writer.write(self.stream_head(attempt))
+        for number in range(int(headers.get("last-event-id", 0)) + 1, self.EVENTS + 1):
+            event = self.event(attempt, number)
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+
+class SlowReadersScenario:
+    """Streams of 3 MB, more than a gateway keeps, whose callers read them slowly."""
+
+    runner_class = LargeStreamRunner
+    gateway_count = 2
+    READERS, READ_BYTES, READ_S, WINDOW_BYTES = 4, 1 << 15, 0.02, 1 << 16
+
+    async def reader(self, k, end_time):
+        while time.monotonic() < end_time:
+            attempt = attempt_id(self.random, k)
+            try:
+                body = await asyncio.wait_for(self.read_stream(k, attempt), 9)
+            except (OSError, ValueError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
+                body = repr(error)
+            whole = b"".join(self.runners[0].event(attempt, number)
+                             for number in range(1, LargeStreamRunner.EVENTS + 1))
+            ending = "whole" if body == whole else "wrong"
+            if body != whole:
+                self.check.add_violation("CUT", f"a stream at gateway-{k} was read slowly and "
+                                                f"ended with {(body or b'')[-80:]!r}")
+            self.outcome_counts[ending] = self.outcome_counts.get(ending, 0) + 1
+
+    async def read_stream(self, k, attempt):
+        caller = socket.socket()
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.WINDOW_BYTES)
+        caller.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(caller, (self.gateway_ip(k), 8080))
+        reader, writer = await asyncio.open_connection(sock=caller, limit=self.READ_BYTES)
+        try:
+            writer.write(f"POST /stream/p HTTP/1.1\r\nHost: h\r\nBurdockwind-Attempt-Id: {attempt}"
+                         f"\r\nAuthorization: Bearer key-a\r\nContent-Length: 0\r\n\r\n".encode())
+            head = await read_head(reader)
+            if head is None or " 200 " not in head[0]:
+                return head and head[0]
+            body = b""
+            while size := int(await reader.readline(), 16):
+                body += (await reader.readexactly(size + 2))[:-2]
+                if len(body) // self.READ_BYTES > (len(body) - size) // self.READ_BYTES:
+                    await asyncio.sleep(self.READ_S)
+            return body
+        finally:
+            writer.close()
+
+    async def run(self):
+        end_time = time.monotonic() + self.options.seconds
+        await asyncio.gather(*(self.reader(k, end_time) for k in range(len(self.gateways))
+                               for _ in range(self.READERS)))
+        if self.outcome_counts.get("whole", 0) < 2 * self.READERS:
+            self.check.add_violation("SETUP", f"only {self.outcome_counts}")
--- a/tests/test-http-stream.c
+++ b/tests/test-http-stream.c
@@ -168,8 +168,8 @@
 }
 
 /* Guards against a gateway that ends, with the requests of all its callers: the server
- * told the handler of the end of a request, which released what belongs to it, from within
- * a call of the same handler. */
+ * told the handler of the end of a request, which released what belongs to it, from
+ * within a call of the same handler. */
 static void
 handler_learns_of_the_end_from_the_server_only (void)
 {
@@ -177,7 +177,8 @@
     Fixture fixture = { 0 };
 
     owner_case = &owner_cases[i];
-    open_fixture (&fixture, "POST /stream HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
+    open_fixture (&fixture,
+                  "POST /stream HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
                   end_and_use_request);
     burdock_loop_run (fixture.loop);
     if (fixture.timed_out || fixture.closed_in_handler_call)
@@ -189,7 +190,51 @@
   }
 }
 
+#define PIPED_BYTES (8u << 20)
+#define PIPE_WAITING_BYTES (64u << 10)
+#define READ_BYTES (8u << 10)
+
+static uint32_t written_bytes;
+
+/* Writes while little waits, and reads a part of it. */
+static bool
+write_faster_than_caller_reads (void *ctx)
+{
+  static const char block[BLOCK_BYTES];
+  Fixture *fixture = ctx;
+  char buffer[READ_BYTES];
+
+  if (fixture->request != NULL && fixture->write_status == 0 &&
+      burdock_http_stream_waiting_bytes (fixture->request) < PIPE_WAITING_BYTES) {
+    fixture->write_status =
+        burdock_http_stream_write (fixture->request, block, sizeof block);
+    written_bytes += sizeof block;
+  }
+  while (recv (fixture->caller, buffer, sizeof buffer, MSG_DONTWAIT) > 0 &&
+         fixture->request == NULL)
+    ;
+  return fixture->write_status != 0 || written_bytes >= PIPED_BYTES;
+}
+
+/* Guards against a stream that is ended for too much output although its handler waits
+ * for a slow caller: output that had been sent counted as waiting. */
+static void
+sent_output_does_not_wait (void)
+{
+  Fixture fixture = { 0 };
+
+  written_bytes = 0;
+  open_fixture (&fixture, "POST /stream HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n",
+                write_faster_than_caller_reads);
+  burdock_loop_run (fixture.loop);
+  CU_ASSERT_FALSE (fixture.timed_out);
+  CU_ASSERT_EQUAL (fixture.write_status, 0);
+  CU_ASSERT_EQUAL (fixture.closed_count, 0);
+  close_fixture (&fixture);
+}
+
 static const Test tests[] = {
+  { "a stream ends because of output that was sent", sent_output_does_not_wait },
   { "a request is released while its handler uses it",
     handler_learns_of_the_end_from_the_server_only },
 };
