Confirm the hold and the version in a takeover of a switch

Callers saw streams break off: a pass of a group began while a rank had another map than the others (MAP). It takes a coordinator whose machine freezes in a switch, and is likelier with orders that are carried out late.

Beside it: a takeover that saw no armed rank released the hold while an order to arm was on its way; a coordinator that woke acted before it heard of its successor; the step of a hold that nobody reported was guessed; the answer to an order counted for whatever switch was in progress; an order to a rank of unknown address went to the local engine.

--- a/libburdock/map-agent-private.h
+++ b/libburdock/map-agent-private.h
@@ -26,7 +26,9 @@
  * @state: last reported state; its byte ranges are not kept
  * @hosted: experts of the rank in the map @hosted_version, encoded as in
  *   burdock_map_agent_handle_hosted_experts(); owned, NULL before the first ones
- * @armed_directly: the coordinator armed the engine without its agent
+ * @direct_armed_version, @direct_armed_step: last arm order of the local coordinator to
+ *   the engine, without its agent, that the engine has accepted; 0 for none. The peers
+ * are those of one epoch
  */
 typedef struct {
   bool known;
@@ -38,7 +40,8 @@
   uint64_t hosted_epoch;
   uint32_t hosted_bytes;
   uint8_t *hosted;
-  bool armed_directly;
+  uint64_t direct_armed_version;
+  uint64_t direct_armed_step;
 } BurdockMapPeer;
 
 /** enum BurdockCoordinatorPhase - progress of a switch or takeover */
@@ -49,22 +52,29 @@
   BURDOCK_COORDINATOR_ARMING,
   BURDOCK_COORDINATOR_RELEASING,
   BURDOCK_COORDINATOR_SWITCHING,
-  BURDOCK_COORDINATOR_PROMISING, /* takes over the switch of another coordinator */
+  BURDOCK_COORDINATOR_PROMISING,  /* takes over the switch of another coordinator */
+  BURDOCK_COORDINATOR_CONFIRMING, /* takes over the hold of the switch */
 } BurdockCoordinatorPhase;
 
 /**
  * struct BurdockCoordinator - state of the agent that coordinates its group
  * @ballot: ballot of this coordinator; round 0 before the first one
- * @epoch, @version, @step, @map: switch in progress
+ * @epoch, @version, @step, @map: switch in progress; @version is 0 in a takeover that
+ * only releases a hold
  * @base, @base_version: map that was in use when @map was planned
  * @coordinates_since_us: time at which no lower rank was alive any more, 0 if one is
- * @holder: rank that holds @step
- * @hold_suspected: the group is stalled, and a rank whose agent is silent may hold its
- *   next step
+ * @holder, @held_step: rank that holds a step until the release, and the step; it is
+ *   @step, or a step before it
+ * @hold_suspected: a rank may hold a step that no report shows: its agent is silent, or
+ *   this coordinator was paused
+ * @hold_guessed: @held_step follows from the last step of the group only
+ * @last_tick_us: time of the last call of burdock_coordinator_tick()
  * @hold_failed_us: last time that the engine rejected a hold
  * @rates: token counts with exponential decay, layer by layer
  * @samples: token reports added to @rates
- * @direct_order_id: order of the coordinator to an engine in progress, 0 for none
+ * @direct_order: order of the coordinator to an engine in progress, with the id 0 for
+ * none
+ * @direct_order_rank: rank of that engine
  */
 typedef struct {
   BurdockCoordinatorPhase phase;
@@ -72,8 +82,11 @@
   uint64_t epoch;
   uint64_t version;
   uint64_t step;
+  uint64_t held_step;
   uint32_t holder;
   bool hold_suspected;
+  bool hold_guessed;
+  uint64_t last_tick_us;
   BurdockReplicaMap map;
   BurdockReplicaMap base;
   uint64_t base_version;
@@ -89,9 +102,8 @@
   double *rates;
   uint32_t rate_count;
   uint32_t samples;
-  uint64_t direct_order_id;
+  BurdockMapOrder direct_order;
   uint32_t direct_order_rank;
-  BurdockMapOrderKind direct_order_kind;
 } BurdockCoordinator;
 
 struct BurdockMapAgent {
--- a/libburdock/map-coordinator.c
+++ b/libburdock/map-coordinator.c
@@ -34,6 +34,10 @@
 /* Within this time after a switch, all ranks have reported their maps. */
 #define SETTLE_US (400 * US_PER_MS)
 
+/* Another agent takes over 0.8 s after the last state of the coordinator, which sends one
+ * every 0.25 s. A busy machine delays a tick by up to 0.1 s. */
+#define PAUSE_MAX_US (250 * US_PER_MS)
+
 /* Intervals of burdock_coordinator_tick(). */
 #define IDLE_TICK_US (50 * US_PER_MS)
 #define ACTIVE_TICK_US (10 * US_PER_MS)
@@ -412,7 +416,7 @@
   self->has_map = true;
   self->version = self->map_version = next_map_version (agent);
   self->map_epoch = agent->report.epoch;
-  self->step = 0;
+  self->step = self->held_step = 0;
   self->epoch = agent->report.epoch;
   self->holder = agent->report.rank;
   if (self->ballot.round == 0 || burdock_coordinator_is_superseded (agent))
@@ -499,23 +503,22 @@
   }
 }
 
-/* Sends an order to the engine of @rank, bypassing its agent. Only one such order is in
- * progress at a time. */
-static void
-order_engine (BurdockMapAgent *agent, BurdockMapOrderKind kind, uint32_t rank)
+void
+burdock_coordinator_order_engine (BurdockMapAgent *agent, BurdockMapOrderKind kind,
+                                  uint32_t rank)
 {
   BurdockCoordinator *self = &agent->coordinator;
   BurdockMapOrder order = { .id = ++agent->next_order_id,
                             .kind = kind,
                             .epoch = self->epoch,
                             .version = self->version,
-                            .step = self->step };
+                            .step = kind == BURDOCK_ORDER_ARM ? self->step
+                                                              : self->held_step };
 
   if (rank != agent->report.rank)
     order.upstream = burdock_coordinator_peer (agent, rank)->state.upstream;
-  self->direct_order_id = order.id;
+  self->direct_order = order;
   self->direct_order_rank = rank;
-  self->direct_order_kind = kind;
   agent->stats.orders++;
   agent->handler.order (agent->handler.ctx, &order);
 }
@@ -537,7 +540,7 @@
 {
   BurdockCoordinator *self = &agent->coordinator;
 
-  if (self->direct_order_id != 0)
+  if (self->direct_order.id != 0)
     return;
   if (agent->report_us <= self->phase_since_us ||
       agent->report_us <= self->hold_failed_us) {
@@ -545,14 +548,16 @@
     return;
   }
   if (self->step == 0)
-    self->step = agent->report.step + hold_ahead_steps (agent, now_us);
-  order_engine (agent, BURDOCK_ORDER_HOLD, agent->report.rank);
+    self->step = self->held_step = agent->report.step + hold_ahead_steps (agent, now_us);
+  burdock_coordinator_order_engine (agent, BURDOCK_ORDER_HOLD, agent->report.rank);
 }
 
+/* What is known of an earlier switch says nothing of this one. */
 static bool
 is_armed (const BurdockCoordinator *self, const BurdockMapPeer *peer)
 {
-  if (peer->armed_directly)
+  if (peer->direct_armed_version == self->version &&
+      peer->direct_armed_step == self->step)
     return true;
   return (peer->state.armed_version == self->version &&
           peer->state.armed_step == self->step) ||
@@ -573,8 +578,9 @@
       continue;
     armed = false;
     if (now_us - self->phase_since_us > ARM_DIRECT_DELAY_US &&
-        self->direct_order_id == 0 && r != agent->report.rank)
-      order_engine (agent, BURDOCK_ORDER_ARM, r);
+        self->direct_order.id == 0 && r != agent->report.rank &&
+        peer->state.upstream.port != 0)
+      burdock_coordinator_order_engine (agent, BURDOCK_ORDER_ARM, r);
     else if (resend)
       burdock_coordinator_send_command (agent, r, BURDOCK_MAP_ARM, now_us);
   }
@@ -589,31 +595,56 @@
 {
   BurdockCoordinator *self = &agent->coordinator;
 
-  if (self->direct_order_id == 0)
-    order_engine (agent, BURDOCK_ORDER_RELEASE, self->holder);
+  if (self->direct_order.id == 0)
+    burdock_coordinator_order_engine (agent, BURDOCK_ORDER_RELEASE, self->holder);
+}
+
+static bool
+all_ranks_switched (BurdockMapAgent *agent)
+{
+  for (uint32_t r = 0; r < burdock_coordinator_rank_count (agent); r++) {
+    if (burdock_coordinator_peer (agent, r)->state.map_version !=
+        agent->coordinator.version)
+      return false;
+  }
+  return true;
+}
+
+/* Releases a step of the switch that another rank holds: an order to hold may have been
+ * carried out after the release, or a coordinator before this one held the step at
+ * another rank. */
+static void
+release_further_hold (BurdockMapAgent *agent, uint64_t now_us)
+{
+  BurdockCoordinator *self = &agent->coordinator;
+
+  for (uint32_t r = 0; r < burdock_coordinator_rank_count (agent); r++) {
+    const BurdockRankStateMessage *state = &burdock_coordinator_peer (agent, r)->state;
+
+    if (state->epoch != self->epoch || state->held_step <= agent->report.step ||
+        state->held_step > self->step)
+      continue;
+    self->holder = r;
+    self->held_step = state->held_step;
+    burdock_coordinator_enter_phase (agent, BURDOCK_COORDINATOR_RELEASING, now_us);
+    return;
+  }
 }
 
 static void
 tick_switching (BurdockMapAgent *agent, uint64_t now_us)
 {
   BurdockCoordinator *self = &agent->coordinator;
+  bool settled = now_us - self->phase_since_us > SETTLE_US;
 
   /* No rank was armed, or the ranks have since switched to another map. */
-  if (now_us - self->phase_since_us > SETTLE_US &&
-      !any_rank_is_armed_or_holding (agent)) {
+  if (settled && !any_rank_is_armed_or_holding (agent)) {
     burdock_coordinator_enter_phase (agent, BURDOCK_COORDINATOR_IDLE, now_us);
     return;
   }
-  for (uint32_t r = 0; r < burdock_coordinator_rank_count (agent); r++) {
-    const BurdockRankStateMessage *state = &burdock_coordinator_peer (agent, r)->state;
-
-    if (state->map_version == self->version)
-      continue;
-    /* A hold order that was carried out after the release stops the group again. */
-    if (state->held_step == self->step && now_us - self->phase_since_us > SETTLE_US) {
-      self->holder = r;
-      burdock_coordinator_enter_phase (agent, BURDOCK_COORDINATOR_RELEASING, now_us);
-    }
+  if (!all_ranks_switched (agent)) {
+    if (settled)
+      release_further_hold (agent, now_us);
     return;
   }
   agent->stats.switches++;
@@ -624,11 +655,15 @@
 }
 
 static void
-direct_arm_done (BurdockMapAgent *agent, int32_t status)
+direct_arm_done (BurdockMapAgent *agent, const BurdockMapOrder *order, int32_t status)
 {
-  if (status == 0)
-    burdock_coordinator_peer (agent, agent->coordinator.direct_order_rank)
-        ->armed_directly = true;
+  uint32_t rank = agent->coordinator.direct_order_rank;
+  BurdockMapPeer *peer = burdock_coordinator_peer (agent, rank);
+
+  if (status != 0)
+    return;
+  peer->direct_armed_version = order->version;
+  peer->direct_armed_step = order->step;
 }
 
 static void
@@ -637,39 +672,52 @@
   BurdockCoordinator *self = &agent->coordinator;
 
   if (status == 0) {
-    for (uint32_t r = 0; r < burdock_coordinator_rank_count (agent); r++)
-      burdock_coordinator_peer (agent, r)->armed_directly = false;
     burdock_coordinator_enter_phase (agent, BURDOCK_COORDINATOR_ARMING, now_us);
   } else if (status != -ETIMEDOUT) {
-    self->step = 0; /* the step has begun; choose a new one from the next report */
+    self->step = self->held_step =
+        0; /* the step has begun; choose a new one from the next report */
     self->hold_failed_us = now_us;
     agent->handler.refresh (agent->handler.ctx, false);
   }
 }
 
+/* An order may be answered after its switch was given up for another one. */
+static bool
+belongs_to_switch (const BurdockCoordinator *self, const BurdockMapOrder *order)
+{
+  uint64_t step = order->kind == BURDOCK_ORDER_ARM ? self->step : self->held_step;
+
+  return order->epoch == self->epoch && order->version == self->version &&
+         order->step == step;
+}
+
 void
 burdock_coordinator_order_done (BurdockMapAgent *agent, uint64_t id, int32_t status,
                                 uint64_t now_us)
 {
   BurdockCoordinator *self = &agent->coordinator;
+  BurdockMapOrder order = self->direct_order;
 
-  if (id != self->direct_order_id)
+  if (id != order.id)
     return;
-  self->direct_order_id = 0;
+  self->direct_order.id = 0;
   if (status != 0)
     burdock_map_agent_log (agent, "order failed",
                            "kind %d rank %u version %" PRIu64 " step %" PRIu64
                            " status %d",
-                           self->direct_order_kind, self->direct_order_rank,
-                           self->version, self->step, status);
-  if (self->phase == BURDOCK_COORDINATOR_HOLDING &&
-      self->direct_order_kind == BURDOCK_ORDER_HOLD)
+                           order.kind, self->direct_order_rank, order.version, order.step,
+                           status);
+  if (!belongs_to_switch (self, &order))
+    return;
+  if (self->phase == BURDOCK_COORDINATOR_HOLDING && order.kind == BURDOCK_ORDER_HOLD)
     hold_done (agent, status, now_us);
-  else if (self->phase == BURDOCK_COORDINATOR_ARMING &&
-           self->direct_order_kind == BURDOCK_ORDER_ARM)
-    direct_arm_done (agent, status);
+  else if (self->phase == BURDOCK_COORDINATOR_CONFIRMING &&
+           order.kind == BURDOCK_ORDER_HOLD)
+    burdock_coordinator_confirm_done (agent, status, now_us);
+  else if (self->phase == BURDOCK_COORDINATOR_ARMING && order.kind == BURDOCK_ORDER_ARM)
+    direct_arm_done (agent, &order, status);
   else if (self->phase == BURDOCK_COORDINATOR_RELEASING &&
-           self->direct_order_kind == BURDOCK_ORDER_RELEASE && status != -ETIMEDOUT)
+           order.kind == BURDOCK_ORDER_RELEASE && status != -ETIMEDOUT)
     burdock_coordinator_enter_phase (agent, BURDOCK_COORDINATOR_SWITCHING, now_us);
   agent->handler.refresh (agent->handler.ctx, false);
 }
@@ -718,7 +766,8 @@
   case BURDOCK_COORDINATOR_SWITCHING:
     return false;
   case BURDOCK_COORDINATOR_HOLDING:
-    return self->direct_order_id != 0 || self->step != 0;
+    return self->direct_order.id != 0 || self->step != 0;
+  case BURDOCK_COORDINATOR_CONFIRMING:
   case BURDOCK_COORDINATOR_ARMING:
   case BURDOCK_COORDINATOR_RELEASING:
   case BURDOCK_COORDINATOR_PROMISING:
@@ -727,6 +776,28 @@
   return true;
 }
 
+/* After a pause, another agent may have taken over the switch, in ways that have not been
+ * heard of yet. A coordinator that may hold a step asks for promises before it goes on;
+ * any other one begins a new switch. */
+static void
+recover_from_pause (BurdockMapAgent *agent, uint64_t now_us)
+{
+  BurdockCoordinator *self = &agent->coordinator;
+  uint64_t paused_us = now_us - self->last_tick_us;
+
+  if (self->phase == BURDOCK_COORDINATOR_IDLE || self->last_tick_us == 0 ||
+      paused_us <= PAUSE_MAX_US)
+    return;
+  if (burdock_coordinator_may_hold (agent)) {
+    burdock_coordinator_take_over (agent, true, "the coordinator was paused", now_us);
+    return;
+  }
+  burdock_map_agent_log (agent, "switch ended", "the coordinator was paused for %u ms",
+                         (uint32_t)(paused_us / US_PER_MS));
+  burdock_coordinator_enter_phase (agent, BURDOCK_COORDINATOR_IDLE, now_us);
+  self->next_plan_us = now_us + SETTLE_US;
+}
+
 uint64_t
 burdock_coordinator_tick (BurdockMapAgent *agent, uint64_t now_us)
 {
@@ -734,6 +805,8 @@
 
   decay_rates (agent, now_us);
   cancel_stale_switch (agent, now_us);
+  recover_from_pause (agent, now_us);
+  self->last_tick_us = now_us;
   if (agent->leaving && !burdock_coordinator_may_hold (agent))
     return UINT64_MAX;
   if (!burdock_coordinator_is_self (agent, now_us))
@@ -765,6 +838,9 @@
   case BURDOCK_COORDINATOR_PROMISING:
     burdock_coordinator_tick_promising (agent, now_us);
     break;
+  case BURDOCK_COORDINATOR_CONFIRMING:
+    burdock_coordinator_tick_confirming (agent, now_us);
+    break;
   }
   return now_us +
          (self->phase == BURDOCK_COORDINATOR_IDLE ? IDLE_TICK_US : ACTIVE_TICK_US);
--- a/libburdock/map-coordinator.h
+++ b/libburdock/map-coordinator.h
@@ -42,20 +42,34 @@
 bool burdock_coordinator_is_superseded (BurdockMapAgent *agent);
 
 /** burdock_coordinator_suspects_orphaned_hold() - whether the group is stalled and a
- * rank with a silent agent may hold its next step; sets the holder and the step then */
+ * rank with a silent agent may hold a step of it */
 bool burdock_coordinator_suspects_orphaned_hold (BurdockMapAgent *agent, uint64_t now_us);
 
 /**
  * burdock_coordinator_take_over() - starts a takeover under a higher ballot, which all
  * agents have to promise
- * @hold_suspected: no report shows a hold, but a silent agent may have left one
+ * @hold_suspected: no report may show a hold that was ordered
  * @reason: text for the log
  */
 void burdock_coordinator_take_over (BurdockMapAgent *agent, bool hold_suspected,
                                     const char *reason, uint64_t now_us);
 
-/** burdock_coordinator_tick_promising() - collects promises, then completes the
- * unfinished switch or releases its hold */
+/** burdock_coordinator_tick_promising() - collects promises, then decides whether the
+ * unfinished switch is completed or only its hold released */
 void burdock_coordinator_tick_promising (BurdockMapAgent *agent, uint64_t now_us);
 
+/** burdock_coordinator_tick_confirming() - takes over the hold, without which nothing is
+ * armed or released */
+void burdock_coordinator_tick_confirming (BurdockMapAgent *agent, uint64_t now_us);
+
+/** burdock_coordinator_confirm_done() - handles the answer to the order of
+ * burdock_coordinator_tick_confirming() */
+void burdock_coordinator_confirm_done (BurdockMapAgent *agent, int32_t status,
+                                       uint64_t now_us);
+
+/** burdock_coordinator_order_engine() - sends an order to the engine of @rank, bypassing
+ * its agent. Only one such order is in progress at a time. */
+void burdock_coordinator_order_engine (BurdockMapAgent *agent, BurdockMapOrderKind kind,
+                                       uint32_t rank);
+
 #endif
--- a/tests/support/fake-group.c
+++ b/tests/support/fake-group.c
@@ -15,6 +15,9 @@
 #define LOAD_US 100000
 #define US_PER_MS UINT64_C (1000)
 #define STEP_US (50 * US_PER_MS)
+#define FREEZE_DELAY_MS 4
+#define WAKE_ORDER_MAX_US (60 * US_PER_MS)
+#define WAKE_MESSAGE_MAX_US (20 * US_PER_MS)
 #define DATAGRAM_DELAY_US (1 * US_PER_MS)
 #define ORDER_DELAY_US (1 * US_PER_MS)
 #define ORDER_TIMEOUT_US (BURDOCK_ORDER_TIMEOUT_MS * US_PER_MS)
@@ -51,6 +54,8 @@
   BurdockMapAgent *agent;
   uint64_t incarnation;
   uint64_t frozen_until_us;
+  uint64_t freeze_at_us; /* begin of a freeze of the machine, 0 without one */
+  uint64_t engine_frozen_until_us;
   uint64_t next_tick_us;
   uint64_t stop_end_us; /* end of a planned stop, 0 without one */
   bool wants_report;
@@ -73,6 +78,7 @@
   BurdockReplicaMap map;
   bool answered;
   int32_t status;
+  uint64_t wait_us; /* longest time until it is handled, once a frozen machine wakes */
 } Event;
 
 struct FakeGroup {
@@ -90,6 +96,7 @@
   uint64_t next_roster_us;
   uint64_t next_demand_us;
   uint64_t next_freeze_us;
+  uint64_t next_machine_freeze_us;
   uint64_t next_kill_us;
   uint64_t next_crash_us;
   uint64_t next_herd_kill_us;
@@ -193,6 +200,35 @@
   }
 }
 
+/* Lets the machine of an agent that gives an order freeze, if a freeze is due: at any
+ * order of a switch, before or after its answer, and mostly the machine of the lowest
+ * rank, the usual coordinator. */
+static void
+freeze_giver (FakeGroup *group, Process *giver)
+{
+  if (group->now_us < group->next_machine_freeze_us ||
+      random_event (group, giver->rank == 0 ? 0.7 : 0.97))
+    return;
+  group->next_machine_freeze_us =
+      random_time_us (group, group->faults.machine_freeze_every_us);
+  giver->freeze_at_us =
+      group->now_us + next_random (group) % (FREEZE_DELAY_MS + 1) * US_PER_MS;
+}
+
+static void
+begin_machine_freezes (FakeGroup *group)
+{
+  for (uint32_t r = 0; r < group->ranks; r++) {
+    Process *process = &group->processes[r];
+
+    if (process->freeze_at_us == 0 || group->now_us < process->freeze_at_us)
+      continue;
+    process->freeze_at_us = 0;
+    process->frozen_until_us = process->engine_frozen_until_us =
+        group->now_us + 1000 * US_PER_MS + next_random (group) % (3000 * US_PER_MS);
+  }
+}
+
 /* A late order times out at the agent, but is still carried out afterwards. */
 static void
 send_order (void *ctx, const BurdockMapOrder *order)
@@ -214,6 +250,7 @@
                               order->map->experts);
     burdock_replica_map_assign (&event->map, order->map);
   }
+  freeze_giver (group, process);
   if (!late)
     return;
   event = add_event (group, EVENT_ANSWER, group->now_us + ORDER_TIMEOUT_US);
@@ -268,6 +305,7 @@
   *process = (Process){ .group = group,
                         .rank = rank,
                         .incarnation = settings.incarnation,
+                        .engine_frozen_until_us = process->engine_frozen_until_us,
                         .agent = burdock_map_agent_new (&settings, &handler) };
 }
 
@@ -319,6 +357,7 @@
   for (uint32_t r = 0; r < group->ranks; r++)
     start_process (group, r);
   group->next_freeze_us = random_time_us (group, faults->freeze_every_us);
+  group->next_machine_freeze_us = random_time_us (group, faults->machine_freeze_every_us);
   group->next_kill_us = random_time_us (group, faults->kill_every_us);
   group->next_crash_us = random_time_us (group, faults->crash_every_us);
   group->next_herd_kill_us = random_time_us (group, faults->herd_kill_every_us);
@@ -483,7 +522,24 @@
   event->used = false;
 }
 
-/* Messages to a frozen agent are delayed, as they wait in its sockets. */
+/* An order to a frozen engine waits there. Its sender hears of a time-out. */
+static void
+delay_order (FakeGroup *group, Event *event)
+{
+  Event *answer;
+
+  if (!event->answered || group->now_us < event->at_us + ORDER_TIMEOUT_US)
+    return;
+  event->answered = false;
+  answer = add_event (group, EVENT_ANSWER, group->now_us);
+  answer->to = event->from;
+  answer->incarnation = event->incarnation;
+  answer->order = event->order;
+  answer->status = -ETIMEDOUT;
+}
+
+/* Messages to a frozen agent or engine wait in its sockets. They are handled in any order
+ * after the freeze, and the agent may act before it has read them. */
 static void
 run_events (FakeGroup *group)
 {
@@ -494,9 +550,23 @@
 
     if (!event->used || event->at_us > group->now_us)
       continue;
+    if (event->kind == EVENT_ORDER &&
+        group->processes[event->to].engine_frozen_until_us > group->now_us) {
+      delay_order (group, event);
+      event->wait_us = WAKE_ORDER_MAX_US;
+      continue;
+    }
     if (event->kind != EVENT_ORDER &&
-        group->processes[event->to].frozen_until_us > group->now_us)
+        group->processes[event->to].frozen_until_us > group->now_us) {
+      event->wait_us = WAKE_MESSAGE_MAX_US;
       continue;
+    }
+    if (event->wait_us > 0) {
+      event->at_us = group->now_us + next_random (group) % event->wait_us;
+      event->wait_us = 0;
+      if (event->at_us > group->now_us)
+        continue;
+    }
     run_event (group, event);
   }
 }
@@ -553,11 +623,13 @@
   group->next_step_us = group->now_us + STEP_US;
 }
 
+/* All ranks execute a step together, and so wait for a frozen one. */
 static bool
 is_held (const FakeGroup *group)
 {
   for (uint32_t r = 0; r < group->ranks; r++) {
-    if (group->engines[r].held_step == group->step + 1)
+    if (group->engines[r].held_step == group->step + 1 ||
+        group->processes[r].engine_frozen_until_us > group->now_us)
       return true;
   }
   return false;
@@ -684,6 +756,7 @@
 run_faults (FakeGroup *group)
 {
   run_planned_stops (group);
+  begin_machine_freezes (group);
   if (group->now_us >= group->next_freeze_us) {
     group->next_freeze_us = random_time_us (group, group->faults.freeze_every_us);
     pick_victim (group)->frozen_until_us =
--- a/tests/support/fake-group.h
+++ b/tests/support/fake-group.h
@@ -20,6 +20,9 @@
  * @lost_datagrams: probability that a datagram is lost
  * @late_orders: probability that an order times out and is carried out 2 to 12 s later
  * @freeze_every_us: mean time between freezes of an agent for 1 to 4 s, 0 for none
+ * @machine_freeze_every_us: mean time between freezes for 1 to 4 s of the machine whose
+ *   agent gives the next order, with its engine: orders wait there, and no step begins. 0
+ *   for none
  * @kill_every_us: mean time between kills of an agent, which is restarted, 0 for none
  * @herd_kill_every_us: mean time between kills of the agents of the lower three quarters
  *   of the ranks at once, 0 for none
@@ -32,6 +35,7 @@
   double lost_datagrams;
   double late_orders;
   uint64_t freeze_every_us;
+  uint64_t machine_freeze_every_us;
   uint64_t kill_every_us;
   uint64_t herd_kill_every_us;
   uint64_t crash_every_us;
