End the connection of a request that is broken off at once

Callers of streams that a gateway broke off, at their timeout or because the runner failed, saw no end: their connections stayed open until they gave up, if another connection of that gateway had been idle for longer.

Cause: the server ended a stream by an error of its content reader and left the connection to libmicrohttpd. With epoll that closes a connection only when it looks at it, from the one that has been idle for longest on, up to the first one that is open; with MHD_USE_TURBO it shuts nothing down. A table of all ends showed three more forms: a caller that has stopped reading, a request that its handler breaks off in the request callback, and a complete stream over HTTP/1.0.

The server now shuts the socket down in the call that breaks a request off, for each request that ends with an error, and for a stream that ends with its connection. Such a connection gets a timeout of its own, so that libmicrohttpd looks at it in each run and closes the descriptor.

--- a/daemon/http-response.c
+++ b/daemon/http-response.c
@@ -185,6 +185,7 @@
 burdock_http_abort (BurdockHttpRequest *request)
 {
   request->aborted = true;
+  burdock_http_end_connection (request);
   burdock_http_resume (request);
 }
 
--- a/daemon/http-server-private.h
+++ b/daemon/http-server-private.h
@@ -36,6 +36,7 @@
  * @closed: the end of the request was reported to the handler
  * @streaming: the response is streamed through @output
  * @ended: the response is complete; a part of it may still be unsent
+ * @ends_with_connection: the peer sees the end of a stream by that of the connection only
  * @output: bytes of a streamed response, of which the first @output_sent_bytes were
  *   passed to libmicrohttpd
  * @data: pointer of the handler
@@ -63,6 +64,7 @@
   bool closed;
   bool streaming;
   bool ended;
+  bool ends_with_connection;
   char *output;
   uint32_t output_bytes;
   uint32_t output_sent_bytes;
@@ -100,6 +102,16 @@
   uint32_t next_slot;
 };
 
+/**
+ * burdock_http_end_connection() - ends the connection of a request towards its peer
+ *
+ * libmicrohttpd closes a connection that has ended only once it looks at it, which it
+ * does from the connection that has been idle for longest on, up to the first one that is
+ * still open. The peer sees the end at once, after the bytes that were sent, also if it
+ * has stopped reading, and the descriptor is closed in the next run.
+ */
+void burdock_http_end_connection (BurdockHttpRequest *request);
+
 /** burdock_http_resume() - lets libmicrohttpd continue with a suspended request */
 void burdock_http_resume (BurdockHttpRequest *request);
 
--- a/daemon/http-server.c
+++ b/daemon/http-server.c
@@ -192,6 +192,30 @@
   return request;
 }
 
+static int
+connection_descriptor (const BurdockHttpRequest *request)
+{
+  const union MHD_ConnectionInfo *info =
+      MHD_get_connection_info (request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+  return info != NULL ? info->connect_fd : -1;
+}
+
+/* libmicrohttpd looks at connections with a timeout of their own in each run. */
+static void
+visit_in_each_run (BurdockHttpRequest *request, uint32_t timeout_s)
+{
+  MHD_set_connection_option (request->connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                             (unsigned)timeout_s);
+}
+
+void
+burdock_http_end_connection (BurdockHttpRequest *request)
+{
+  visit_in_each_run (request, DISCONNECTED_TIMEOUT_S);
+  shutdown (connection_descriptor (request), SHUT_RDWR);
+}
+
 static void
 end_request (void *ctx, struct MHD_Connection *connection, void **data,
              enum MHD_RequestTerminationCode code)
@@ -200,6 +224,9 @@
 
   if (request == NULL)
     return;
+  if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK ||
+      (request->streaming && request->ends_with_connection))
+    burdock_http_end_connection (request);
   close_request (request, code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
   free_request (request);
   *data = NULL;
@@ -248,6 +275,7 @@
                 const char *method, const char *version, const char *data,
                 size_t *length_bytes, void **request_data)
 {
+  BurdockHttpServer *server = ctx;
   BurdockHttpRequest *request = *request_data;
 
   if (request == NULL || request->aborted)
@@ -255,6 +283,9 @@
   if (request->path == NULL) {
     request->path = strdup (path);
     request->method = method;
+    request->ends_with_connection = strcmp (version, MHD_HTTP_VERSION_1_0) == 0;
+    if (request->ends_with_connection)
+      visit_in_each_run (request, server->limits.idle_s + 1);
     request->peer = peer_ipv4 (connection);
     return request->path != NULL ? MHD_YES : MHD_NO;
   }
@@ -265,6 +296,8 @@
   }
   if (!request->dispatched && request->response == NULL)
     dispatch_request (request);
+  if (request->aborted)
+    return MHD_NO;
   if (request->response != NULL)
     return MHD_queue_response (connection, request->status, request->response);
   MHD_suspend_connection (connection);
@@ -310,14 +343,10 @@
 static bool
 peer_disconnected (const BurdockHttpRequest *request)
 {
-  const union MHD_ConnectionInfo *info =
-      MHD_get_connection_info (request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
   char byte;
   ssize_t received;
 
-  if (info == NULL)
-    return false;
-  received = recv (info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  received = recv (connection_descriptor (request), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return received == 0 || (received < 0 && errno != EAGAIN && errno != EINTR);
 }
 
--- a/tests/soak/endless.py
+++ b/tests/soak/endless.py
@@ -4,7 +4,7 @@
 import socket
 import time
 
-from standin import Runner, attempt_id, read_head
+from standin import Runner, attempt_id, read_body, read_head
 
 # Bodies of streams without end; {} is the attempt. The functions take the number of the block.
 BODIES = {
@@ -72,8 +72,9 @@
     async def reader(self, k, slow, end_time):
         while time.monotonic() < end_time:
             began, ending = time.monotonic(), "no connection"
+            attempt = attempt_id(self.random, k)
             try:
-                ending = await asyncio.wait_for(self.read_stream(k, slow),
+                ending = await asyncio.wait_for(self.read_stream(k, attempt, slow),
                                                 self.TIMEOUT_MS / 1000 + 5)
             except asyncio.TimeoutError:
                 ending = "open"
@@ -81,17 +82,20 @@
                 await asyncio.sleep(0.1)
             lasted_s = time.monotonic() - began
             if not slow and lasted_s > self.TIMEOUT_MS / 1000 + LATE_S:
-                self.check.add_violation("CONFIG", f"a stream at gateway-{k} ended after "
+                self.check.add_violation("CONFIG", f"stream {attempt} at gateway-{k} ended after "
                                                    f"{lasted_s:.2f} s ({ending})")
             key = f"{'slow' if slow else 'quick'} {ending}"
             self.outcome_counts[key] = self.outcome_counts.get(key, 0) + 1
 
-    async def read_stream(self, k, slow):
-        attempt = attempt_id(self.random, k)
+    async def read_stream(self, k, attempt, slow):
         reader, writer = await asyncio.open_connection(self.gateway_ip(k), 8080, limit=1 << 14)
         try:
             writer.write(f"POST /stream/p HTTP/1.1\r\nHost: h\r\nBurdockwind-Attempt-Id: {attempt}"
                          f"\r\nAuthorization: Bearer key-a\r\nContent-Length: 0\r\n\r\n".encode())
+            head = await read_head(reader)
+            if head is not None and " 200 " not in head[0]:
+                await read_body(reader, head[1])
+                return head[0].split()[1]
             last = b""
             while data := await reader.read(4096 if slow else 1 << 16):
                 last = (last + data)[-7:]
--- a/tests/test-http-stream.c
+++ b/tests/test-http-stream.c
@@ -1,11 +1,15 @@
 /* Streamed responses to callers that read slowly, and responses that are broken off. */
 #include "http-server.h"
+#include "test-certificate.h"
 #include "test.h"
 
 #include <apr_general.h>
 #include <arpa/inet.h>
+#include <curl/curl.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <pthread.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -16,6 +20,14 @@
 #define TEST_TIMEOUT_US (10000 * US_PER_MS)
 #define BLOCK_BYTES (16u << 10)
 
+/* A final answer is late 0.5 s after its time. */
+#define END_MAX_US (500 * US_PER_MS)
+
+/* Time in which the server closes its descriptor after that. */
+#define CLOSE_MAX_US (20 * US_PER_MS)
+
+#define IDLE_MAX 1000
+
 /* One caller with a socket of its own, and a handler that keeps the request. */
 typedef struct {
   BurdockLoop *loop;
@@ -31,14 +43,32 @@
   bool timed_out;
   bool (*step) (void *ctx); /* called in each iteration; true ends the test */
   int write_status;
+  int idle[IDLE_MAX];
+  uint32_t idle_count;
+  uint32_t idle_answered;
+  const struct EndCase *end;
+  uint64_t begun_at_us; /* time of the first event, 0 before */
+  uint64_t ended_at_us; /* time at which the handler ended the request, 0 before */
+  uint64_t seen_at_us;  /* time at which the caller saw the end */
+  bool secure;
+  atomic_bool curl_done;
+  CURLcode curl_status;
 } Fixture;
 
+static void end_in_handler (Fixture *fixture);
+
+/* Connections that stay idle have asked for this path. */
 static void
 on_request (void *ctx, BurdockHttpRequest *request)
 {
   Fixture *fixture = ctx;
 
+  if (strcmp (burdock_http_path (request), "/idle") == 0) {
+    burdock_http_respond (request, 200, "text/plain", strdup ("idle"), NULL);
+    return;
+  }
   fixture->request = request;
+  end_in_handler (fixture);
 }
 
 static void
@@ -46,6 +76,10 @@
 {
   Fixture *fixture = ctx;
 
+  if (strcmp (burdock_http_path (request), "/idle") == 0) {
+    fixture->idle_answered++;
+    return;
+  }
   fixture->closed_in_handler_call |= fixture->in_handler_call;
   fixture->closed_count++;
   fixture->closed_complete = complete;
@@ -84,26 +118,34 @@
 }
 
 static void
-open_fixture (Fixture *fixture, const char *request, bool (*step) (void *ctx))
+start_server (Fixture *fixture)
 {
   BurdockHttpHandler handler = { fixture, on_request, on_closed };
+  BurdockHttpTls tls = { test_certificate, test_key };
 
   fixture->loop = burdock_loop_new ();
   fixture->address = (BurdockAddress){ .ipv4 = INADDR_LOOPBACK };
-  fixture->server =
-      burdock_http_server_new (fixture->loop, &fixture->address, NULL, &handler);
+  fixture->server = burdock_http_server_new (fixture->loop, &fixture->address,
+                                             fixture->secure ? &tls : NULL, &handler);
   CU_ASSERT_PTR_NOT_NULL_FATAL (fixture->server);
-  fixture->caller = connect_caller (fixture);
-  send_request (fixture->caller, request);
-  fixture->step = step;
   fixture->deadline_us = burdock_loop_now_us () + TEST_TIMEOUT_US;
   burdock_loop_add_hook (fixture->loop, run_step, fixture);
 }
 
+static void
+open_fixture (Fixture *fixture, const char *request, bool (*step) (void *ctx))
+{
+  fixture->step = step;
+  start_server (fixture);
+  fixture->caller = connect_caller (fixture);
+  send_request (fixture->caller, request);
+}
+
 static void
 close_fixture (Fixture *fixture)
 {
-  close (fixture->caller);
+  if (fixture->caller >= 0)
+    close (fixture->caller);
   burdock_http_server_free (fixture->server);
   burdock_loop_free (fixture->loop);
 }
@@ -233,7 +275,299 @@
   close_fixture (&fixture);
 }
 
+#define POST(path) "POST " path " HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+#define POST_AND_CLOSE                                                                   \
+  "POST /stream HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+/** struct EndCase - one way in which a connection ends
+ * @end: ends the request; NULL if the server does
+ * @in_handler: the handler ends the request as it receives it
+ * @begun: the caller has received a part of a stream before
+ * @stops_reading: the caller reads nothing until the request has ended
+ */
+typedef struct EndCase {
+  const char *name;
+  const char *request;
+  void (*end) (Fixture *fixture);
+  bool in_handler;
+  bool begun;
+  bool stops_reading;
+} EndCase;
+
+static void
+complete_response (Fixture *fixture)
+{
+  burdock_http_respond (fixture->request, 200, "text/plain", strdup ("x"), NULL);
+}
+
+static void
+complete_last_response (Fixture *fixture)
+{
+  burdock_http_server_disable_keepalive (fixture->server);
+  complete_response (fixture);
+}
+
+static void
+end_stream (Fixture *fixture)
+{
+  burdock_http_stream_end (fixture->request);
+}
+
+#define STREAM POST ("/stream")
+#define STREAM_1_0 "POST /stream HTTP/1.0\r\nContent-Length: 0\r\n\r\n"
+
+static const EndCase end_cases[] = {
+  { "stream broken off", STREAM, .end = abort_request, .begun = true },
+  { "output above the limit", STREAM, .end = exceed_output_limit, .begun = true },
+  { "caller that has stopped reading", STREAM, .end = abort_request, .begun = true,
+    .stops_reading = true },
+  { "broken off with its first event", STREAM, .end = abort_stream },
+  { "broken off before the head", STREAM, .end = abort_request },
+  { "broken off by the handler", STREAM, .end = abort_request, .in_handler = true },
+  { "HTTP/1.0, broken off", STREAM_1_0, .end = abort_request, .begun = true },
+  { "HTTP/1.0, complete", STREAM_1_0, .end = end_stream, .begun = true },
+  { "last response of a connection", POST_AND_CLOSE, .end = complete_response },
+  { "last stream of a connection", POST_AND_CLOSE, .end = end_stream, .begun = true },
+  { "last response of a server", STREAM, .end = complete_last_response },
+  { "malformed request", "POST\r\n\r\n", .end = NULL },
+  { "headers above the limit", "POST /stream HTTP/1.1\r\nHost: h\r\nX: ", .end = NULL },
+};
+
+static void
+end_in_handler (Fixture *fixture)
+{
+  if (fixture->end == NULL || !fixture->end->in_handler)
+    return;
+  fixture->ended_at_us = burdock_loop_now_us ();
+  fixture->end->end (fixture);
+}
+
+static void
+connect_idle (Fixture *fixture, uint32_t count)
+{
+  for (; fixture->idle_count < count; fixture->idle_count++) {
+    fixture->idle[fixture->idle_count] = connect_caller (fixture);
+    send_request (fixture->idle[fixture->idle_count], POST ("/idle"));
+  }
+}
+
+/* Writes until the caller that does not read has filled all buffers on the way. */
+static bool
+fills_buffers (Fixture *fixture)
+{
+  static const char block[BLOCK_BYTES];
+
+  if (burdock_http_stream_waiting_bytes (fixture->request) > PIPE_WAITING_BYTES)
+    return true;
+  burdock_http_stream_write (fixture->request, block, sizeof block);
+  return false;
+}
+
+/* Time in which a stream pauses before its end, so that its connection is suspended. */
+#define PAUSE_US (50 * US_PER_MS)
+
+static bool
+has_begun (Fixture *fixture)
+{
+  char buffer[512];
+
+  if (fixture->begun_at_us == 0) {
+    burdock_http_stream_write (fixture->request, "x", 1);
+    fixture->begun_at_us = burdock_loop_now_us ();
+  }
+  return burdock_loop_now_us () > fixture->begun_at_us + PAUSE_US &&
+         (fixture->end->stops_reading ||
+          recv (fixture->caller, buffer, sizeof buffer, MSG_DONTWAIT | MSG_PEEK) > 0);
+}
+
+static void
+end_request_once (Fixture *fixture)
+{
+  if (fixture->ended_at_us != 0 || fixture->request == NULL || fixture->end->end == NULL)
+    return;
+  if (fixture->end->begun && !has_begun (fixture))
+    return;
+  if (fixture->end->stops_reading && !fills_buffers (fixture))
+    return;
+  fixture->ended_at_us = burdock_loop_now_us ();
+  fixture->end->end (fixture);
+}
+
+/* Whether the caller sees the end of its connection. */
+static bool
+reads_end (const Fixture *fixture)
+{
+  char buffer[4096];
+  ssize_t received;
+
+  while ((received = recv (fixture->caller, buffer, sizeof buffer, MSG_DONTWAIT)) > 0)
+    ;
+  return received == 0 || errno != EAGAIN;
+}
+
+static bool
+end_and_watch_caller (void *ctx)
+{
+  Fixture *fixture = ctx;
+
+  if (fixture->idle_answered < fixture->idle_count)
+    return false;
+  if (fixture->caller < 0) {
+    fixture->caller = connect_caller (fixture);
+    send_request (fixture->caller, fixture->end->request);
+    if (fixture->end->end == NULL) {
+      static const char filler[BLOCK_BYTES] = { [0 ... BLOCK_BYTES - 1] = 'x' };
+
+      send (fixture->caller, filler, sizeof filler, MSG_NOSIGNAL);
+      fixture->ended_at_us = burdock_loop_now_us ();
+    }
+  }
+  end_request_once (fixture);
+  if (fixture->ended_at_us == 0 ||
+      (fixture->end->stops_reading && fixture->closed_count == 0))
+    return false;
+  if (fixture->seen_at_us == 0 && reads_end (fixture))
+    fixture->seen_at_us = burdock_loop_now_us ();
+  return fixture->seen_at_us != 0 && fixture->request == NULL &&
+         burdock_loop_now_us () > fixture->seen_at_us + CLOSE_MAX_US;
+}
+
+static uint32_t
+count_descriptors (void)
+{
+  uint32_t count = 0;
+
+  for (int i = 0; i < 4 * IDLE_MAX; i++)
+    count += fcntl (i, F_GETFD) >= 0;
+  return count;
+}
+
+static void
+check_end (const EndCase *test, uint32_t idle_count)
+{
+  Fixture *fixture = calloc (1, sizeof *fixture);
+  uint64_t lasted_us;
+  uint32_t descriptors;
+
+  fixture->end = test;
+  fixture->step = end_and_watch_caller;
+  start_server (fixture);
+  connect_idle (fixture, idle_count);
+  fixture->caller = -1;
+  descriptors = count_descriptors ();
+  burdock_loop_run (fixture->loop);
+  lasted_us = fixture->seen_at_us - fixture->ended_at_us;
+  if (fixture->timed_out || lasted_us > END_MAX_US) {
+    printf ("%s, %u idle: seen after %u ms, closed %u\n", test->name, idle_count,
+            fixture->seen_at_us > 0 ? (unsigned)(lasted_us / US_PER_MS) : UINT32_MAX,
+            fixture->closed_count);
+    CU_FAIL (test->name);
+  }
+  /* The other end of each idle connection, and the socket of the caller. */
+  if (count_descriptors () != descriptors + idle_count + 1) {
+    printf ("%s, %u idle: %u descriptors more than before, expected %u\n", test->name,
+            idle_count, count_descriptors () - descriptors, idle_count + 1);
+    CU_FAIL (test->name);
+  }
+  for (uint32_t i = 0; i < fixture->idle_count; i++)
+    close (fixture->idle[i]);
+  close_fixture (fixture);
+  free (fixture);
+}
+
+/* Guards against connections that stay open after their end, until the caller gives up:
+ * libmicrohttpd closes a connection only once those that have been idle for longer are
+ * closed. */
+static void
+ended_connections_are_closed_at_once (void)
+{
+  static const uint32_t idle_counts[] = { 0, 1, IDLE_MAX };
+
+  for (uint32_t i = 0; i < TEST_COUNT (end_cases); i++) {
+    for (uint32_t j = 0; j < TEST_COUNT (idle_counts); j++)
+      check_end (&end_cases[i], idle_counts[j]);
+  }
+}
+
+static size_t
+ignore_body (char *data, size_t size, size_t count, void *ctx)
+{
+  return size * count;
+}
+
+static CURL *
+new_caller (const Fixture *fixture, const char *path)
+{
+  CURL *easy = curl_easy_init ();
+  char url[64];
+
+  snprintf (url, sizeof url, "https://127.0.0.1:%u%s", fixture->address.port, path);
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_SSL_VERIFYPEER, 0L);
+  curl_easy_setopt (easy, CURLOPT_SSL_VERIFYHOST, 0L);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, ignore_body);
+  return easy;
+}
+
+/* Leaves a connection idle, then reads a stream on another one. */
+static void *
+call_securely (void *ctx)
+{
+  Fixture *fixture = ctx;
+  CURL *idle = new_caller (fixture, "/idle");
+  CURL *caller = new_caller (fixture, "/stream");
+
+  curl_easy_perform (idle);
+  fixture->curl_status = curl_easy_perform (caller);
+  atomic_store (&fixture->curl_done, true);
+  curl_easy_cleanup (caller);
+  curl_easy_cleanup (idle);
+  return NULL;
+}
+
+static bool
+abort_secure_stream (void *ctx)
+{
+  Fixture *fixture = ctx;
+  uint64_t now_us = burdock_loop_now_us ();
+
+  if (fixture->request != NULL && fixture->begun_at_us == 0) {
+    burdock_http_stream_write (fixture->request, "x", 1);
+    fixture->begun_at_us = now_us;
+  }
+  if (fixture->request != NULL && fixture->ended_at_us == 0 &&
+      now_us > fixture->begun_at_us + PAUSE_US) {
+    burdock_http_abort (fixture->request);
+    fixture->ended_at_us = now_us;
+  }
+  return atomic_load (&fixture->curl_done);
+}
+
+/* As above, over TLS. */
+static void
+ended_secure_connections_are_closed_at_once (void)
+{
+  Fixture *fixture = calloc (1, sizeof *fixture);
+  pthread_t caller;
+
+  fixture->secure = true;
+  fixture->step = abort_secure_stream;
+  fixture->caller = -1;
+  start_server (fixture);
+  CU_ASSERT_EQUAL_FATAL (pthread_create (&caller, NULL, call_securely, fixture), 0);
+  burdock_loop_run (fixture->loop);
+  CU_ASSERT_FALSE (fixture->timed_out);
+  CU_ASSERT_TRUE (burdock_loop_now_us () - fixture->ended_at_us < END_MAX_US);
+  CU_ASSERT_NOT_EQUAL (fixture->curl_status, CURLE_OK);
+  close_fixture (fixture);
+  pthread_join (caller, NULL);
+  free (fixture);
+}
+
 static const Test tests[] = {
+  { "a connection over TLS stays open after its end",
+    ended_secure_connections_are_closed_at_once },
+  { "a connection stays open after its end", ended_connections_are_closed_at_once },
   { "a stream ends because of output that was sent", sent_output_does_not_wait },
   { "a request is released while its handler uses it",
     handler_learns_of_the_end_from_the_server_only },
@@ -243,5 +577,6 @@
 main (void)
 {
   apr_initialize ();
+  curl_global_init (CURL_GLOBAL_DEFAULT);
   return test_main ("http-stream", tests, TEST_COUNT (tests));
 }
