Close the connection to an engine whose token stream nobody reads

An agent read from its engine for as long as the engine wrote, after the call was over: lines after the end of an answer, after a line that is no token, or after a cancellation were dropped one by one. The call had no time limit, so a faulty engine kept the agent busy and its connection open for good.

The receiver of lines can now end a transfer, and the engine client does so for a line that comes after the end of its call, or later than 2 s after its cancellation, when the attempt has ended for the agent in any case.

--- a/daemon/engine.c
+++ b/daemon/engine.c
@@ -20,6 +20,11 @@
 /* Ids stay below 2^53, the limit for exact integers in JSON: 20 bits of prefix above the
  * low 32 bits of the library's call id. */
 #define ID_PREFIX_BITS 20
+
+/* An attempt ends this long after its cancellation, also without a confirmation by the
+ * engine, and its connection with the next line. */
+#define CANCEL_TIMEOUT_US UINT64_C (2000000)
+
 #define CALL_ID_BITS 32
 
 struct BurdockEngine {
@@ -29,14 +34,22 @@
   BurdockEngineDone done;
   void *ctx;
   bool plain_service;
+  struct PendingCall *streams; /* calls whose answers are streams of tokens */
 };
 
-typedef struct {
+/** struct PendingCall - call in progress
+ * @ended: its end was reported
+ * @cancelled_at_us: time of its cancellation, 0 before
+ */
+typedef struct PendingCall {
+  struct PendingCall *next;
+  struct PendingCall *previous;
   BurdockEngine *engine;
   uint64_t id;
   BurdockEngineOp op;
   uint32_t timeout_ms;
   bool ended;
+  uint64_t cancelled_at_us;
 } PendingCall;
 
 BurdockEngine *
@@ -131,8 +144,54 @@
   return skip_literal (&at, end, "\"}") && at == end && burdock_text_is_utf8 (out->body);
 }
 
-/* Handles one line of a token stream. */
 static void
+add_stream (PendingCall *pending)
+{
+  BurdockEngine *engine = pending->engine;
+
+  if (pending->op != BURDOCK_ENGINE_GENERATE)
+    return;
+  pending->next = engine->streams;
+  if (engine->streams != NULL)
+    engine->streams->previous = pending;
+  engine->streams = pending;
+}
+
+static void
+free_call (void *ctx)
+{
+  PendingCall *pending = ctx;
+
+  if (pending->previous != NULL)
+    pending->previous->next = pending->next;
+  else if (pending->engine->streams == pending)
+    pending->engine->streams = pending->next;
+  if (pending->next != NULL)
+    pending->next->previous = pending->previous;
+  free (pending);
+}
+
+static void
+note_cancel (const BurdockEngine *engine, uint64_t id)
+{
+  for (PendingCall *stream = engine->streams; stream != NULL; stream = stream->next) {
+    if (stream->id == id && stream->cancelled_at_us == 0)
+      stream->cancelled_at_us = burdock_loop_now_us ();
+  }
+}
+
+/* Whether nobody waits for the lines of a stream any more. Its engine may go on to send
+ * them for as long as the connection is open. */
+static bool
+is_unwanted (const PendingCall *stream)
+{
+  return stream->ended ||
+         (stream->cancelled_at_us != 0 &&
+          burdock_loop_now_us () - stream->cancelled_at_us > CANCEL_TIMEOUT_US);
+}
+
+/* Handles one line of a token stream. */
+static int
 handle_line (void *ctx, const char *line, size_t line_bytes)
 {
   PendingCall *pending = ctx;
@@ -140,11 +199,13 @@
   json_t *root;
   json_t *token;
 
-  if (pending->ended || line_bytes == 0)
-    return;
+  if (is_unwanted (pending))
+    return -ECANCELED;
+  if (line_bytes == 0)
+    return 0;
   if (parse_token_line (line, line_bytes, &event)) {
     emit (pending, event);
-    return;
+    return 0;
   }
   root = json_loadb (line, line_bytes, 0, NULL);
   token = json_object_get (root, "token");
@@ -160,6 +221,7 @@
   else
     fail (pending, -EIO);
   json_decref (root);
+  return 0;
 }
 
 static int32_t
@@ -295,7 +357,7 @@
     fail (pending, status);
   else if (!pending->ended)
     finish_call (pending, result);
-  free (pending);
+  free_call (pending);
 }
 
 static int
@@ -309,7 +371,7 @@
                            .timeout_ms = pending->timeout_ms,
                            .ctx = pending,
                            .done = call_done,
-                           .free_ctx = free };
+                           .free_ctx = free_call };
   char *url = NULL;
   int status;
 
@@ -428,9 +490,12 @@
   *pending = (PendingCall){
     .engine = engine, .id = call->id, .op = call->op, .timeout_ms = call->timeout_ms
   };
+  add_stream (pending);
+  if (call->op == BURDOCK_ENGINE_CANCEL)
+    note_cancel (engine, call->target_id);
   status = call->op == BURDOCK_ENGINE_STATE ? request_state (engine, pending)
                                             : request_post (engine, pending, call);
   if (status < 0)
-    free (pending);
+    free_call (pending);
   return status;
 }
--- a/daemon/http-client.c
+++ b/daemon/http-client.c
@@ -68,7 +68,7 @@
   int (*head) (void *ctx, BurdockHttpTransfer *transfer, int32_t http_status);
   bool (*accepts) (void *ctx);
   int (*data) (void *ctx, const char *data, size_t length_bytes);
-  void (*line) (void *ctx, const char *line, size_t line_bytes);
+  int (*line) (void *ctx, const char *line, size_t line_bytes);
   void (*done) (void *ctx, const BurdockHttpResult *result);
   void (*free_ctx) (void *ctx);
 };
@@ -400,23 +400,26 @@
                                                    : CURL_PREREQFUNC_ABORT;
 }
 
-static void
+static int
 deliver_lines (Transfer *transfer)
 {
   size_t start = 0;
+  int status = 0;
   char *end;
 
-  while ((end = memchr (transfer->body + transfer->scanned_bytes, '\n',
+  while (status >= 0 &&
+         (end = memchr (transfer->body + transfer->scanned_bytes, '\n',
                         transfer->body_bytes - transfer->scanned_bytes)) != NULL) {
     size_t next = (size_t)(end - transfer->body) + 1;
 
-    transfer->line (transfer->ctx, transfer->body + start, next - 1 - start);
+    status = transfer->line (transfer->ctx, transfer->body + start, next - 1 - start);
     start = next;
     transfer->scanned_bytes = next;
   }
   transfer->body_bytes -= start;
   memmove (transfer->body, transfer->body + start, transfer->body_bytes);
   transfer->scanned_bytes = transfer->body_bytes;
+  return status;
 }
 
 static size_t
@@ -452,8 +455,8 @@
   if (transfer->line == NULL)
     return length_bytes;
   curl_easy_getinfo (transfer->handle.easy, CURLINFO_RESPONSE_CODE, &http_status);
-  if (http_status == 200)
-    deliver_lines (transfer);
+  if (http_status == 200 && deliver_lines (transfer) < 0)
+    return 0;
   return length_bytes;
 }
 
--- a/daemon/http-client.h
+++ b/daemon/http-client.h
@@ -58,7 +58,7 @@
  * @connect_timeout_ms: limit for opening a connection; 0 for the default of 2000 ms
  * @body_bytes_max: limit of the body that is kept for @done; 0 for the default of 4 MiB
  * @line: receives each line of the body of a 200 response, without the newline; may be
- *   NULL
+ *   NULL. A negative result ends the transfer
  * @head: called once the headers of the final response are complete; may be NULL. A
  *   negative result ends the transfer
  * @accepts: whether @data may be called now; may be NULL. After a negative answer nothing
@@ -89,7 +89,7 @@
   int (*head) (void *ctx, BurdockHttpTransfer *transfer, int32_t http_status);
   bool (*accepts) (void *ctx);
   int (*data) (void *ctx, const char *data, size_t length_bytes);
-  void (*line) (void *ctx, const char *line, size_t line_bytes);
+  int (*line) (void *ctx, const char *line, size_t line_bytes);
   void (*done) (void *ctx, const BurdockHttpResult *result);
   void (*free_ctx) (void *ctx);
 } BurdockHttpCall;
--- a/tests/test-endless.c
+++ b/tests/test-endless.c
@@ -1,5 +1,6 @@
 /* Servers in trouble that send bytes without end, until the client closes the connection.
  */
+#include "engine.h"
 #include "event-stream.h"
 #include "http-client.h"
 #include "test.h"
@@ -221,7 +222,97 @@
   }
 }
 
+/**
+ * struct EngineCase - token stream that its engine does not end
+ * @end_kind: kind of the last event that is reported
+ * @cancelled: the call is cancelled at its first token
+ */
+typedef struct {
+  const char *name;
+  const char *prefix;
+  const char *repeated;
+  BurdockEngineEventKind end_kind;
+  bool cancelled;
+} EngineCase;
+
+static const EngineCase engine_cases[] = {
+  { "lines after the end", HEAD "\r\n{\"end\":true,\"tokens\":0}\n",
+    "{\"index\":0,\"token\":\"a\"}\n", BURDOCK_ENGINE_EVENT_DONE, false },
+  { "empty lines after the end", HEAD "\r\n{\"end\":true,\"tokens\":0}\n", "\n",
+    BURDOCK_ENGINE_EVENT_DONE, false },
+  { "lines that are no tokens", HEAD "\r\n", "worker 3 waits\n",
+    BURDOCK_ENGINE_EVENT_FAILED, false },
+  { "tokens after a cancellation", HEAD "\r\n", "{\"index\":0,\"token\":\"a\"}\n",
+    BURDOCK_ENGINE_EVENT_FAILED, true },
+};
+
+typedef struct {
+  BurdockLoop *loop;
+  BurdockEngine *engine;
+  EndlessServer server;
+  bool cancel;
+  bool joined;
+  BurdockEngineEventKind last_kind;
+} EngineFixture;
+
+static void
+record_engine_event (void *ctx, const BurdockEngineEvent *event)
+{
+  EngineFixture *fixture = ctx;
+  BurdockEngineCall cancel = { .op = BURDOCK_ENGINE_CANCEL, .id = 2, .target_id = 1 };
+
+  if (event->op != BURDOCK_ENGINE_GENERATE)
+    return;
+  fixture->last_kind = event->kind;
+  if (!fixture->cancel)
+    return;
+  fixture->cancel = false;
+  CU_ASSERT_EQUAL (burdock_engine_call (fixture->engine, &cancel), 0);
+}
+
+static uint64_t
+stop_after_server (void *ctx, uint64_t now_us)
+{
+  EngineFixture *fixture = ctx;
+
+  if (!fixture->joined && pthread_tryjoin_np (fixture->server.thread, NULL) == 0) {
+    fixture->joined = true;
+    burdock_loop_stop (fixture->loop);
+  }
+  return now_us + 10000;
+}
+
+/* Guards against an agent that reads from its engine for good, although nobody waits for
+ * what comes: a call without a time limit ended for the agent, but not its connection. */
+static void
+unwanted_token_streams_are_closed (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (engine_cases); i++) {
+    const EngineCase *test = &engine_cases[i];
+    EngineFixture fixture = { .cancel = test->cancelled };
+    BurdockEngineCall call = { .op = BURDOCK_ENGINE_GENERATE, .id = 1 };
+    BurdockHttpClient *client;
+    char url[64];
+
+    fixture.loop = burdock_loop_new ();
+    client = burdock_http_client_new (fixture.loop);
+    snprintf (url, sizeof url, "http://127.0.0.1:%u",
+              start_server (&fixture.server, test->prefix, test->repeated));
+    fixture.engine = burdock_engine_new (client, url, 1, record_engine_event, &fixture);
+    burdock_loop_add_hook (fixture.loop, stop_after_server, &fixture);
+    CU_ASSERT_EQUAL (burdock_engine_call (fixture.engine, &call), 0);
+    burdock_loop_run (fixture.loop);
+    if (!fixture.server.stopped_by_client || fixture.last_kind != test->end_kind)
+      CU_FAIL (test->name);
+    burdock_http_client_free (client);
+    burdock_engine_free (fixture.engine);
+    burdock_loop_free (fixture.loop);
+    close (fixture.server.listener);
+  }
+}
+
 static const Test tests[] = {
+  { "an agent reads from its engine for good", unwanted_token_streams_are_closed },
   { "an answer without end takes all memory, or all the time", endless_answers_are_cut },
   { "a stream without new events never ends", streams_without_progress_end },
 };
--- a/tests/test-http-server.c
+++ b/tests/test-http-server.c
@@ -109,13 +109,14 @@
     fixture->open_request = NULL;
 }
 
-static void
+static int
 on_line (void *ctx, const char *line, size_t line_bytes)
 {
   Fixture *fixture = ctx;
 
   fixture->in_order = fixture->in_order && strtoul (line, NULL, 10) == fixture->lines;
   fixture->lines++;
+  return 0;
 }
 
 static void
