Limit the text of an answer that an entry keeps

An entry kept the tokens of an answer without a limit, to resume it at another upstream and for callers that do not read streams. An upstream that never ends its answer could use up the memory of the entry, and with it the requests of all its callers.

An answer has at most 8 MiB of text now.

--- a/libburdock/dispatcher.c
+++ b/libburdock/dispatcher.c
@@ -348,7 +348,8 @@
 }
 
 /* Delivers the next token. A duplicate is dropped. A gap fails the attempt; an idempotent
- * request is then resumed from the last token delivered. */
+ * request is then resumed from the last token delivered. An answer without end fails the
+ * request. */
 static void
 receive_token (BurdockDispatcher *dispatcher, const BurdockMessage *message)
 {
@@ -369,6 +370,13 @@
                                      false);
     return;
   }
+  if (state->answer_bytes + token->text.length_bytes > BURDOCK_ANSWER_MAX_BYTES) {
+    burdock_dispatch_cancel_attempt (dispatcher, state);
+    burdock_dispatch_refuse (dispatcher, state, BURDOCK_REASON_UPSTREAM_FAILED);
+    burdock_dispatch_queued (dispatcher);
+    return;
+  }
+  state->answer_bytes += token->text.length_bytes;
   state->next_index++;
   state->last_progress_us = burdock_endpoint_now (endpoint);
   if (state->request.idempotent)
--- a/libburdock/request.h
+++ b/libburdock/request.h
@@ -10,6 +10,10 @@
 #define BURDOCK_PREFIX_BLOCKS_MAX 16
 #define BURDOCK_TRIED_MAX 4
 
+/* Largest answer of a model. Its text is kept until the answer is complete, to be resumed
+ * at another upstream, and for a caller that does not read a stream. */
+#define BURDOCK_ANSWER_MAX_BYTES (8u << 20)
+
 typedef enum {
   BURDOCK_REQUEST_WAITING = 1, /* for capacity, a share, a backoff or a generation */
   BURDOCK_REQUEST_CLAIMING,    /* waits for the store to confirm the claim of its key */
@@ -64,6 +68,7 @@
   uint64_t wanted_generation;
   uint32_t attempt;
   uint32_t next_index;
+  uint32_t answer_bytes; /* text of all tokens so far */
   bool may_have_run;
   bool admitted;
   BurdockClaim *claim;
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -1,5 +1,6 @@
 /* Tests one dispatcher against scripted agents, store and caller. The cases guard against
  * requests that run more often than allowed, end with the wrong outcome, or hang. */
+#include "request.h"
 #include "test.h"
 #include "traffic.h"
 
@@ -509,7 +510,37 @@
   stop ();
 }
 
+#define LARGE_TOKEN_BYTES (512u << 10)
+
+/* Guards against an entry that keeps the tokens of an upstream that never ends its answer
+ * until its memory is used up. */
+static void
+endless_answer_ends_the_request (void)
+{
+  const uint32_t count = BURDOCK_ANSWER_MAX_BYTES / LARGE_TOKEN_BYTES;
+  uint8_t *text = calloc (1, LARGE_TOKEN_BYTES);
+  BurdockMessage message = { .header.type = BURDOCK_MSG_TOKEN };
+  uint64_t agent;
+
+  start (2);
+  submit (1, true, false, "key");
+  message.token =
+      (BurdockTokenMessage){ .request_id = last_attempt (&agent)->attempt.request_id,
+                             .attempt = 1,
+                             .text = { text, LARGE_TOKEN_BYTES } };
+  for (; message.token.index <= count; message.token.index++)
+    receive_frame (agent, AGENT_INCARNATION, message);
+  CU_ASSERT_EQUAL (traffic.delivery_count, count + 1);
+  CU_ASSERT_EQUAL (traffic.deliveries[count].kind, BURDOCK_DELIVERY_BROKEN);
+  CU_ASSERT_EQUAL (traffic.deliveries[count].ran, BURDOCK_RAN_UNKNOWN);
+  CU_ASSERT_EQUAL (traffic_frame_count (&traffic, BURDOCK_MSG_ATTEMPT), 1);
+  CU_ASSERT_EQUAL (traffic_frame_count (&traffic, BURDOCK_MSG_ATTEMPT_CANCEL), 1);
+  stop ();
+  free (text);
+}
+
 static const Test tests[] = {
+  { "an answer without end takes all memory", endless_answer_ends_the_request },
   { "a request has the wrong outcome or runs too often", each_script_has_its_outcome },
   { "a resumed stream repeats or loses tokens", resume_carries_offset_and_text },
   { "a request is accepted that must be refused", refusals_before_any_work_are_not_run },
