--- a/tests/test-callers.c
+++ b/tests/test-callers.c
@@ -21,8 +21,8 @@
 /**
  * struct CallerCase - request of a caller, deliveries of the dispatcher, expected answer
  * @headers: headers of the request, apart from Host, Connection and Content-Length
- * @script: deliveries in this order: t token, e end, a end with a body, r refused,
- *   b broken; empty if the request must not reach the dispatcher
+ * @script: deliveries in this order: t token, T many large tokens, e end, a end with a
+ *   body, r refused, b broken; empty if the request must not reach the dispatcher
  * @status: HTTP status of the answer
  * @present: text that must be in the answer
  * @absent: text that must not be in the answer, or NULL
@@ -87,11 +87,30 @@
   uint32_t submitted;
   uint32_t cancelled;
   uint32_t closed;
+  bool ended_in_delivery;
   uint64_t deadline_us;
 } Fixture;
 
 static Fixture *current;
 
+#define LARGE_TOKEN_BYTES (64u << 10)
+#define LARGE_TOKENS 64
+
+/* Delivers more tokens than wait for a caller that reads nothing. */
+static void
+deliver_large_tokens (uint64_t handle)
+{
+  static const uint8_t text[LARGE_TOKEN_BYTES];
+  BurdockDelivery delivery = { .handle = handle,
+                               .kind = BURDOCK_DELIVERY_TOKEN,
+                               .body = { text, sizeof text } };
+
+  for (uint32_t i = 0; i < LARGE_TOKENS; i++) {
+    burdock_callers_deliver (&current->traffic, &delivery);
+    current->ended_in_delivery |= current->closed > 0 || current->cancelled > 0;
+  }
+}
+
 /* These replace the functions of the dispatcher that callers.c calls. */
 
 void
@@ -103,6 +122,10 @@
   current->submitted++;
   current->request = *request;
   for (const char *step = current->row->script; *step != '\0'; step++) {
+    if (*step == 'T') {
+      deliver_large_tokens (request->handle);
+      continue;
+    }
     delivery.body = (BurdockBytes){ (const uint8_t *)"a\"\n", 3 };
     delivery.reason = BURDOCK_REASON_UPSTREAM_FAILED;
     delivery.ran = BURDOCK_RAN_UNKNOWN;
@@ -282,7 +305,29 @@
   close_fixture (&fixture);
 }
 
+/* A stream has more output than waits for its caller. Fails if the request is cancelled
+ * or released while the dispatcher delivers a token to it, which goes on to use it. */
+static void
+request_lasts_until_the_end_of_a_delivery (void)
+{
+  static const CallerCase row = { .headers = STREAM, .body = "p", .script = "T" };
+  BurdockAddress address;
+  Fixture fixture;
+  int descriptor;
+
+  open_fixture (&fixture, &row, &address);
+  descriptor = send_request (&row, address.port);
+  burdock_loop_run (fixture.traffic.runtime.loop);
+  CU_ASSERT_FALSE (fixture.ended_in_delivery);
+  CU_ASSERT_EQUAL (fixture.closed, 1);
+  CU_ASSERT_EQUAL (fixture.cancelled, 1);
+  close (descriptor);
+  close_fixture (&fixture);
+}
+
 static const Test tests[] = {
+  { "a request is released while a token is delivered to it",
+    request_lasts_until_the_end_of_a_delivery },
   { "an invalid request is accepted, or an answer violates the protocol",
     answers_follow_the_protocol },
   { "a header is lost or mistaken for another", headers_arrive_at_the_dispatcher },
