Count the time of a suspended machine in the clock of the loop

A process acted on what had expired while its machine was suspended: the clock of the loop was CLOCK_MONOTONIC, which stands still meanwhile, so that leases, the states of other processes and the pause of a coordinator looked fresh after it. The loop now uses CLOCK_BOOTTIME. There is no test, as no process can suspend its machine; the users' pages say of suspended machines that only this clock and the time of day count the time.

--- a/daemon/loop.c
+++ b/daemon/loop.c
@@ -114,7 +114,9 @@
 {
   struct timespec now;
 
-  clock_gettime (CLOCK_MONOTONIC, &now);
+  /* Counts the time in which the machine is suspended, unlike CLOCK_MONOTONIC: a lease,
+   * or what is known of other processes, may have expired meanwhile. */
+  clock_gettime (CLOCK_BOOTTIME, &now);
   return (uint64_t)now.tv_sec * US_PER_S + (uint64_t)now.tv_nsec / NS_PER_US;
 }
 
--- a/daemon/loop.h
+++ b/daemon/loop.h
@@ -45,7 +45,7 @@
 /** burdock_loop_pool() - APR pool with the lifetime of the loop, for its thread only */
 apr_pool_t *burdock_loop_pool (BurdockLoop *loop);
 
-/** burdock_loop_now_us() - time of the monotonic clock */
+/** burdock_loop_now_us() - monotonic time, which counts that of a suspended machine */
 uint64_t burdock_loop_now_us (void);
 
 /** burdock_loop_watch() - sets the events to wait for; 0 removes the source. Returns 0 or
