Send complete responses when a server is freed

A response that was complete, but of which nothing had been sent, was cut off when its server was freed: all open requests were aborted. Callers of a process that ends saw a closed connection instead of their answer. Only requests whose response is not complete are aborted now.

Evidence: test-http-stream, "the end of a server cuts a complete response off", fails on the commit before and passes now.

--- a/daemon/http-server.c
+++ b/daemon/http-server.c
@@ -482,8 +482,13 @@
     return;
   burdock_loop_watch (server->loop, &server->source, 0);
   for (BurdockHttpRequest *request = server->open_requests; request != NULL;
-       request = request->next)
-    terminate_request (request);
+       request = request->next) {
+    /* Complete responses are still sent. */
+    if (request->ended)
+      close_request (request, false);
+    else
+      terminate_request (request);
+  }
   for (uint32_t i = 0; i < CLOSE_RUNS_MAX && server->open_count > 0; i++)
     MHD_run (server->daemon);
   MHD_stop_daemon (server->daemon);
--- a/tests/test-http-stream.c
+++ b/tests/test-http-stream.c
@@ -489,6 +489,37 @@
   }
 }
 
+/* Ends the loop as soon as the response is complete, before any of it is sent. */
+static bool
+respond_and_stop (void *ctx)
+{
+  Fixture *fixture = ctx;
+
+  if (fixture->request == NULL)
+    return false;
+  complete_response (fixture);
+  return true;
+}
+
+/* Guards against a process that ends and cuts off responses that are complete. */
+static void
+complete_response_is_sent_at_the_end (void)
+{
+  static const char body[] = "\r\n\r\nx";
+  Fixture *fixture = calloc (1, sizeof *fixture);
+  char answer[512] = "";
+  int caller;
+
+  open_fixture (fixture, STREAM, respond_and_stop);
+  burdock_loop_run (fixture->loop);
+  caller = dup (fixture->caller);
+  close_fixture (fixture);
+  CU_ASSERT_TRUE (recv (caller, answer, sizeof answer - 1, MSG_DONTWAIT) > 0);
+  CU_ASSERT_PTR_NOT_NULL (strstr (answer, body));
+  close (caller);
+  free (fixture);
+}
+
 static size_t
 ignore_body (char *data, size_t size, size_t count, void *ctx)
 {
@@ -565,6 +596,8 @@
 }
 
 static const Test tests[] = {
+  { "the end of a server cuts a complete response off",
+    complete_response_is_sent_at_the_end },
   { "a connection over TLS stays open after its end",
     ended_secure_connections_are_closed_at_once },
   { "a connection stays open after its end", ended_connections_are_closed_at_once },
