End a takeover that has nothing to release

A takeover that waits for a silent rank kept its group from new maps after the group had gone on, and one that only released a hold of a group that uses its initial map was logged and counted as a switch to version 0.

--- a/libburdock/map-coordinator.c
+++ b/libburdock/map-coordinator.c
@@ -602,6 +602,8 @@
 static bool
 all_ranks_switched (BurdockMapAgent *agent)
 {
+  if (agent->coordinator.version == 0)
+    return false;
   for (uint32_t r = 0; r < burdock_coordinator_rank_count (agent); r++) {
     if (burdock_coordinator_peer (agent, r)->state.map_version !=
         agent->coordinator.version)
@@ -674,8 +676,8 @@
   if (status == 0) {
     burdock_coordinator_enter_phase (agent, BURDOCK_COORDINATOR_ARMING, now_us);
   } else if (status != -ETIMEDOUT) {
-    self->step = self->held_step =
-        0; /* the step has begun; choose a new one from the next report */
+    /* The step has begun; the next report gives a new one. */
+    self->step = self->held_step = 0;
     self->hold_failed_us = now_us;
     agent->handler.refresh (agent->handler.ctx, false);
   }
--- a/libburdock/map-takeover.c
+++ b/libburdock/map-takeover.c
@@ -274,8 +274,12 @@
   if (!promised && now_us - self->phase_since_us < PROMISE_TIMEOUT_US)
     return;
   left = find_unfinished_version (agent, &version);
-  if (left == LEFT_UNKNOWN)
+  if (left == LEFT_UNKNOWN) {
+    /* A group that goes on is not held. */
+    if (agent->progress_us > self->phase_since_us && !any_rank_has_unfinished (agent))
+      burdock_coordinator_enter_phase (agent, BURDOCK_COORDINATOR_IDLE, now_us);
     return;
+  }
   self->version = left == LEFT_SWITCH ? version : 0;
   choose_steps (agent, now_us);
   burdock_map_agent_log (agent, "complete switch",
