Confirm the hold at the silent coordinator's rank in a takeover

A takeover that knows the step, but not the holder, now confirms the hold at the rank of the silent coordinator, and a hold at another rank than the last one is released at once, as all ranks are armed by then.

--- a/libburdock/map-coordinator.c
+++ b/libburdock/map-coordinator.c
@@ -612,11 +612,12 @@
   return true;
 }
 
-/* Releases a step of the switch that another rank holds: an order to hold may have been
+/* Releases a step of the switch that is still held: an order to hold may have been
  * carried out after the release, or a coordinator before this one held the step at
- * another rank. */
+ * another rank. The state of the last holder may be one from before the release until
+ * @settled. */
 static void
-release_further_hold (BurdockMapAgent *agent, uint64_t now_us)
+release_further_hold (BurdockMapAgent *agent, bool settled, uint64_t now_us)
 {
   BurdockCoordinator *self = &agent->coordinator;
 
@@ -624,7 +625,7 @@
     const BurdockRankStateMessage *state = &burdock_coordinator_peer (agent, r)->state;
 
     if (state->epoch != self->epoch || state->held_step <= agent->report.step ||
-        state->held_step > self->step)
+        state->held_step > self->step || (r == self->holder && !settled))
       continue;
     self->holder = r;
     self->held_step = state->held_step;
@@ -645,8 +646,7 @@
     return;
   }
   if (!all_ranks_switched (agent)) {
-    if (settled)
-      release_further_hold (agent, now_us);
+    release_further_hold (agent, settled, now_us);
     return;
   }
   agent->stats.switches++;
--- a/libburdock/map-takeover.c
+++ b/libburdock/map-takeover.c
@@ -236,7 +236,8 @@
     self->holder = steps.holder;
     self->held_step = steps.held_step;
   } else {
-    self->holder = find_free_rank (agent);
+    self->holder = steps.held_step == 0 ? find_suspected_holder (agent, now_us)
+                                        : find_free_rank (agent);
     self->held_step = self->step;
   }
 }
