Draw the planned stops of the scenario from a generator of their own

No rule was broken; too few requests were sent while a gateway stopped.

Cause: the times and gateways of the stops were drawn from the generator that the callers use, so that they depended on the order in which callers drew, not on the seed alone. A run with two stops of one gateway each leaves only a few requests to judge, as callers then go to the other gateways.

Now the plan is a function of the seed, and each plan stops all gateways at once and one gateway alone. The number of requests that are needed, and all rules, are as before.

--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -1,5 +1,6 @@
 """Planned stops: which requests a gateway that stops has to answer, and a scenario of them."""
 import asyncio
+import random
 import signal
 import time
 
@@ -143,6 +144,25 @@
         process.note_disturbance()
 
 
+def plan_stops(seed, begin_s, end_s, gateway_count):
+    """Times in s and gateways of the planned stops of a seed: all at once at one of them, and one
+    gateway alone at another one.
+
+    The plan has a generator of its own. Drawn from the one that the callers use, the same seed
+    gave from two to seven stops, depending on the order in which callers drew.
+    """
+    rng, times_s = random.Random(f"stops {seed}"), []
+    at_s = begin_s
+    while at_s < end_s:
+        times_s.append(at_s)
+        at_s += 3 + 9 * rng.random()
+    counts = [rng.choice((1, 1, 1, 2, gateway_count)) for _ in times_s]
+    counts[:2] = [gateway_count, 1][:len(counts)]
+    rng.shuffle(counts)
+    return [(at_s, rng.sample(range(gateway_count), count))
+            for at_s, count in zip(times_s, counts)]
+
+
 class StopScenario:
     """Callers keep their connections and their answers of the directory while gateways are
     stopped, one at a time or all together, and upstreams are slow."""
@@ -202,12 +222,11 @@
         tasks = [asyncio.create_task(self.sticky_caller(end_time))
                  for _ in range(self.options.callers)]
         tasks.append(asyncio.create_task(self.change_configuration(stops_end)))
-        await asyncio.sleep(2 * self.START_S)
-        while time.monotonic() < stops_end:
-            count = self.random.choice((1, 1, 1, 2, len(self.gateways)))
-            for gateway in self.random.sample(self.gateways, count):
-                tasks.append(asyncio.create_task(stop_process(gateway)))
-            await asyncio.sleep(3 + 9 * self.random.random())
+        for at_s, gateways in plan_stops(self.options.seed, 2 * self.START_S,
+                                         stops_end - self.began, len(self.gateways)):
+            await asyncio.sleep(self.began + at_s - time.monotonic())
+            for k in gateways:
+                tasks.append(asyncio.create_task(stop_process(self.gateways[k])))
         await asyncio.gather(*tasks)
         print(self.stops.report(self.NEEDED))
 
