Test the ends of connections in a planned stop

The table of ends that are seen at once had no row in which the server stops, which the users name as not tried. Each of its 13 ends is now also played with keep-alive disabled and with the listening socket closed, with 0, 1 and 1,000 idle connections.

--- a/tests/test-http-stream.c
+++ b/tests/test-http-stream.c
@@ -28,6 +28,12 @@
 
 #define IDLE_MAX 1000
 
+/* State of a server in a planned stop. */
+typedef enum { SERVING, KEEPALIVE_DISABLED, QUIESCED, STOP_STATE_COUNT } StopState;
+
+static const char *const stop_state_names[] = { "serving", "keep-alive disabled",
+                                                "quiesced" };
+
 /* One caller with a socket of its own, and a handler that keeps the request. */
 typedef struct {
   BurdockLoop *loop;
@@ -47,6 +53,8 @@
   uint32_t idle_count;
   uint32_t idle_answered;
   const struct EndCase *end;
+  StopState stop_state;
+  bool request_sent;
   uint64_t begun_at_us; /* time of the first event, 0 before */
   uint64_t ended_at_us; /* time at which the handler ended the request, 0 before */
   uint64_t seen_at_us;  /* time at which the caller saw the end */
@@ -380,6 +388,15 @@
           recv (fixture->caller, buffer, sizeof buffer, MSG_DONTWAIT | MSG_PEEK) > 0);
 }
 
+static void
+enter_stop_state (Fixture *fixture)
+{
+  if (fixture->stop_state != SERVING)
+    burdock_http_server_disable_keepalive (fixture->server);
+  if (fixture->stop_state == QUIESCED)
+    burdock_http_server_quiesce (fixture->server);
+}
+
 static void
 end_request_once (Fixture *fixture)
 {
@@ -389,6 +406,8 @@
     return;
   if (fixture->end->stops_reading && !fills_buffers (fixture))
     return;
+  if (fixture->end->begun)
+    enter_stop_state (fixture);
   fixture->ended_at_us = burdock_loop_now_us ();
   fixture->end->end (fixture);
 }
@@ -405,6 +424,25 @@
   return received == 0 || errno != EAGAIN;
 }
 
+/* Sends the request over an accepted connection; a planned stop begins before, unless a
+ * stream is to be ended that began before it. */
+static void
+send_request_once (Fixture *fixture)
+{
+  static const char filler[BLOCK_BYTES] = { [0 ... BLOCK_BYTES - 1] = 'x' };
+
+  if (fixture->request_sent || burdock_http_server_has_pending (fixture->server))
+    return;
+  fixture->request_sent = true;
+  if (!fixture->end->begun)
+    enter_stop_state (fixture);
+  send_request (fixture->caller, fixture->end->request);
+  if (fixture->end->end == NULL) {
+    send (fixture->caller, filler, sizeof filler, MSG_NOSIGNAL);
+    fixture->ended_at_us = burdock_loop_now_us ();
+  }
+}
+
 static bool
 end_and_watch_caller (void *ctx)
 {
@@ -412,16 +450,9 @@
 
   if (fixture->idle_answered < fixture->idle_count)
     return false;
-  if (fixture->caller < 0) {
+  if (fixture->caller < 0)
     fixture->caller = connect_caller (fixture);
-    send_request (fixture->caller, fixture->end->request);
-    if (fixture->end->end == NULL) {
-      static const char filler[BLOCK_BYTES] = { [0 ... BLOCK_BYTES - 1] = 'x' };
-
-      send (fixture->caller, filler, sizeof filler, MSG_NOSIGNAL);
-      fixture->ended_at_us = burdock_loop_now_us ();
-    }
-  }
+  send_request_once (fixture);
   end_request_once (fixture);
   if (fixture->ended_at_us == 0 ||
       (fixture->end->stops_reading && fixture->closed_count == 0))
@@ -443,13 +474,18 @@
 }
 
 static void
-check_end (const EndCase *test, uint32_t idle_count)
+check_end (const EndCase *test, StopState stop_state, uint32_t idle_count)
 {
   Fixture *fixture = calloc (1, sizeof *fixture);
+  /* The other end of each idle connection, and the socket of the caller; a server that
+   * accepts no more connections has closed its listening socket. */
+  int32_t expected = (int32_t)idle_count + 1 - (stop_state == QUIESCED);
+  int32_t added;
   uint64_t lasted_us;
   uint32_t descriptors;
 
   fixture->end = test;
+  fixture->stop_state = stop_state;
   fixture->step = end_and_watch_caller;
   start_server (fixture);
   connect_idle (fixture, idle_count);
@@ -458,15 +494,16 @@
   burdock_loop_run (fixture->loop);
   lasted_us = fixture->seen_at_us - fixture->ended_at_us;
   if (fixture->timed_out || lasted_us > END_MAX_US) {
-    printf ("%s, %u idle: seen after %u ms, closed %u\n", test->name, idle_count,
+    printf ("%s, %s, %u idle: seen after %u ms, closed %u\n", test->name,
+            stop_state_names[stop_state], idle_count,
             fixture->seen_at_us > 0 ? (unsigned)(lasted_us / US_PER_MS) : UINT32_MAX,
             fixture->closed_count);
     CU_FAIL (test->name);
   }
-  /* The other end of each idle connection, and the socket of the caller. */
-  if (count_descriptors () != descriptors + idle_count + 1) {
-    printf ("%s, %u idle: %u descriptors more than before, expected %u\n", test->name,
-            idle_count, count_descriptors () - descriptors, idle_count + 1);
+  added = (int32_t)count_descriptors () - (int32_t)descriptors;
+  if (added != expected) {
+    printf ("%s, %s, %u idle: %d descriptors more than before, expected %d\n", test->name,
+            stop_state_names[stop_state], idle_count, added, expected);
     CU_FAIL (test->name);
   }
   for (uint32_t i = 0; i < fixture->idle_count; i++)
@@ -485,7 +522,21 @@
 
   for (uint32_t i = 0; i < TEST_COUNT (end_cases); i++) {
     for (uint32_t j = 0; j < TEST_COUNT (idle_counts); j++)
-      check_end (&end_cases[i], idle_counts[j]);
+      check_end (&end_cases[i], SERVING, idle_counts[j]);
+  }
+}
+
+/* As above, in a planned stop, which waits for the connections that are open. */
+static void
+ended_connections_are_closed_in_a_stop (void)
+{
+  static const uint32_t idle_counts[] = { 0, 1, IDLE_MAX };
+
+  for (uint32_t i = 0; i < TEST_COUNT (end_cases); i++) {
+    for (StopState state = KEEPALIVE_DISABLED; state < STOP_STATE_COUNT; state++) {
+      for (uint32_t j = 0; j < TEST_COUNT (idle_counts); j++)
+        check_end (&end_cases[i], state, idle_counts[j]);
+    }
   }
 }
 
@@ -601,6 +652,8 @@
   { "a connection over TLS stays open after its end",
     ended_secure_connections_are_closed_at_once },
   { "a connection stays open after its end", ended_connections_are_closed_at_once },
+  { "a connection stays open after its end in a planned stop",
+    ended_connections_are_closed_in_a_stop },
   { "a stream ends because of output that was sent", sent_output_does_not_wait },
   { "a request is released while its handler uses it",
     handler_learns_of_the_end_from_the_server_only },
