Limit the text of all answers that an entry keeps

Answers of up to 8 MiB each were kept, with no limit for all of them together: a few dozen requests to upstreams that never end their answers took the memory of an instance (160 MB), and with it the requests of all its callers.

The table of open requests now counts the text of their answers. Beyond 16 MiB the request with the largest answer ends, not the one whose token comes next, so that sound requests go on. The time line names the limit that was reached, for both limits, and answers_too_large_total counts.

--- a/libburdock/counters.h
+++ b/libburdock/counters.h
@@ -24,6 +24,7 @@
   X (RESUMES, "resumes_total", "streams taken up by another upstream")                   \
   X (TOKENS, "tokens_total", "tokens passed on")                                         \
   X (TOKENS_DROPPED, "tokens_dropped_total", "tokens of superseded attempts dropped")    \
+  X (ANSWERS_TOO_LARGE, "answers_too_large_total", "answers ended for their size")       \
   X (GENERATION, "config_generation", "configuration generation in force")               \
   X (MEMBERS_ALIVE, "members_alive", "members considered alive")                         \
   X (MEMBERS_SUSPECT, "members_suspect", "members under suspicion")                      \
--- a/libburdock/dispatch.c
+++ b/libburdock/dispatch.c
@@ -151,6 +151,17 @@
   burdock_dispatch_deliver_refusal (dispatcher, state);
 }
 
+void
+burdock_dispatch_end_answer (BurdockDispatcher *dispatcher, BurdockRequestState *state,
+                             const char *why)
+{
+  record_event (dispatcher, state, BURDOCK_EVENT_FAULT, "answer ended", why);
+  burdock_count (&dispatcher->endpoint.counters, BURDOCK_COUNTER_ANSWERS_TOO_LARGE, 1);
+  if (state->phase == BURDOCK_REQUEST_RUNNING)
+    burdock_dispatch_cancel_attempt (dispatcher, state);
+  burdock_dispatch_refuse (dispatcher, state, BURDOCK_REASON_UPSTREAM_FAILED);
+}
+
 void
 burdock_dispatch_drop (BurdockDispatcher *dispatcher, BurdockRequestState *state)
 {
--- a/libburdock/dispatcher-private.h
+++ b/libburdock/dispatcher-private.h
@@ -51,6 +51,12 @@
 void burdock_dispatch_deliver_refusal (BurdockDispatcher *dispatcher,
                                        BurdockRequestState *state);
 
+/** burdock_dispatch_end_answer() - ends a request whose answer takes too much memory
+ * @why: limit that was reached, for the time line
+ */
+void burdock_dispatch_end_answer (BurdockDispatcher *dispatcher,
+                                  BurdockRequestState *state, const char *why);
+
 /** burdock_dispatch_drop() - ends a request whose caller disconnected; no delivery */
 void burdock_dispatch_drop (BurdockDispatcher *dispatcher, BurdockRequestState *state);
 
--- a/libburdock/dispatcher.c
+++ b/libburdock/dispatcher.c
@@ -347,9 +347,29 @@
   }
 }
 
+/* Ends the requests whose answers leave no space for another token of @state. Of all
+ * answers together, the largest one is ended, so that upstreams that never end theirs do
+ * not cost the requests of others. Returns false if @state is ended and freed. */
+static bool
+reserve_answer (BurdockDispatcher *dispatcher, BurdockRequestState *state,
+                uint32_t token_bytes)
+{
+  bool ended = state->answer_bytes + token_bytes > BURDOCK_ANSWER_MAX_BYTES;
+
+  if (ended)
+    burdock_dispatch_end_answer (dispatcher, state, "answer too large");
+  while (!ended && burdock_requests_answers_bytes (dispatcher->requests) + token_bytes >
+                       BURDOCK_ANSWERS_MAX_BYTES) {
+    BurdockRequestState *largest = burdock_requests_largest_answer (dispatcher->requests);
+
+    ended = largest == state;
+    burdock_dispatch_end_answer (dispatcher, largest, "answers too large together");
+  }
+  return !ended;
+}
+
 /* Delivers the next token. A duplicate is dropped. A gap fails the attempt; an idempotent
- * request is then resumed from the last token delivered. An answer without end fails the
- * request. */
+ * request is then resumed from the last token delivered. */
 static void
 receive_token (BurdockDispatcher *dispatcher, const BurdockMessage *message)
 {
@@ -370,17 +390,13 @@
                                      false);
     return;
   }
-  if (state->answer_bytes + token->text.length_bytes > BURDOCK_ANSWER_MAX_BYTES) {
-    burdock_dispatch_cancel_attempt (dispatcher, state);
-    burdock_dispatch_refuse (dispatcher, state, BURDOCK_REASON_UPSTREAM_FAILED);
+  if (!reserve_answer (dispatcher, state, token->text.length_bytes)) {
     burdock_dispatch_queued (dispatcher);
     return;
   }
-  state->answer_bytes += token->text.length_bytes;
   state->next_index++;
   state->last_progress_us = burdock_endpoint_now (endpoint);
-  if (state->request.idempotent)
-    burdock_request_append_delivered (state, token->text);
+  burdock_requests_add_answer (dispatcher->requests, state, token->text);
   delivery.handle = state->request.handle;
   delivery.index = token->index;
   delivery.body = token->text;
--- a/libburdock/request.c
+++ b/libburdock/request.c
@@ -14,6 +14,7 @@
   apr_hash_t *by_handle;
   uint64_t next_id;
   uint32_t count;
+  uint32_t answers_bytes;
   BurdockRequestState *first;
 };
 
@@ -91,6 +92,7 @@
   if (state->next != NULL)
     state->next->previous = state->previous;
   requests->count--;
+  requests->answers_bytes -= state->answer_bytes;
   apr_hash_set (requests->by_id, &state->id, sizeof state->id, NULL);
   apr_hash_set (requests->by_handle, &state->request.handle, sizeof state->request.handle,
                 NULL);
@@ -121,8 +123,27 @@
   return requests->count;
 }
 
-void
-burdock_request_append_delivered (BurdockRequestState *state, BurdockBytes text)
+uint32_t
+burdock_requests_answers_bytes (const BurdockRequests *requests)
+{
+  return requests->answers_bytes;
+}
+
+BurdockRequestState *
+burdock_requests_largest_answer (const BurdockRequests *requests)
+{
+  BurdockRequestState *largest = NULL;
+
+  for (BurdockRequestState *state = requests->first; state != NULL; state = state->next) {
+    if (state->phase != BURDOCK_REQUEST_RELEASING &&
+        (largest == NULL || state->answer_bytes > largest->answer_bytes))
+      largest = state;
+  }
+  return largest;
+}
+
+static void
+append_delivered (BurdockRequestState *state, BurdockBytes text)
 {
   uint32_t needed = state->delivered_bytes + text.length_bytes;
 
@@ -134,3 +155,13 @@
     memcpy (state->delivered + state->delivered_bytes, text.data, text.length_bytes);
   state->delivered_bytes = needed;
 }
+
+void
+burdock_requests_add_answer (BurdockRequests *requests, BurdockRequestState *state,
+                             BurdockBytes text)
+{
+  state->answer_bytes += text.length_bytes;
+  requests->answers_bytes += text.length_bytes;
+  if (state->request.idempotent)
+    append_delivered (state, text);
+}
--- a/libburdock/request.h
+++ b/libburdock/request.h
@@ -14,6 +14,10 @@
  * at another upstream, and for a caller that does not read a stream. */
 #define BURDOCK_ANSWER_MAX_BYTES (8u << 20)
 
+/* Text of the answers to all open requests together. It is kept in up to two buffers,
+ * each of up to twice its length, and an instance has 160 MB or more. */
+#define BURDOCK_ANSWERS_MAX_BYTES (16u << 20)
+
 typedef enum {
   BURDOCK_REQUEST_WAITING = 1, /* for capacity, a share, a backoff or a generation */
   BURDOCK_REQUEST_CLAIMING,    /* waits for the store to confirm the claim of its key */
@@ -37,6 +41,7 @@
  * @wanted_generation: generation needed by the agent that refused the last attempt
  * @attempt: number of the attempt in progress, or of the last one
  * @next_index: index of the next token to deliver
+ * @answer_bytes: text of all tokens delivered so far
  * @may_have_run: an attempt was sent and there is no proof that it did not run
  * @admitted: counted as running by admission
  * @claim: claim of the key while it is pending or held, otherwise NULL
@@ -68,7 +73,7 @@
   uint64_t wanted_generation;
   uint32_t attempt;
   uint32_t next_index;
-  uint32_t answer_bytes; /* text of all tokens so far */
+  uint32_t answer_bytes;
   bool may_have_run;
   bool admitted;
   BurdockClaim *claim;
@@ -122,7 +127,16 @@
 BurdockRequestState *burdock_requests_first (const BurdockRequests *requests);
 uint32_t burdock_requests_count (const BurdockRequests *requests);
 
-/** burdock_request_append_delivered() - appends the text of a token to @delivered */
-void burdock_request_append_delivered (BurdockRequestState *state, BurdockBytes text);
+/** burdock_requests_answers_bytes() - text of the answers to all requests of the table */
+uint32_t burdock_requests_answers_bytes (const BurdockRequests *requests);
+
+/** burdock_requests_largest_answer() - request with the most text among those that have
+ * not been refused, or NULL */
+BurdockRequestState *burdock_requests_largest_answer (const BurdockRequests *requests);
+
+/** burdock_requests_add_answer() - counts the text of a token; appends it to @delivered
+ * if the request is idempotent */
+void burdock_requests_add_answer (BurdockRequests *requests, BurdockRequestState *state,
+                                  BurdockBytes text);
 
 #endif
--- a/tests/test-dispatcher.c
+++ b/tests/test-dispatcher.c
@@ -539,8 +539,74 @@
   free (text);
 }
 
+typedef struct {
+  uint64_t agent;
+  BurdockMessage token;
+} LargeAnswer;
+
+/* Receives tokens of LARGE_TOKEN_BYTES until @until of them have been sent. */
+static void
+receive_large_tokens (LargeAnswer *answer, uint32_t until)
+{
+  for (; answer->token.token.index < until; answer->token.token.index++)
+    receive_frame (answer->agent, AGENT_INCARNATION, answer->token);
+}
+
+static uint32_t
+count_deliveries (uint64_t handle, BurdockDeliveryKind kind)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < traffic.delivery_count; i++)
+    count += traffic.deliveries[i].handle == handle && traffic.deliveries[i].kind == kind;
+  return count;
+}
+
+#define LARGE_ANSWER_COUNT 4
+
+/* Guards against large answers, each within its limit, that together take the memory of
+ * an entry and with it the requests of all callers: the largest one ends. */
+static void
+large_answers_end_before_those_of_others (void)
+{
+  static const uint32_t token_counts[LARGE_ANSWER_COUNT] = { 10, 12, 8, 2 };
+  uint8_t *text = calloc (1, LARGE_TOKEN_BYTES);
+  LargeAnswer answers[LARGE_ANSWER_COUNT] = { 0 };
+
+  start (2);
+  for (uint32_t i = 0; i < LARGE_ANSWER_COUNT; i++) {
+    char key[8];
+
+    snprintf (key, sizeof key, "k%u", i);
+    submit (i + 1, true, false, key);
+    answers[i].token.header.type = BURDOCK_MSG_TOKEN;
+    answers[i].token.token =
+        (BurdockTokenMessage){ .request_id =
+                                   last_attempt (&answers[i].agent)->attempt.request_id,
+                               .attempt = 1,
+                               .text = { text, LARGE_TOKEN_BYTES } };
+    receive_large_tokens (&answers[i], token_counts[i]);
+  }
+  CU_ASSERT_EQUAL (traffic_frame_count (&traffic, BURDOCK_MSG_ATTEMPT_CANCEL), 0);
+  receive_large_tokens (&answers[3], token_counts[3] + 1);
+  CU_ASSERT_EQUAL (traffic_frame_count (&traffic, BURDOCK_MSG_ATTEMPT_CANCEL), 1);
+  CU_ASSERT_EQUAL (count_deliveries (2, BURDOCK_DELIVERY_BROKEN), 1);
+  CU_ASSERT_EQUAL (count_deliveries (4, BURDOCK_DELIVERY_TOKEN), token_counts[3] + 1);
+  /* The memory of the ended request is free for others, and its tokens are dropped. */
+  receive_large_tokens (&answers[1], token_counts[1] + 1);
+  receive_large_tokens (&answers[2], token_counts[2] + 4);
+  CU_ASSERT_EQUAL (traffic_frame_count (&traffic, BURDOCK_MSG_ATTEMPT_CANCEL), 1);
+  CU_ASSERT_EQUAL (count_deliveries (2, BURDOCK_DELIVERY_TOKEN), token_counts[1]);
+  CU_ASSERT_EQUAL (count_deliveries (3, BURDOCK_DELIVERY_TOKEN), token_counts[2] + 4);
+  CU_ASSERT_EQUAL (traffic_frame_count (&traffic, BURDOCK_MSG_ATTEMPT),
+                   LARGE_ANSWER_COUNT);
+  stop ();
+  free (text);
+}
+
 static const Test tests[] = {
   { "an answer without end takes all memory", endless_answer_ends_the_request },
+  { "large answers together take all memory", large_answers_end_before_those_of_others },
   { "a request has the wrong outcome or runs too often", each_script_has_its_outcome },
   { "a resumed stream repeats or loses tokens", resume_carries_offset_and_text },
   { "a request is accepted that must be refused", refusals_before_any_work_are_not_run },
