Fuzz the parsers of events, rows, headers and maps

Only frames and franchise files had fuzz targets.

Found: an event with an empty id takes the digits of the next event for its id.

--- a/Makefile
+++ b/Makefile
@@ -67,15 +67,19 @@
 	$(BUILD)/bench/explore-switch --seed $(SEED)
 
 FUZZ_SECONDS ?= 60
-FUZZ_FLAGS = -g -O1 -std=gnu11 -D_GNU_SOURCE -fsanitize=fuzzer,address,undefined -Ilibburdock
+FUZZ_TARGETS ?= config event-stream maps message rows
+FUZZ_PACKAGES = apr-1 glib-2.0 jansson libcurl libmicrohttpd libsodium msgpack yaml-0.1
+FUZZ_FLAGS = -g -O1 -std=gnu11 -D_GNU_SOURCE -DBURDOCK_VERSION='"fuzz"' \
+  -fsanitize=fuzzer,address,undefined -fno-sanitize-recover=undefined \
+  -Ilibburdock -Idaemon -Iplatform
 
 # Runs each target for FUZZ_SECONDS; new inputs stay in build/fuzz, crashes in the corpus.
 fuzz: setup
-	mkdir -p $(BUILD)/fuzz/message $(BUILD)/fuzz/config
-	for t in message config; do \
-	  clang $(FUZZ_FLAGS) $$(pkg-config --cflags apr-1 msgpack libsodium jansson yaml-0.1) \
-	    fuzz/fuzz-$$t.c libburdock/*.c -o $(BUILD)/fuzz/fuzz-$$t \
-	    $$(pkg-config --libs apr-1 msgpack libsodium jansson yaml-0.1) -lm || exit 1; \
+	for t in $(FUZZ_TARGETS); do \
+	  mkdir -p $(BUILD)/fuzz/$$t; \
+	  clang $(FUZZ_FLAGS) $$(pkg-config --cflags $(FUZZ_PACKAGES)) \
+	    fuzz/fuzz-$$t.c libburdock/*.c daemon/*.c platform/*.c -o $(BUILD)/fuzz/fuzz-$$t \
+	    $$(pkg-config --libs $(FUZZ_PACKAGES)) -lm || exit 1; \
 	  $(BUILD)/fuzz/fuzz-$$t -max_total_time=$(FUZZ_SECONDS) -print_final_stats=1 \
 	    -artifact_prefix=fuzz/corpus/$$t/ $(BUILD)/fuzz/$$t fuzz/corpus/$$t || exit 1; \
 	done
