Test answers that are broken off at each place

Found: a head that is cut off, of an answer without a length, is taken for a complete answer without a body (three places).

--- a/tests/test-endless.c
+++ b/tests/test-endless.c
@@ -1,5 +1,5 @@
-/* Servers in trouble that send bytes without end, until the client closes the connection.
- */
+/* Servers in trouble that send bytes without end, until the client closes the connection,
+ * or that close it before the end of their answer. */
 #include "engine.h"
 #include "event-stream.h"
 #include "http-client.h"
@@ -28,6 +28,11 @@
 /* A gateway instance has 160 MB or more for a few hundred requests. */
 #define MEMORY_MAX_KB (24 << 10)
 
+/**
+ * struct EndlessServer - server of one connection
+ * @prefix: sent once the request has arrived
+ * @repeated: sent after it without end; NULL to close the connection instead
+ */
 typedef struct {
   int listener;
   const char *prefix;
@@ -52,6 +57,21 @@
   return true;
 }
 
+static void *
+serve_prefix (void *ctx)
+{
+  EndlessServer *server = ctx;
+  int peer = accept (server->listener, NULL, NULL);
+  char request[2048];
+
+  if (peer < 0)
+    abort ();
+  if (recv (peer, request, sizeof request, 0) > 0)
+    send_all (server, peer, server->prefix, strlen (server->prefix));
+  close (peer);
+  return NULL;
+}
+
 static void *
 serve (void *ctx)
 {
@@ -90,7 +110,8 @@
   if (bind (server->listener, (struct sockaddr *)&address, sizeof address) < 0 ||
       listen (server->listener, 1) < 0 ||
       getsockname (server->listener, (struct sockaddr *)&address, &address_bytes) < 0 ||
-      pthread_create (&server->thread, NULL, serve, server) != 0)
+      pthread_create (&server->thread, NULL, repeated != NULL ? serve : serve_prefix,
+                      server) != 0)
     abort ();
   return ntohs (address.sin_port);
 }
@@ -179,6 +200,84 @@
   }
 }
 
+typedef struct {
+  const char *name;
+  const char *answer;
+  bool complete;
+} TruncatedCase;
+
+static const TruncatedCase truncated_cases[] = {
+  { "no answer", "", false },
+  { "part of the status line", "HTTP/1.1 20", false },
+  { "headers without their end", HEAD "Content-Length: 2\r\n", false },
+  { "interim answer only", "HTTP/1.1 100 Continue\r\n\r\n", false },
+  { "no body", HEAD "Content-Length: 5\r\n\r\n", false },
+  { "part of the body", HEAD "Content-Length: 5\r\n\r\nabcd", false },
+  { "no chunk", CHUNKED, false },
+  { "part of a chunk size", CHUNKED "2\r\nab\r\n1", false },
+  { "part of a chunk", CHUNKED "5\r\nab", false },
+  { "chunk without its end", CHUNKED "2\r\nab", false },
+  { "no last chunk", CHUNKED "2\r\nab\r\n", false },
+  { "part of the last chunk", CHUNKED "2\r\nab\r\n0", false },
+  { "last chunk without the end of the trailers", CHUNKED "2\r\nab\r\n0\r\n", false },
+  { "part of a trailer", CHUNKED "2\r\nab\r\n0\r\nX-T: ", false },
+  { "whole body", HEAD "Content-Length: 4\r\n\r\nabcd", true },
+  { "all chunks", CHUNKED "2\r\nab\r\n0\r\n\r\n", true },
+};
+
+/* KNOWN-RED.txt: libcurl takes headers that end with the connection for all headers of an
+ * answer without a length. */
+static const TruncatedCase truncated_head_cases[] = {
+  { "a status line alone", HEAD, false },
+  { "part of a header", HEAD "Content-Le", false },
+  { "headers without a length and their end", HEAD "X-A: b\r\n", false },
+};
+
+static void
+check_truncated (const TruncatedCase *cases, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++) {
+    EndlessServer server;
+    char url[64];
+    Call call = { .loop = burdock_loop_new () };
+    BurdockHttpClient *client = burdock_http_client_new (call.loop);
+    BurdockHttpCall options = { .method = "POST",
+                                .url = url,
+                                .timeout_ms = TIMEOUT_MS,
+                                .ctx = &call,
+                                .done = call_done };
+
+    snprintf (url, sizeof url, "http://127.0.0.1:%u",
+              start_server (&server, cases[i].answer, NULL));
+    CU_ASSERT_EQUAL (burdock_http_client_start (client, &options), 0);
+    burdock_loop_run (call.loop);
+    burdock_http_client_free (client);
+    burdock_loop_free (call.loop);
+    pthread_join (server.thread, NULL);
+    close (server.listener);
+    if (!call.done || (call.status == 0) != cases[i].complete ||
+        call.status == -ETIMEDOUT) {
+      printf ("%s: status %d\n", cases[i].name, call.status);
+      CU_FAIL (cases[i].name);
+    }
+  }
+}
+
+/* Guards against an answer that its server broke off and that reaches the caller as a
+ * complete one. */
+static void
+truncated_answers_are_incomplete (void)
+{
+  check_truncated (truncated_cases, TEST_COUNT (truncated_cases));
+}
+
+/* As above. */
+static void
+truncated_heads_are_incomplete (void)
+{
+  check_truncated (truncated_head_cases, TEST_COUNT (truncated_head_cases));
+}
+
 typedef struct {
   const char *name;
   const char *block;
@@ -315,16 +414,26 @@
   { "an agent reads from its engine for good", unwanted_token_streams_are_closed },
   { "an answer without end takes all memory, or all the time", endless_answers_are_cut },
   { "a stream without new events never ends", streams_without_progress_end },
+  { "an answer that was broken off looks complete", truncated_answers_are_incomplete },
+};
+
+static const Test known_red_tests[] = {
+  { "an answer whose head was broken off looks complete",
+    truncated_heads_are_incomplete },
 };
 
+/* Runs the tests of KNOWN-RED.txt instead with the argument "known-red". */
 int
-main (void)
+main (int argc, char **argv)
 {
+  bool known_red = argc > 1 && strcmp (argv[1], "known-red") == 0;
   int status;
 
   apr_initialize ();
   curl_global_init (CURL_GLOBAL_DEFAULT);
-  status = test_main ("endless", tests, TEST_COUNT (tests));
+  status = known_red ? test_main ("endless known-red", known_red_tests,
+                                  TEST_COUNT (known_red_tests))
+                     : test_main ("endless", tests, TEST_COUNT (tests));
   curl_global_cleanup ();
   apr_terminate ();
   return status;
