Judge each pause of an upstream by the time that it named

The soak's BUDGET check compared the requests after a rejection with the pause that the upstream has in mind now, not with the one that the rejection named.

A pause now keeps the time named with it; a request after that time begins a new one with the time named then, judged in the same way.

--- a/tests/soak/standin.py
+++ b/tests/soak/standin.py
@@ -327,7 +327,8 @@
         self.left_at, self.says_leaving = None, False
         # Seconds for which it wants nothing from a gateway whose request it has rejected.
         self.retry_after_s = None
-        self.pauses = {}  # gateway: times of the rejections, and of the requests since the last
+        # By gateway: time of a rejection, the pause in s that it named, later requests in it.
+        self.pauses = {}
         self.crash_times, self.crashing_arrivals = [], []
         self.store, self.down = None, False
         # Requests a second from all gateways that it names in its answers; None for no limit.
@@ -375,16 +376,16 @@
     def reject(self, attempt, writer):
         """Rejects a request and names a time in which its gateway has to send nothing."""
         now = time.monotonic()
-        rejected_at, arrivals = self.pauses.get(gateway_of(attempt), (None, []))
-        if rejected_at is None or now > rejected_at + self.retry_after_s:
-            self.pauses[gateway_of(attempt)] = (now, [])
+        rejected_at, named_s, arrivals = self.pauses.get(gateway_of(attempt), (None, 0, []))
+        if rejected_at is None or now > rejected_at + named_s:
+            self.pauses[gateway_of(attempt)] = (now, self.retry_after_s, [])
         elif now > rejected_at + PAUSE_SLACK_S:
             arrivals.append(now)
             if (len(arrivals) == PAUSE_ARRIVALS_MAX + 1
                     and not self.check.was_disturbed(attempt, rejected_at)):
                 self.check.add_violation("BUDGET", f"gateway-{gateway_of(attempt)} sent "
                                                    f"{len(arrivals)} requests to {self.id}, which "
-                                                   f"wanted none for {self.retry_after_s} s")
+                                                   f"wanted none for {named_s} s")
         writer.write(answer(503, headers=[("Burdockwind-Not-Executed", "1"),
                                           ("Burdockwind-Attempt-Id", attempt),
                                           ("Retry-After", str(self.retry_after_s))]))
