Test requests that never end

Bytes without end were played from upstreams and the store, not from callers. test-endless now sends them in ten places of a request. Six are ended by the server; a body, chunks, a chunk size and a chunk extension without end are read for as long as the caller sends, with bounded memory.

--- a/tests/test-endless.c
+++ b/tests/test-endless.c
@@ -1,8 +1,10 @@
 /* Servers in trouble that send bytes without end, until the client closes the connection,
- * or that close it before the end of their answer. */
+ * or that close it before the end of their answer; callers that send bytes without end.
+ */
 #include "engine.h"
 #include "event-stream.h"
 #include "http-client.h"
+#include "http-server.h"
 #include "test.h"
 
 #include <apr_general.h>
@@ -10,6 +12,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <pthread.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -410,16 +413,141 @@
   }
 }
 
+#define REQUEST "POST /a HTTP/1.1\r\nHost: h\r\n"
+#define CHUNKED_REQUEST REQUEST "Transfer-Encoding: chunked\r\n\r\n"
+
+static const EndlessCase caller_cases[] = {
+  { "no request at all", "", "x" },
+  { "request target", "POST /", "a" },
+  { "empty lines", "", "\r\n" },
+  { "one header line", REQUEST "X-A: ", "y" },
+  { "header lines", REQUEST, "X-A: y\r\n" },
+  { "trailers", CHUNKED_REQUEST "1\r\nx\r\n0\r\n", "X-T: y\r\n" },
+};
+
+/* KNOWN-RED.txt: the server reads a body to its end before it rejects the request. */
+static const EndlessCase caller_body_cases[] = {
+  { "body above its limit", REQUEST "Content-Length: 99999999999\r\n\r\n", "x" },
+  { "chunk size", CHUNKED_REQUEST, "0" },
+  { "chunk extension", CHUNKED_REQUEST "1;", "x" },
+  { "chunks", CHUNKED_REQUEST, "4\r\nxxxx\r\n" },
+};
+
+typedef struct {
+  BurdockLoop *loop;
+  uint16_t port;
+  const EndlessCase *test;
+  bool stopped_by_server;
+  atomic_bool done;
+} EndlessCaller;
+
+/* Sends until the server closes the connection. */
+static void *
+call_without_end (void *ctx)
+{
+  EndlessCaller *caller = ctx;
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons (caller->port),
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  const char *repeated = caller->test->repeated;
+  size_t repeated_bytes = strlen (repeated);
+  char block[4096];
+  size_t block_bytes = sizeof block / repeated_bytes * repeated_bytes;
+  time_t until_s = time (NULL) + SERVE_MAX_S;
+  int peer = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  struct timeval timeout = { .tv_sec = SERVE_MAX_S };
+
+  for (size_t at = 0; at < block_bytes; at += repeated_bytes)
+    memcpy (block + at, repeated, repeated_bytes);
+  if (connect (peer, (struct sockaddr *)&address, sizeof address) < 0)
+    abort ();
+  setsockopt (peer, SOL_SOCKET, SO_SNDTIMEO, &timeout, sizeof timeout);
+  if (send (peer, caller->test->prefix, strlen (caller->test->prefix), MSG_NOSIGNAL) < 0)
+    abort ();
+  while (time (NULL) < until_s && send (peer, block, block_bytes, MSG_NOSIGNAL) > 0)
+    ;
+  caller->stopped_by_server = time (NULL) < until_s;
+  close (peer);
+  atomic_store (&caller->done, true);
+  return NULL;
+}
+
+static void
+refuse_request (void *ctx, BurdockHttpRequest *request)
+{
+  burdock_http_respond (request, 400, "text/plain", strdup ("refused"), NULL);
+}
+
+static void
+ignore_closed (void *ctx, BurdockHttpRequest *request, bool complete)
+{
+}
+
+static uint64_t
+stop_after_caller (void *ctx, uint64_t now_us)
+{
+  EndlessCaller *caller = ctx;
+
+  if (atomic_load (&caller->done))
+    burdock_loop_stop (caller->loop);
+  return now_us + 1000;
+}
+
+static void
+check_callers (const EndlessCase *cases, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++) {
+    BurdockHttpHandler handler = { NULL, refuse_request, ignore_closed };
+    BurdockAddress address = { .ipv4 = INADDR_LOOPBACK };
+    EndlessCaller caller = { .loop = burdock_loop_new (), .test = &cases[i] };
+    BurdockHttpServer *server =
+        burdock_http_server_new (caller.loop, &address, NULL, &handler);
+    long memory_kb = peak_memory_kb ();
+    pthread_t thread;
+
+    caller.port = address.port;
+    burdock_loop_add_hook (caller.loop, stop_after_caller, &caller);
+    CU_ASSERT_EQUAL_FATAL (pthread_create (&thread, NULL, call_without_end, &caller), 0);
+    burdock_loop_run (caller.loop);
+    pthread_join (thread, NULL);
+    burdock_http_server_free (server);
+    burdock_loop_free (caller.loop);
+    if (!caller.stopped_by_server || peak_memory_kb () - memory_kb > MEMORY_MAX_KB) {
+      printf ("%s: stopped %d, memory grew by %ld KB\n", cases[i].name,
+              caller.stopped_by_server, peak_memory_kb () - memory_kb);
+      CU_FAIL (cases[i].name);
+    }
+  }
+}
+
+/* Guards against a server that stores what a caller sends without end, or reads it for as
+ * long as the caller sends. */
+static void
+endless_requests_are_cut (void)
+{
+  check_callers (caller_cases, TEST_COUNT (caller_cases));
+}
+
+/* As above. */
+static void
+endless_bodies_of_callers_are_cut (void)
+{
+  check_callers (caller_body_cases, TEST_COUNT (caller_body_cases));
+}
+
 static const Test tests[] = {
   { "an agent reads from its engine for good", unwanted_token_streams_are_closed },
   { "an answer without end takes all memory, or all the time", endless_answers_are_cut },
   { "a stream without new events never ends", streams_without_progress_end },
   { "an answer that was broken off looks complete", truncated_answers_are_incomplete },
+  { "a request without end takes all memory, or all the time", endless_requests_are_cut },
 };
 
 static const Test known_red_tests[] = {
   { "an answer whose head was broken off looks complete",
     truncated_heads_are_incomplete },
+  { "a body without end is read for as long as its caller sends",
+    endless_bodies_of_callers_are_cut },
 };
 
 /* Runs the tests of KNOWN-RED.txt instead with the argument "known-red". */
