Measure the stop limit from before SIGTERM is sent

Traced in the log of the gateway: SIGTERM received at 41.642, given up at 49.042, answered at 49.043, which is 7.401 s.

Cause: the scenario took the time of the stop after the signal had been sent, on a busy machine some milliseconds after its receipt, so that the answer seemed to come too early. It now uses the time that is recorded before the signal is sent. The bounds are as before; the upper one is stricter by the same milliseconds.

--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -318,7 +318,8 @@
         await asyncio.sleep(0.3)
         stop = asyncio.create_task(stop_process(self.gateways[k]))
         await asyncio.sleep(0)
-        stopped_at = time.monotonic()
+        # Taken before the signal is sent; a time that is taken here may be later than its receipt.
+        stopped_at = next(at for gateway, at in reversed(self.stops.stops) if gateway == k)
         if early:
             await asyncio.sleep(0.3)
             self.gateways[k].send_signal(signal.SIGINT)
