Play overload of several gateways, and count what callers get

Callers saw: one with 7.72 s left of 8 s is served half as often as one with 7.8 s (measured with processes by the users). No command of the repository showed what callers get from the gateways' balancer.

--- /dev/null
+++ b/tests/support/overload-play.h
@@ -0,0 +1,93 @@
+/**
+ * DOC: overload-play.h - plays callers, gateways and upstreams in simulated time
+ *
+ * Several balancers share the upstreams of one pool and hear of each other's load with
+ * each heartbeat. Counted is what callers get: answers within the time that each of them
+ * has, and refusals.
+ */
+#ifndef OVERLOAD_PLAY_H
+#define OVERLOAD_PLAY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define OVERLOAD_KINDS_MAX 4
+
+/**
+ * struct OverloadCallers - callers that are alike
+ * @share: part of all requests
+ * @left_ms: time that the caller waits for the whole answer
+ * @timeout_ms: timeout of the route
+ * @objective_ms: latency objective of the route
+ * @priority: of the route, 0 is the most urgent
+ */
+typedef struct {
+  const char *name;
+  double share;
+  uint32_t left_ms;
+  uint32_t timeout_ms;
+  uint32_t objective_ms;
+  uint32_t priority;
+} OverloadCallers;
+
+/**
+ * struct OverloadLoad - requests, and the upstreams that serve them
+ * @streams: answers are streams; otherwise their first part is the whole
+ * @gateways: number of gateways, each of which gets the same share of the requests
+ * @per_s: requests per second of all callers
+ * @upstreams, @slots: upstreams, and requests that each of them runs at once
+ * @first_ms: time from the start of a request at its upstream to the first event
+ * @work_ms: mean time from the start to the end; drawn between half of it and 1.5 times
+ * @patience_ms: a caller of a stream leaves if the first event takes longer
+ * @closed_ms, @period_ms: the group is closed for @closed_ms of each period
+ * @returns: how often a refused caller comes back, after the delay that it was told
+ * @possible_per_s: requests that the upstreams can end in a second, 0 if it is not known
+ */
+typedef struct {
+  const char *name;
+  bool streams;
+  uint32_t gateways;
+  double per_s;
+  uint32_t upstreams;
+  uint32_t slots;
+  uint32_t first_ms;
+  uint32_t work_ms;
+  uint32_t patience_ms;
+  uint32_t closed_ms;
+  uint32_t period_ms;
+  uint32_t returns;
+  double possible_per_s;
+  uint32_t kind_count;
+  OverloadCallers kinds[OVERLOAD_KINDS_MAX];
+} OverloadLoad;
+
+/**
+ * struct OverloadResult - what the callers of one kind got; all are parts of @callers
+ * @answered: got their whole answer in their time
+ * @refused_at_once: refused for good within 0.2 s of their last request
+ * @first_ms: mean time from the request that was answered to its first event
+ */
+typedef struct {
+  uint32_t callers;
+  double answered;
+  double refused_at_once;
+  double first_ms;
+} OverloadResult;
+
+/**
+ * struct OverloadTotal - what all callers got
+ * @ended_ratio: answers in time, as part of what the upstreams can end or of what was
+ *   asked for, whichever is less; 0 if it is not known
+ * @wasted_ratio: time of the upstreams for requests whose callers got no answer, as part
+ *   of all of it
+ */
+typedef struct {
+  OverloadResult kinds[OVERLOAD_KINDS_MAX];
+  double ended_ratio;
+  double wasted_ratio;
+} OverloadTotal;
+
+/** overload_play() - plays @load for 46 s of simulated time */
+OverloadTotal overload_play (const OverloadLoad *load, uint64_t seed);
+
+#endif
