--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -27,10 +27,6 @@
 #define PAUSE_WAITING_BYTES (64u << 10)
 #define RESUME_WAITING_BYTES (32u << 10)
 
-/* Number of streams over which the moving average of the time to the first event is
- * taken. */
-#define FIRST_EVENT_MEAN_WEIGHT 16
-
 /* Idle connections are not reused in the last second before the upstream closes them. */
 #define KEEP_ALIVE_MARGIN_S 1
 
@@ -123,16 +119,6 @@
   return 0;
 }
 
-static void
-update_mean_first_event (BurdockGatewayTraffic *traffic, uint64_t elapsed_us)
-{
-  if (traffic->mean_first_event_us == 0)
-    traffic->mean_first_event_us = elapsed_us;
-  traffic->mean_first_event_us += elapsed_us / FIRST_EVENT_MEAN_WEIGHT;
-  traffic->mean_first_event_us -=
-      traffic->mean_first_event_us / (FIRST_EVENT_MEAN_WEIGHT + 1);
-}
-
 static void
 record_first_event (BurdockForward *forward, uint64_t now_us)
 {
@@ -141,7 +127,9 @@
   uint32_t bucket = 0;
 
   forward->first_event_us = now_us;
-  update_mean_first_event (&forward->gateway->traffic, now_us - forward->sent_us);
+  burdock_answer_times_record (forward->gateway->traffic.first_event_times,
+                               forward->route->name, forward->upstream.key,
+                               now_us - forward->sent_us, now_us);
   while (bucket < BURDOCK_HISTOGRAM_BUCKETS - 1 && elapsed_ms >> bucket > 0)
     bucket++;
   counters->first_event_ms[bucket]++;
@@ -356,6 +344,14 @@
                                now_us - forward->sent_us, now_us);
 }
 
+/* Whether an attempt has given the whole answer, not the rest of a stream. */
+static bool
+is_whole_answer (const BurdockForward *forward)
+{
+  return forward->route->kind != BURDOCK_ROUTE_STREAM ||
+         (forward->caller.last_event_id == 0 && forward->run_count == 0);
+}
+
 static void
 answer_done (void *ctx, const BurdockHttpResult *result)
 {
@@ -370,7 +366,7 @@
     forward->gateway->traffic.counters.connections++;
   if (attempt_result != BURDOCK_ATTEMPT_COMPLETE)
     log_failed_attempt (forward, attempt_result, result);
-  else if (forward->route->kind != BURDOCK_ROUTE_STREAM)
+  else if (is_whole_answer (forward))
     record_answer_time (forward);
   if (forward->attempt_event_count == 0)
     record_outcome (forward, attempt_result, result);
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -8,9 +8,6 @@
 
 #define US_PER_MS UINT64_C (1000)
 
-/* Minimum time in the queue before another attempt. */
-#define RETRY_WAIT_MS 300
-
 /* A connection to an upstream is tried at once and after 0.1 s. The first one may still
  * be accepted, as the connections of a process that ends close one after the other. */
 #define CHECK_MS 150
@@ -151,8 +148,8 @@
 
   if (placement->excluded_count < BURDOCK_EXCLUDED_MAX)
     placement->excluded[placement->excluded_count++] = forward->upstream.key;
-  if (placement->queue_deadline_us < now_us + RETRY_WAIT_MS * US_PER_MS)
-    placement->queue_deadline_us = now_us + RETRY_WAIT_MS * US_PER_MS;
+  placement->admitted = true;
+  burdock_forward_set_times (forward, now_us);
   forward->phase = BURDOCK_FORWARD_WAITING;
   burdock_balancer_submit (traffic->balancer, placement, now_us);
 }
@@ -202,9 +199,13 @@
 static BurdockAnswerEstimate
 estimate_elsewhere (const BurdockForward *forward, uint64_t now_us)
 {
-  return burdock_answer_times_estimate (forward->gateway->traffic.answer_times,
-                                        forward->route->name, forward->upstream.key,
-                                        forward->sent_us, now_us);
+  BurdockGatewayTraffic *traffic = &forward->gateway->traffic;
+  BurdockAnswerTimes *times = forward->route->kind == BURDOCK_ROUTE_STREAM
+                                  ? traffic->first_event_times
+                                  : traffic->answer_times;
+
+  return burdock_answer_times_estimate (times, forward->route->name,
+                                        forward->upstream.key, forward->sent_us, now_us);
 }
 
 void
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -119,6 +119,10 @@
  * in a planned stop */
 uint32_t burdock_forward_retry_after_stop_ms (const BurdockGateway *gateway);
 
+/** burdock_forward_set_times() - works out what the caller has left, and what the request
+ * needs, for its next attempt */
+void burdock_forward_set_times (BurdockForward *forward, uint64_t now_us);
+
 /** burdock_forward_refuse_quarantined() - ends a request whose prompt crashes upstreams
  * and that no upstream runs */
 void burdock_forward_refuse_quarantined (BurdockForward *forward,
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -175,9 +175,8 @@
  * @forwards: list of requests that have not been closed
  * @next_handle: last handle given to a request
  * @buffered_bytes: memory of the answers that are buffered until they are complete
- * @mean_first_event_us: moving average of the time from sending a request to its first
- *   event, 0 before the first one
- * @answer_times: times of the answers that are not streams, by route
+ * @answer_times: times of whole answers, by route
+ * @first_event_times: times to the first events of streams, by route
  * @leaving_upstreams: starts of upstreams that have said that they leave
  * @quarantine: prompt parts that crash upstreams
  * @quarantine_loaded: the stored quarantine was received from the control thread
@@ -206,6 +205,7 @@
   BurdockDatagramSocket *datagrams;
   BurdockBalancer *balancer;
   BurdockAnswerTimes *answer_times;
+  BurdockAnswerTimes *first_event_times;
   BurdockLeavingUpstreams *leaving_upstreams;
   BurdockPartQuarantine *quarantine;
   BurdockRouteTable *table;
@@ -213,7 +213,6 @@
   uint32_t forward_count;
   uint64_t next_handle;
   size_t buffered_bytes;
-  uint64_t mean_first_event_us;
   bool quarantine_loaded;
   bool upstreams_received;
   uint32_t gone_count;
--- a/gateway/intake.c
+++ b/gateway/intake.c
@@ -12,23 +12,9 @@
 /* Timeout of a request if neither the caller nor the route sets one. */
 #define TIMEOUT_DEFAULT_MS 30000
 
-/* Maximum time in the queue. The caller of a stream disconnects about 2 s after it sent
- * the request, and the first event takes up to 500 ms after the request was placed. */
-#define QUEUE_WAIT_MAX_MS 1000
-
-/* A request may spend 1/3 of its timeout in the queue; the rest is needed to run it. */
-#define QUEUE_WAIT_DIVISOR 3
-
-/* Expected time to the first event of a stream until one has been measured. */
-#define FIRST_EVENT_DEFAULT_MS 200
-
-/* Most first events arrive within this multiple of the mean time. */
-#define FIRST_EVENT_FACTOR 1.3
-
-/* A timeout below this part of the route's timeout shows that the caller retries after a
- * refusal. Its answer is late in any case, as the latency objective counts from the
- * caller's first attempt. */
-#define FIRST_ATTEMPT_MIN_RATIO 0.97
+/* The times of a route say little of a request whose caller allows less than twice as
+ * much: it probably asks for little work. */
+#define WORK_TIME_DIVISOR 2
 
 static void
 add_forward (BurdockGatewayTraffic *traffic, BurdockForward *forward)
@@ -70,39 +56,40 @@
   return limit_ms;
 }
 
-/* Longest time in the queue with which a request can still meet its latency objective. */
 static uint64_t
-objective_wait_us (const BurdockForward *forward)
+at_most (uint64_t time_us, uint64_t limit_us)
 {
-  const BurdockRoute *route = forward->route;
-  uint64_t first_event_us = forward->gateway->traffic.mean_first_event_us;
-  uint64_t objective_us = route->objective_ms * US_PER_MS;
-
-  if (forward->caller.has_timeout &&
-      forward->caller.timeout_ms < route->timeout_ms * FIRST_ATTEMPT_MIN_RATIO)
-    return 0;
-  if (route->kind != BURDOCK_ROUTE_STREAM)
-    return objective_us / 2;
-  if (first_event_us == 0)
-    first_event_us = FIRST_EVENT_DEFAULT_MS * US_PER_MS;
-  first_event_us = (uint64_t)((double)first_event_us * FIRST_EVENT_FACTOR);
-  return objective_us > first_event_us ? objective_us - first_event_us : 0;
+  return time_us < limit_us ? time_us : limit_us;
 }
 
-static void
-set_times (BurdockForward *forward)
+void
+burdock_forward_set_times (BurdockForward *forward, uint64_t now_us)
 {
+  const BurdockGatewayTraffic *traffic = &forward->gateway->traffic;
   const BurdockRoute *route = forward->route;
-  uint64_t limit_ms = time_limit_ms (route, &forward->caller);
-  uint64_t queue_wait_ms = limit_ms / QUEUE_WAIT_DIVISOR < QUEUE_WAIT_MAX_MS
-                               ? limit_ms / QUEUE_WAIT_DIVISOR
-                               : QUEUE_WAIT_MAX_MS;
-  uint64_t now_us = burdock_loop_now_us ();
-
-  forward->received_us = now_us;
-  forward->deadline_us = now_us + limit_ms * US_PER_MS;
-  forward->placement.queue_deadline_us = now_us + queue_wait_ms * US_PER_MS;
-  forward->placement.objective_deadline_us = now_us + objective_wait_us (forward);
+  BurdockRequestTimes *times = &forward->placement.times;
+  uint64_t heard_us =
+      forward->answer_started ? forward->last_event_us : forward->received_us;
+  uint64_t work_max_us =
+      (forward->deadline_us - forward->received_us) / WORK_TIME_DIVISOR;
+  bool is_stream = route->kind == BURDOCK_ROUTE_STREAM;
+
+  times->deadline_us = times->first_part_deadline_us = forward->deadline_us;
+  if (route->patience_ms > 0)
+    times->first_part_deadline_us =
+        at_most (forward->deadline_us, heard_us + route->patience_ms * US_PER_MS);
+  times->work_us = at_most (burdock_answer_times_typical_us (traffic->answer_times,
+                                                             route->name, now_us),
+                            work_max_us);
+  times->first_part_us = times->work_us;
+  if (is_stream)
+    times->first_part_us =
+        at_most (burdock_answer_times_typical_us (traffic->first_event_times, route->name,
+                                                  now_us),
+                 work_max_us);
+  /* How much is left of a stream that goes on is not known. */
+  if (forward->answer_started)
+    times->work_us = times->first_part_us;
 }
 
 /* Whether a request is answered before the end of a planned stop, if there is one. */
@@ -177,7 +164,10 @@
   forward->placement.handle = ++traffic->next_handle;
   forward->placement.pool = forward->pool->name;
   forward->phase = BURDOCK_FORWARD_WAITING;
-  set_times (forward);
+  forward->received_us = burdock_loop_now_us ();
+  forward->deadline_us =
+      forward->received_us + time_limit_ms (forward->route, &forward->caller) * US_PER_MS;
+  burdock_forward_set_times (forward, forward->received_us);
   add_forward (traffic, forward);
   burdock_http_set_data (forward->http_request, forward);
   if (!burdock_part_quarantine_admit (traffic->quarantine, &forward->caller.prompt,
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -248,9 +248,11 @@
           sizeof settings.failure_domain);
   traffic->balancer = burdock_balancer_new (&settings, &handler);
   traffic->answer_times = burdock_answer_times_new ();
+  traffic->first_event_times = burdock_answer_times_new ();
   traffic->leaving_upstreams = burdock_leaving_upstreams_new (gateway->id);
   if (traffic->balancer == NULL || traffic->answer_times == NULL ||
-      traffic->leaving_upstreams == NULL || burdock_gateway_quarantine_init (gateway) < 0)
+      traffic->first_event_times == NULL || traffic->leaving_upstreams == NULL ||
+      burdock_gateway_quarantine_init (gateway) < 0)
     return -ENOMEM;
   burdock_loop_add_hook (traffic->runtime.loop, traffic_hook, gateway);
   return listen_on_all (gateway);
@@ -273,6 +275,7 @@
   burdock_datagram_socket_free (traffic->datagrams);
   burdock_balancer_free (traffic->balancer);
   burdock_answer_times_free (traffic->answer_times);
+  burdock_answer_times_free (traffic->first_event_times);
   burdock_leaving_upstreams_free (traffic->leaving_upstreams);
   burdock_part_quarantine_free (traffic->quarantine);
   burdock_route_table_unref (traffic->table);
--- a/libburdock/answer-times.c
+++ b/libburdock/answer-times.c
@@ -291,3 +291,14 @@
     estimate.longest_us = of->longest.elapsed_us;
   return estimate;
 }
+
+uint64_t
+burdock_answer_times_typical_us (const BurdockAnswerTimes *times, const char *route,
+                                 uint64_t now_us)
+{
+  const Route *of = apr_hash_get (times->routes, route, APR_HASH_KEY_STRING);
+  uint64_t sorted[ANSWERS_MAX];
+  uint32_t count = of != NULL ? sort_times (of, 0, now_us, sorted) : 0;
+
+  return count >= ANSWERS_FEW ? sorted[count / 2] : 0;
+}
--- a/libburdock/answer-times.h
+++ b/libburdock/answer-times.h
@@ -1,6 +1,6 @@
 /**
- * DOC: answer-times.h - how long the upstreams of a route have lately needed for a whole
- * answer
+ * DOC: answer-times.h - how long the upstreams of a route have lately needed for an
+ * answer, or for its first part
  *
  * Shows whether a request that has no answer yet would have one by now elsewhere, and how
  * much time another attempt needs. It performs no I/O. The answers of the upstream that
@@ -60,4 +60,9 @@
                                                      const char *route, uint64_t upstream,
                                                      uint64_t sent_us, uint64_t now_us);
 
+/** burdock_answer_times_typical_us() - median of all upstreams of a route, 0 if too few
+ * answers are known */
+uint64_t burdock_answer_times_typical_us (const BurdockAnswerTimes *times,
+                                          const char *route, uint64_t now_us);
+
 #endif
--- a/libburdock/balancer-private.h
+++ b/libburdock/balancer-private.h
@@ -27,6 +27,7 @@
   uint64_t epoch;
   bool open;
   uint64_t broken_us;       /* when it was last reported as broken */
+  uint64_t closed_for_us;   /* how long it was closed the last time, 0 if never */
   uint64_t last_report_us;  /* from any of its agents */
   double utilization_limit; /* share of the slots that may be in use */
   uint32_t slots;
@@ -35,7 +36,7 @@
   uint32_t late_gap_count;
   double late_gap_ratio;   /* smoothed */
   double relative_gap_sum; /* gaps as multiples of their target */
-  double late_credit;      /* late requests that this gateway may place now */
+  double credit;           /* waiting requests that this gateway may place now */
   Liveness liveness;
   uint64_t silent_step;      /* first step reported since the group was marked silent */
   uint32_t silent_step_rank; /* rank that reported it */
@@ -47,16 +48,19 @@
 typedef struct QueuedRequest {
   struct QueuedRequest *next;
   BurdockPlacement placement;
+  uint64_t latest_start_us;
 } QueuedRequest;
 
 typedef struct Pool {
   struct Pool *next;
   char name[BURDOCK_NAME_BYTES];
-  QueuedRequest *queue;
-  QueuedRequest **queue_tail;
-  uint32_t queue_length;
-  uint32_t placed; /* in the current rate interval */
-  double placed_per_s;
+  QueuedRequest *queue;      /* in the order in which they start */
+  uint64_t waiting_since_us; /* since when requests have to wait, 0 if they don't */
+  uint32_t sent_at_once;     /* the last requests in a row that did not wait */
+  uint32_t own_outstanding;  /* requests of this gateway at its upstreams */
+  uint32_t outstanding;      /* of all gateways, at the last tick */
+  double ended;              /* requests of this gateway lately, older ones count less */
+  double running_us;         /* time for which its requests kept their places meanwhile */
   double retries_left;
 } Pool;
 
@@ -134,6 +138,9 @@
 /** burdock_balancer_dispatch() - places queued requests while upstreams are eligible */
 void burdock_balancer_dispatch (BurdockBalancer *balancer);
 
+/** burdock_balancer_place_freed() - a request of this gateway at @node has ended */
+void burdock_balancer_place_freed (Node *node);
+
 /** burdock_balancer_tick_queue() - expires queued requests, refills the retry budgets */
 void burdock_balancer_tick_queue (BurdockBalancer *balancer);
 
--- a/libburdock/balancer-queue.c
+++ b/libburdock/balancer-queue.c
@@ -21,14 +21,9 @@
  * step depends on the whole group, and less on the rank. */
 #define GROUP_LOAD_WEIGHT 2.0
 
-/* Share of a group's limit up to which late requests may fill it. Each gateway has its
- * own queue, and a slot that one gateway gives to a late request is not available to a
- * request at another gateway that can still meet its objective. */
-#define LATE_UTILIZATION_RATIO 0.85
-
-/* Upper bound of the credit: one late request now and one next, so that a long idle time
- * does not allow a burst. */
-#define LATE_CREDIT_MAX 2.0
+/* One waiting request now and one next, so that a long idle time does not allow a burst.
+ */
+#define CREDIT_SPARE 2.0
 
 /* Eligible upstreams that are compared for a request. */
 #define SAMPLE_SIZE 3
@@ -43,20 +38,27 @@
  * predecessor may just have used it. */
 #define RETRY_WINDOW_US UINT64_C (10000000)
 
-/* Delay after which a refused caller may retry. At overload, a stream ends about this
- * often. The jitter spreads the retries. */
-#define RETRY_AFTER_OVERLOAD_MS 400
-#define RETRY_AFTER_NO_UPSTREAM_MS 1000
+/* Callers that are refused together come back spread over the time in which the places
+ * become free once, or over this time if it is not known. */
+#define RETRY_SPREAD_DEFAULT_US UINT64_C (400000)
+
+/* Time for which a group stays closed, until one such time has been measured: its lost
+ * rank is started again, and the group formed. */
+#define GROUP_CLOSED_DEFAULT_US UINT64_C (2200000)
 
-/* A group that lost a rank is open again a few seconds later. Callers wait for at most a
- * third of their remaining time. */
-#define RETRY_AFTER_SUSPENDED_MS 2200
-#define RETRY_AFTER_JITTER_MS 400
+/* Requests in a row that find a free place show that an overload is over. At an overload
+ * one of them finds a place now and then, before another gateway takes it. */
+#define SENT_AT_ONCE_MIN 4
 
-/* With fewer queued requests the placement rate gives no estimate of the waiting time. */
-#define QUEUE_ESTIMATE_MIN 4
 #define RATE_INTERVAL_US UINT64_C (500000)
-#define RATE_GAIN 0.4
+#define DEMAND_GAIN 0.4
+
+/* Part of the weight that requests of the time before keep with each rate interval, so
+ * that the turnover follows the last five seconds. */
+#define TURNOVER_KEPT 0.9
+
+/* With fewer requests that have ended the turnover is not known. */
+#define TURNOVER_ENDED_MIN 4
 
 /* A gateway without requests keeps a small part of the rate limits of upstreams. */
 #define DEMAND_MIN_PER_S 0.2
@@ -93,24 +95,17 @@
       pool->retries_left + count < retries_max ? pool->retries_left + count : retries_max;
 }
 
+/* Each gateway has its own queue, and all of them see the same free places until they
+ * hear of each other again. Waiting requests therefore need credit: for each place that a
+ * request of this gateway has freed, and for its part of the other free places. */
 static bool
-is_late (const BurdockBalancer *balancer, const BurdockPlacement *placement)
-{
-  return placement->objective_deadline_us < balancer->now_us;
-}
-
-static bool
-group_has_capacity (const BurdockBalancer *balancer, const Node *node, bool late)
+group_has_capacity (const BurdockBalancer *balancer, const Group *group, bool waited)
 {
-  const Group *group = node->group;
-  double limit =
-      group != NULL ? group->utilization_limit * (late ? LATE_UTILIZATION_RATIO : 1) : 1;
-
   if (group == NULL || balancer->now_us - group->last_report_us > AGENT_REPORT_TIMEOUT_US)
     return true;
-  if (late && group->late_credit < 1)
+  if (waited && group->credit < 1)
     return false;
-  return group->open && group->outstanding < group->slots * limit;
+  return group->open && group->outstanding < group->slots * group->utilization_limit;
 }
 
 static bool
@@ -161,14 +156,14 @@
 
 static bool
 is_eligible (const BurdockBalancer *balancer, const Node *node, const Pool *pool,
-             const BurdockPlacement *placement)
+             const BurdockPlacement *placement, bool waited)
 {
   return is_usable (node, pool) && node->ejected_until_us <= balancer->now_us &&
          node->paused_until_us <= balancer->now_us && !is_silent (balancer, node) &&
          outstanding (node) < node->info.slots &&
          burdock_rate_share_allows (&node->rate, report_interval_us (balancer)) &&
          !is_excluded (placement, node->info.key) &&
-         group_has_capacity (balancer, node, is_late (balancer, placement));
+         group_has_capacity (balancer, node->group, waited);
 }
 
 /* Fills @sample with eligible nodes by reservoir sampling, each equally likely, and
@@ -176,7 +171,7 @@
  * long run of full ones. */
 static uint32_t
 sample_nodes (BurdockBalancer *balancer, const Pool *pool,
-              const BurdockPlacement *placement, Node **sample)
+              const BurdockPlacement *placement, bool waited, Node **sample)
 {
   uint32_t seen = 0;
 
@@ -184,7 +179,7 @@
     Node *node = balancer->nodes[i];
     uint32_t at;
 
-    if (!is_eligible (balancer, node, pool, placement))
+    if (!is_eligible (balancer, node, pool, placement, waited))
       continue;
     at = seen < SAMPLE_SIZE ? seen : next_random (balancer) % (seen + 1);
     seen++;
@@ -199,10 +194,10 @@
  * the fleet, they would overload it together. */
 static Node *
 select_node (BurdockBalancer *balancer, const Pool *pool,
-             const BurdockPlacement *placement)
+             const BurdockPlacement *placement, bool waited)
 {
   Node *sample[SAMPLE_SIZE];
-  uint32_t count = sample_nodes (balancer, pool, placement, sample);
+  uint32_t count = sample_nodes (balancer, pool, placement, waited, sample);
   uint32_t start = next_random (balancer); /* breaks ties */
   Node *best = NULL;
   double best_load = 0;
@@ -219,30 +214,32 @@
   return best;
 }
 
-/* Whether @b, which arrived after @a, is placed before it. Requests are ordered by
- * priority; within a priority, those that can still meet their objective come before late
- * ones. The former are served newest first (LIFO): during a lasting overload, oldest
- * first would start all of them too late. Late ones are served oldest first. */
+/* Whether a waiting request starts before one of @priority that has to start by
+ * @latest_start_us. Within a priority the one that can wait least comes first. */
 static bool
-has_precedence (const BurdockPlacement *b, const BurdockPlacement *a, uint64_t now_us)
+precedes (const QueuedRequest *queued, uint32_t priority, uint64_t latest_start_us)
 {
-  bool b_late = b->objective_deadline_us < now_us;
-
-  if (a->priority != b->priority)
-    return b->priority < a->priority;
-  return !b_late;
+  if (queued->placement.priority != priority)
+    return queued->placement.priority < priority;
+  return queued->latest_start_us <= latest_start_us;
 }
 
-static QueuedRequest **
-select_queued (BurdockBalancer *balancer, Pool *pool)
+static void
+insert_queued (BurdockBalancer *balancer, Pool *pool, const BurdockPlacement *placement)
 {
-  QueuedRequest **best = &pool->queue;
+  uint64_t latest_start_us = burdock_queue_latest_start_us (&placement->times);
+  QueuedRequest *queued = malloc (sizeof *queued);
+  QueuedRequest **at = &pool->queue;
 
-  for (QueuedRequest **at = &pool->queue; *at != NULL; at = &(*at)->next) {
-    if (has_precedence (&(*at)->placement, &(*best)->placement, balancer->now_us))
-      best = at;
-  }
-  return best;
+  if (queued == NULL)
+    abort ();
+  while (*at != NULL && precedes (*at, placement->priority, latest_start_us))
+    at = &(*at)->next;
+  *queued = (QueuedRequest){ .next = *at,
+                             .placement = *placement,
+                             .latest_start_us = latest_start_us };
+  *at = queued;
+  balancer->stats.waiting++;
 }
 
 static BurdockPlacement
@@ -252,10 +249,7 @@
   BurdockPlacement placement = queued->placement;
 
   *at = queued->next;
-  if (pool->queue_tail == &queued->next)
-    pool->queue_tail = at;
   free (queued);
-  pool->queue_length--;
   balancer->stats.waiting--;
   return placement;
 }
@@ -267,30 +261,51 @@
 
   burdock_balancer_subtract_from_group (node);
   node->own_outstanding++;
+  pool->own_outstanding++;
   burdock_rate_share_sent (&node->rate);
   burdock_balancer_add_to_group (node);
-  pool->placed++;
   balancer->stats.placed++;
   balancer->stats.outstanding_own++;
   handler->place (handler->ctx, handle, &node->info);
 }
 
-static void
-dispatch_pool (BurdockBalancer *balancer, Pool *pool)
+void
+burdock_balancer_place_freed (Node *node)
 {
-  while (pool->queue != NULL) {
-    QueuedRequest **at = select_queued (balancer, pool);
-    Node *node = select_node (balancer, pool, &(*at)->placement);
-    BurdockPlacement placement;
+  Pool *pool = node->pool;
 
-    if (node == NULL)
-      return;
-    placement = remove_queued (balancer, pool, at);
-    if (node->group != NULL && is_late (balancer, &placement) &&
-        node->group->late_credit >= 1)
-      node->group->late_credit -= 1;
-    place_request (balancer, pool, node, placement.handle);
+  if (node->group != NULL)
+    node->group->credit += 1;
+  if (pool->own_outstanding > 0)
+    pool->own_outstanding--;
+  pool->ended += 1;
+}
+
+/* Places the first waiting request that an upstream can take. Returns false if there is
+ * none. A request that may not go to some upstreams does not keep the others waiting. */
+static bool
+place_queued (BurdockBalancer *balancer, Pool *pool)
+{
+  for (QueuedRequest **at = &pool->queue; *at != NULL; at = &(*at)->next) {
+    Node *node = select_node (balancer, pool, &(*at)->placement, true);
+
+    if (node != NULL) {
+      if (node->group != NULL && node->group->credit >= 1)
+        node->group->credit -= 1;
+      place_request (balancer, pool, node, remove_queued (balancer, pool, at).handle);
+      return true;
+    }
+    if ((*at)->placement.excluded_count == 0)
+      return false;
   }
+  return false;
+}
+
+static void
+dispatch_pool (BurdockBalancer *balancer, Pool *pool)
+{
+  while (place_queued (balancer, pool))
+    ;
 }
 
 /* A callback may end a request and thereby request another pass. */
@@ -309,82 +324,139 @@
   balancer->dispatching = false;
 }
 
-static bool
-has_upstream (const BurdockBalancer *balancer, const Pool *pool)
+/* A group that has been closed for longer than expected is expected to stay closed for as
+ * long again as it is overdue. */
+static uint64_t
+group_opens_us (const BurdockBalancer *balancer, const Group *group)
 {
-  for (uint32_t i = 0; i < balancer->node_count; i++) {
-    if (is_usable (balancer->nodes[i], pool))
-      return true;
-  }
-  return false;
+  uint64_t closed_us = balancer->now_us - group->broken_us;
+  uint64_t expected_us =
+      group->closed_for_us > 0 ? group->closed_for_us : GROUP_CLOSED_DEFAULT_US;
+
+  if (group->open || balancer->now_us - group->last_report_us > AGENT_REPORT_TIMEOUT_US)
+    return 0;
+  return balancer->now_us +
+         (closed_us < expected_us ? expected_us - closed_us : closed_us - expected_us);
 }
 
-static bool
-is_suspended (const BurdockBalancer *balancer, const Node *node)
+static uint64_t
+latest_of (uint64_t a_us, uint64_t b_us)
 {
-  const Group *group = node->group;
-
-  if (is_silent (balancer, node))
-    return true;
-  return group != NULL && !group->open &&
-         balancer->now_us - group->last_report_us <= AGENT_REPORT_TIMEOUT_US;
+  return a_us > b_us ? a_us : b_us;
 }
 
-/* Whether no upstream of @pool can run a request now: all belong to groups that are
- * broken or stalled. */
-static bool
-is_pool_suspended (const BurdockBalancer *balancer, const Pool *pool)
+/* Time at which an upstream is expected to take requests, if it has a free place. */
+static uint64_t
+node_opens_us (const BurdockBalancer *balancer, const Node *node)
 {
-  for (uint32_t i = 0; i < balancer->node_count; i++) {
-    const Node *node = balancer->nodes[i];
+  uint64_t opens_us = latest_of (node->ejected_until_us, node->paused_until_us);
 
-    if (is_usable (node, pool) && !is_suspended (balancer, node))
-      return false;
-  }
-  return true;
+  opens_us = latest_of (opens_us, node->liveness.silent_until_us);
+  if (node->group == NULL)
+    return opens_us;
+  opens_us = latest_of (opens_us, node->group->liveness.silent_until_us);
+  return latest_of (opens_us, group_opens_us (balancer, node->group));
 }
 
-/* End of the first pause of an upstream of @pool, 0 if one has none or all belong to
- * groups that are broken or stalled. */
 static uint64_t
-first_pause_end_us (const BurdockBalancer *balancer, const Pool *pool)
+pool_opens_us (const BurdockBalancer *balancer, const Pool *pool,
+               const BurdockPlacement *placement)
 {
   uint64_t first_us = UINT64_MAX;
 
-  for (uint32_t i = 0; i < balancer->node_count; i++) {
+  for (uint32_t i = 0; i < balancer->node_count && first_us > balancer->now_us; i++) {
     const Node *node = balancer->nodes[i];
+    uint64_t opens_us;
 
-    if (is_usable (node, pool) && !is_suspended (balancer, node) &&
-        node->paused_until_us < first_us)
-      first_us = node->paused_until_us;
+    if (!is_usable (node, pool) || is_excluded (placement, node->info.key))
+      continue;
+    opens_us = node_opens_us (balancer, node);
+    if (opens_us < first_us)
+      first_us = opens_us;
   }
-  return first_us != UINT64_MAX ? first_us : 0;
+  return first_us;
+}
+
+/* Time for which a request keeps its place, by Little's law; 0 if it is not known. */
+static double
+turnover_us (const Pool *pool)
+{
+  return pool->ended >= TURNOVER_ENDED_MIN ? pool->running_us / pool->ended : 0;
+}
+
+/* The requests of this gateway free their places for it; one that has few of them gets
+ * its part of the places that all free. */
+static double
+starts_per_s (const BurdockBalancer *balancer, const Pool *pool)
+{
+  double part = (double)pool->outstanding / (apr_hash_count (balancer->peers) + 1);
+  double freed = pool->own_outstanding > part ? pool->own_outstanding : part;
+  double time_us = turnover_us (pool);
+
+  return time_us > 0 ? freed * 1e6 / time_us : 0;
+}
+
+static BurdockQueueView
+view_pool (const BurdockBalancer *balancer, const Pool *pool,
+           const BurdockPlacement *placement)
+{
+  return (BurdockQueueView){ .now_us = balancer->now_us,
+                             .opens_us = pool_opens_us (balancer, pool, placement),
+                             .starts_per_s = starts_per_s (balancer, pool),
+                             .waiting_since_us = pool->waiting_since_us,
+                             .turnover_us = (uint64_t)turnover_us (pool),
+                             .update_us = report_interval_us (balancer) };
+}
+
+/* Counts the waiting requests before a new one. */
+static void
+count_waiting (const Pool *pool, const BurdockPlacement *placement,
+               BurdockQueueView *view)
+{
+  uint64_t latest_start_us = burdock_queue_latest_start_us (&placement->times);
+
+  for (const QueuedRequest *queued = pool->queue;
+       queued != NULL && queued->placement.priority <= placement->priority;
+       queued = queued->next) {
+    view->waiting++;
+    view->ahead += precedes (queued, placement->priority, latest_start_us);
+  }
+}
+
+/* Notes whether an arriving request finds a free place. */
+static void
+note_arrival (const BurdockBalancer *balancer, Pool *pool, bool sent)
+{
+  pool->sent_at_once = sent ? pool->sent_at_once + 1 : 0;
+  if (!sent && pool->waiting_since_us == 0)
+    pool->waiting_since_us = balancer->now_us;
+  if (pool->sent_at_once >= SENT_AT_ONCE_MIN)
+    pool->waiting_since_us = 0;
 }
 
 static void
-refuse_request (BurdockBalancer *balancer, uint64_t handle, BurdockReason reason,
-                uint32_t retry_after_ms)
+refuse_request (BurdockBalancer *balancer, const Pool *pool, uint64_t handle,
+                const BurdockQueueDecision *decision)
 {
   const BurdockBalancerHandler *handler = &balancer->handler;
+  double spread_us = turnover_us (pool);
+  double delay_us = (double)decision->retry_after_us;
 
+  if (spread_us <= 0)
+    spread_us = RETRY_SPREAD_DEFAULT_US;
+  delay_us += spread_us * next_random (balancer) / RANDOM_RANGE;
   balancer->stats.refused++;
-  retry_after_ms += next_random (balancer) % RETRY_AFTER_JITTER_MS;
-  handler->refuse (handler->ctx, handle, reason, retry_after_ms);
+  handler->refuse (handler->ctx, handle, decision->reason, (uint32_t)(delay_us / 1000));
 }
 
-/* Whether, at the current rate, the queued requests use all placements until the queue
- * deadline of @placement. */
-static bool
-would_miss_queue_deadline (const BurdockBalancer *balancer, const Pool *pool,
-                           const BurdockPlacement *placement)
+static void
+count_submitted (BurdockBalancer *balancer, Pool *pool, const BurdockPlacement *placement)
 {
-  uint64_t time_left_us = placement->queue_deadline_us > balancer->now_us
-                              ? placement->queue_deadline_us - balancer->now_us
-                              : 0;
-
-  if (pool->queue_length < QUEUE_ESTIMATE_MIN || pool->placed_per_s <= 0)
-    return false;
-  return pool->queue_length / pool->placed_per_s * 1e6 > (double)time_left_us;
+  if (placement->excluded_count > 0)
+    return;
+  balancer->submitted++;
+  if (pool->retries_left < retry_allowance (balancer))
+    pool->retries_left += balancer->settings.retry_ratio * RETRY_BUDGET_RATIO;
 }
 
 void
@@ -392,45 +464,27 @@
                          uint64_t now_us)
 {
   Pool *pool = burdock_balancer_pool (balancer, placement->pool);
-  QueuedRequest *queued;
-  uint64_t pause_end_us;
+  BurdockQueueView view;
+  BurdockQueueDecision decision;
+  Node *node;
 
   balancer->now_us = now_us;
-  balancer->submitted += placement->excluded_count == 0;
-  if (placement->excluded_count == 0 && pool->retries_left < retry_allowance (balancer))
-    pool->retries_left += balancer->settings.retry_ratio * RETRY_BUDGET_RATIO;
-  if (!has_upstream (balancer, pool)) {
-    refuse_request (balancer, placement->handle, BURDOCK_REASON_NO_UPSTREAM,
-                    RETRY_AFTER_NO_UPSTREAM_MS);
-    return;
+  count_submitted (balancer, pool, placement);
+  node = select_node (balancer, pool, placement, false);
+  view = view_pool (balancer, pool, placement);
+  view.has_room = node != NULL;
+  view.is_admitted = placement->admitted;
+  count_waiting (pool, placement, &view);
+  decision = burdock_queue_decide (&placement->times, &view);
+  note_arrival (balancer, pool, decision.action == BURDOCK_QUEUE_SEND);
+  if (decision.action == BURDOCK_QUEUE_REFUSE) {
+    refuse_request (balancer, pool, placement->handle, &decision);
+  } else if (node != NULL && decision.action == BURDOCK_QUEUE_SEND) {
+    place_request (balancer, pool, node, placement->handle);
+  } else {
+    insert_queued (balancer, pool, placement);
+    burdock_balancer_dispatch (balancer);
   }
-  /* A caller that has come back does not come back again, so its request waits. */
-  if (placement->excluded_count == 0 && !is_late (balancer, placement) &&
-      is_pool_suspended (balancer, pool)) {
-    refuse_request (balancer, placement->handle, BURDOCK_REASON_NO_UPSTREAM,
-                    RETRY_AFTER_SUSPENDED_MS);
-    return;
-  }
-  pause_end_us = first_pause_end_us (balancer, pool);
-  if (pause_end_us > placement->queue_deadline_us) {
-    refuse_request (balancer, placement->handle, BURDOCK_REASON_OVERLOAD,
-                    (uint32_t)((pause_end_us - balancer->now_us) / 1000));
-    return;
-  }
-  if (would_miss_queue_deadline (balancer, pool, placement)) {
-    refuse_request (balancer, placement->handle, BURDOCK_REASON_OVERLOAD,
-                    RETRY_AFTER_OVERLOAD_MS);
-    return;
-  }
-  queued = malloc (sizeof *queued);
-  if (queued == NULL)
-    abort ();
-  *queued = (QueuedRequest){ .placement = *placement };
-  *pool->queue_tail = queued;
-  pool->queue_tail = &queued->next;
-  pool->queue_length++;
-  balancer->stats.waiting++;
-  burdock_balancer_dispatch (balancer);
 }
 
 bool
@@ -444,7 +498,7 @@
     return false;
   if (elsewhere.excluded_count < BURDOCK_EXCLUDED_MAX)
     elsewhere.excluded[elsewhere.excluded_count++] = upstream;
-  return select_node (balancer, pool, &elsewhere) != NULL;
+  return select_node (balancer, pool, &elsewhere, false) != NULL;
 }
 
 void
@@ -474,35 +528,72 @@
   return true;
 }
 
+/* Refuses the waiting requests that are no longer expected to start in time. */
 static void
-expire_queued (BurdockBalancer *balancer, Pool *pool)
+review_queue (BurdockBalancer *balancer, Pool *pool)
 {
   QueuedRequest **at = &pool->queue;
+  uint32_t ahead = 0;
 
   while (*at != NULL) {
-    BurdockPlacement placement;
-
-    if ((*at)->placement.queue_deadline_us > balancer->now_us) {
-      at = &(*at)->next;
+    const BurdockPlacement *placement = &(*at)->placement;
+    BurdockQueueView view = view_pool (balancer, pool, placement);
+    BurdockQueueDecision decision;
+
+    view.is_admitted = true;
+    view.ahead = view.waiting = ahead;
+    decision = burdock_queue_decide (&placement->times, &view);
+    if (decision.action == BURDOCK_QUEUE_REFUSE) {
+      refuse_request (balancer, pool, remove_queued (balancer, pool, at).handle,
+                      &decision);
       continue;
     }
-    placement = remove_queued (balancer, pool, at);
-    refuse_request (balancer, placement.handle, BURDOCK_REASON_OVERLOAD,
-                    RETRY_AFTER_OVERLOAD_MS);
+    ahead++;
+    at = &(*at)->next;
   }
 }
 
+/* Requests that wait for a pool to open are no sign of an overload. */
+static void
+note_closed (const BurdockBalancer *balancer, Pool *pool)
+{
+  BurdockPlacement any = { 0 };
+
+  if (pool->waiting_since_us != 0 &&
+      pool_opens_us (balancer, pool, &any) > balancer->now_us)
+    pool->waiting_since_us = balancer->now_us;
+}
+
 static void
-update_placement_rates (BurdockBalancer *balancer)
+count_outstanding (BurdockBalancer *balancer)
+{
+  for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next)
+    pool->own_outstanding = pool->outstanding = 0;
+  for (uint32_t i = 0; i < balancer->node_count; i++) {
+    const Node *node = balancer->nodes[i];
+
+    node->pool->own_outstanding += node->own_outstanding;
+    node->pool->outstanding += outstanding (node);
+  }
+}
+
+static void
+update_turnover (BurdockBalancer *balancer, uint64_t elapsed_us)
+{
+  for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next)
+    pool->running_us += (double)pool->own_outstanding * (double)elapsed_us;
+}
+
+static void
+end_rate_interval (BurdockBalancer *balancer)
 {
   balancer->demand_per_s +=
-      (balancer->submitted * 1e6 / RATE_INTERVAL_US - balancer->demand_per_s) * RATE_GAIN;
+      (balancer->submitted * 1e6 / RATE_INTERVAL_US - balancer->demand_per_s) *
+      DEMAND_GAIN;
   balancer->submitted = 0;
   for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next) {
-    double per_s = pool->placed * 1e6 / RATE_INTERVAL_US;
-
-    pool->placed_per_s += (per_s - pool->placed_per_s) * RATE_GAIN;
-    pool->placed = 0;
+    pool->running_us *= TURNOVER_KEPT;
+    pool->ended *= TURNOVER_KEPT;
   }
 }
 
@@ -519,11 +610,8 @@
   balancer->last_tick_us = balancer->now_us;
 }
 
-/* All gateways see the same free capacity until their next heartbeats. If each filled it
- * with late requests from its own queue, none would be left for requests that can still
- * meet their objective. So each gateway gets an equal part per heartbeat interval. */
 static void
-refill_late_credit (const BurdockBalancer *balancer, uint64_t elapsed_us)
+refill_credit (const BurdockBalancer *balancer, uint64_t elapsed_us)
 {
   double gateways = apr_hash_count (balancer->peers) + 1;
   uint64_t interval_us = report_interval_us (balancer);
@@ -531,14 +619,13 @@
   for (apr_hash_index_t *at = apr_hash_first (NULL, balancer->groups); at != NULL;
        at = apr_hash_next (at)) {
     Group *group = apr_hash_this_val (at);
-    double free_slots = group->slots * group->utilization_limit * LATE_UTILIZATION_RATIO -
-                        group->outstanding;
-
-    if (free_slots > 0)
-      group->late_credit +=
-          free_slots / gateways * (double)elapsed_us / (double)interval_us;
-    if (group->late_credit > LATE_CREDIT_MAX)
-      group->late_credit = LATE_CREDIT_MAX;
+    double free_slots =
+        group->slots * group->utilization_limit - (double)group->outstanding;
+    double part = free_slots > 0 ? free_slots / gateways : 0;
+
+    group->credit += part * (double)elapsed_us / (double)interval_us;
+    if (group->credit > part + CREDIT_SPARE)
+      group->credit = part + CREDIT_SPARE;
   }
 }
 
@@ -576,16 +663,22 @@
 void
 burdock_balancer_tick_queue (BurdockBalancer *balancer)
 {
+  count_outstanding (balancer);
   if (balancer->last_tick_us != 0) {
-    refill_late_credit (balancer, balancer->now_us - balancer->last_tick_us);
-    refill_rate_credit (balancer, balancer->now_us - balancer->last_tick_us);
+    uint64_t elapsed_us = balancer->now_us - balancer->last_tick_us;
+
+    update_turnover (balancer, elapsed_us);
+    refill_credit (balancer, elapsed_us);
+    refill_rate_credit (balancer, elapsed_us);
   }
   refill_retry_budget (balancer);
-  for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next)
-    expire_queued (balancer, pool);
+  for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next) {
+    note_closed (balancer, pool);
+    review_queue (balancer, pool);
+  }
+  burdock_balancer_dispatch (balancer);
   if (balancer->now_us >= balancer->next_rate_us) {
     balancer->next_rate_us = balancer->now_us + RATE_INTERVAL_US;
-    update_placement_rates (balancer);
+    end_rate_interval (balancer);
   }
-  burdock_balancer_dispatch (balancer);
 }
--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -129,7 +129,6 @@
   if (pool == NULL)
     abort ();
   snprintf (pool->name, sizeof pool->name, "%s", name);
-  pool->queue_tail = &pool->queue;
   pool->next = balancer->pools;
   balancer->pools = pool;
   return pool;
@@ -397,6 +396,8 @@
     return;
   if (state->epoch == group->epoch && state->open == group->open)
     return;
+  if (state->open && !group->open)
+    group->closed_for_us = now_us - group->broken_us;
   group->epoch = state->epoch;
   group->open = state->open;
   if (!group->open)
@@ -573,6 +574,7 @@
   burdock_balancer_subtract_from_group (node);
   node->own_outstanding--;
   burdock_balancer_add_to_group (node);
+  burdock_balancer_place_freed (node);
   balancer->stats.outstanding_own--;
   update_health (node, outcome, now_us);
   burdock_balancer_dispatch (balancer);
--- a/libburdock/balancer.h
+++ b/libburdock/balancer.h
@@ -15,6 +15,7 @@
 
 #include "burdock.h"
 #include "message.h"
+#include "queue-policy.h"
 
 typedef struct BurdockBalancer BurdockBalancer;
 
@@ -45,17 +46,16 @@
  * struct BurdockPlacement - request to be placed at an upstream
  * @handle: identifies the request in the callbacks; not 0
  * @priority: 0 is the most urgent
- * @objective_deadline_us: latest start at which the request can still meet its latency
- *   objective; after that it counts as late
- * @queue_deadline_us: a request that has not started by then is refused
+ * @times: what its caller has and needs
+ * @admitted: it was placed before, and has lost its upstream
  * @excluded: keys of the upstreams that the request was already sent to
  */
 typedef struct {
   uint64_t handle;
   const char *pool;
   uint32_t priority;
-  uint64_t objective_deadline_us;
-  uint64_t queue_deadline_us;
+  BurdockRequestTimes times;
+  bool admitted;
   uint32_t excluded_count;
   uint64_t excluded[BURDOCK_EXCLUDED_MAX];
 } BurdockPlacement;
--- a/libburdock/route-table.h
+++ b/libburdock/route-table.h
@@ -59,6 +59,8 @@
  * @timeout_ms: time limit for the complete answer
  * @objective_ms: latency objective for the answer, or for the first event of a stream
  * @pause_ms: latency objective for the time between two events of a stream, 0 for none
+ * @patience_ms: callers leave a stream if no event has come for this time, 0 if they stay
+ *   until their deadline
  * @priority: 0 is the highest priority
  * @attempts_max: number of upstreams that may execute the same request
  */
@@ -72,6 +74,7 @@
   uint32_t timeout_ms;
   uint32_t objective_ms;
   uint32_t pause_ms;
+  uint32_t patience_ms;
   uint32_t priority;
   uint32_t attempts_max;
   uint32_t target_count;
--- a/tests/support/balancer-fixture.h
+++ b/tests/support/balancer-fixture.h
@@ -75,14 +75,16 @@
   burdock_balancer_set_upstreams (fixture->balancer, upstreams, count, fixture->now_us);
 }
 
+/* A stream whose caller leaves if it has not begun within a second. */
 static inline BurdockPlacement
 placement (Fixture *fixture, uint32_t priority)
 {
   return (BurdockPlacement){ .handle = ++fixture->next_handle,
                              .pool = "pool",
                              .priority = priority,
-                             .objective_deadline_us = fixture->now_us + 200 * US_PER_MS,
-                             .queue_deadline_us = fixture->now_us + 1000 * US_PER_MS };
+                             .times = { .deadline_us = fixture->now_us + 8 * US_PER_S,
+                                        .first_part_deadline_us =
+                                            fixture->now_us + US_PER_S } };
 }
 
 static inline uint64_t
--- a/tests/support/overload-play.c
+++ b/tests/support/overload-play.c
@@ -22,7 +22,7 @@
 
 #define GATEWAYS_MAX 16
 #define UPSTREAMS_MAX 32
-#define REQUESTS_MAX 4096
+#define REQUESTS_MAX 1024
 #define AT_ONCE_US (200 * US_PER_MS)
 
 typedef enum {
@@ -88,34 +88,25 @@
   return item;
 }
 
-static uint64_t
-first_part_us (const OverloadLoad *load)
-{
-  return (load->streams ? load->first_ms : load->work_ms) * US_PER_MS;
-}
-
 /* What a gateway knows of a request when it receives it. */
 static BurdockPlacement
 placement (const Play *play, const Request *request, uint64_t handle)
 {
   const OverloadLoad *load = play->load;
-  const OverloadCallers *callers = &load->kinds[request->kind];
-  uint64_t left_us = request->end_us - request->received_us;
-  uint64_t wait_us = left_us / 3 < US_PER_S ? left_us / 3 : US_PER_S;
-  uint64_t objective_us = callers->objective_ms * US_PER_MS;
-  uint64_t first_us = (uint64_t)((double)first_part_us (load) * 1.3);
-
-  if (!load->streams)
-    objective_us /= 2;
-  else
-    objective_us = objective_us > first_us ? objective_us - first_us : 0;
-  if (left_us < callers->timeout_ms * 970)
-    objective_us = 0;
+  BurdockRequestTimes times = {
+    .deadline_us = request->end_us,
+    .first_part_deadline_us = request->end_us,
+    .first_part_us = (load->streams ? load->first_ms : load->work_ms) * US_PER_MS,
+    .work_us = load->work_ms * US_PER_MS,
+  };
+  uint64_t leaves_us = request->received_us + load->patience_ms * US_PER_MS;
+
+  if (load->streams && leaves_us < times.deadline_us)
+    times.first_part_deadline_us = leaves_us;
   return (BurdockPlacement){ .handle = handle,
                              .pool = "pool",
-                             .priority = callers->priority,
-                             .objective_deadline_us = request->received_us + objective_us,
-                             .queue_deadline_us = request->received_us + wait_us };
+                             .priority = load->kinds[request->kind].priority,
+                             .times = times };
 }
 
 static void
--- a/tests/test-balancer.c
+++ b/tests/test-balancer.c
@@ -64,51 +64,48 @@
   burdock_balancer_free (fixture.balancer);
 }
 
-/* Guards against urgent requests waiting behind others, and against requests that can
- * still meet their objective waiting behind one that is already late. */
+typedef struct {
+  const char *name;
+  uint32_t priority[3];
+  uint32_t can_wait_ms[3]; /* when each comes, one after the other */
+  uint32_t order[3];
+} OrderCase;
+
+static const OrderCase order_cases[] = {
+  { "alike: in the order of arrival", { 1, 1, 1 }, { 900, 900, 900 }, { 0, 1, 2 } },
+  { "the one that can wait least", { 1, 1, 1 }, { 900, 700, 300 }, { 2, 1, 0 } },
+  { "an urgent one", { 1, 1, 0 }, { 900, 900, 900 }, { 2, 0, 1 } },
+  { "an urgent one that can wait", { 1, 1, 0 }, { 300, 900, 5000 }, { 2, 0, 1 } },
+  { "a less urgent one that cannot wait", { 1, 2, 1 }, { 900, 300, 900 }, { 0, 2, 1 } },
+};
+
+/* Guards against urgent requests waiting behind others, and against an order that does
+ * not follow from the time that the callers have. */
 static void
 order_of_waiting_requests (void)
 {
-  BurdockUpstream item = upstream (1, "a", 1);
-  uint64_t old;
-  uint64_t newer;
-  uint64_t urgent;
-  Fixture fixture;
-
-  set_up (&fixture, &item, 1);
-  submit (&fixture, 1);
-  old = submit (&fixture, 1);
-  advance_time (&fixture, 300 * US_PER_MS);
-  newer = submit (&fixture, 1);
-  urgent = submit (&fixture, 0);
-  for (uint32_t i = 0; i < 3; i++)
-    burdock_balancer_finish (fixture.balancer, 1, BURDOCK_UPSTREAM_OK, fixture.now_us);
-  CU_ASSERT_EQUAL (fixture.order[1], urgent);
-  CU_ASSERT_EQUAL (fixture.order[2], newer);
-  CU_ASSERT_EQUAL (fixture.order[3], old);
-  burdock_balancer_free (fixture.balancer);
-}
+  for (uint32_t i = 0; i < TEST_COUNT (order_cases); i++) {
+    const OrderCase *row = &order_cases[i];
+    BurdockUpstream item = upstream (1, "a", 1);
+    uint64_t first;
+    Fixture fixture;
 
-/* Guards against serving the queue oldest first during a lasting overload, which starts
- * all requests too late. */
-static void
-newest_on_time_request_goes_first (void)
-{
-  BurdockUpstream item = upstream (1, "a", 1);
-  uint64_t older;
-  uint64_t newer;
-  Fixture fixture;
+    set_up (&fixture, &item, 1);
+    first = submit (&fixture, 1);
+    for (uint32_t k = 0; k < 3; k++) {
+      BurdockPlacement waiting = placement (&fixture, row->priority[k]);
 
-  set_up (&fixture, &item, 1);
-  submit (&fixture, 1);
-  older = submit (&fixture, 1);
-  advance_time (&fixture, 50 * US_PER_MS);
-  newer = submit (&fixture, 1);
-  for (uint32_t i = 0; i < 2; i++)
-    burdock_balancer_finish (fixture.balancer, 1, BURDOCK_UPSTREAM_OK, fixture.now_us);
-  CU_ASSERT_EQUAL (fixture.order[1], newer);
-  CU_ASSERT_EQUAL (fixture.order[2], older);
-  burdock_balancer_free (fixture.balancer);
+      waiting.times.first_part_deadline_us =
+          fixture.now_us + row->can_wait_ms[k] * US_PER_MS;
+      burdock_balancer_submit (fixture.balancer, &waiting, fixture.now_us);
+    }
+    for (uint32_t k = 0; k < 3; k++) {
+      burdock_balancer_finish (fixture.balancer, 1, BURDOCK_UPSTREAM_OK, fixture.now_us);
+      if (fixture.order[k + 1] != first + 1 + row->order[k])
+        CU_FAIL (row->name);
+    }
+    burdock_balancer_free (fixture.balancer);
+  }
 }
 
 /* Guards against cancelling a request at a slow upstream when no other upstream has a
@@ -361,16 +358,6 @@
   burdock_balancer_free (fixture.balancer);
 }
 
-static uint64_t
-submit_late (Fixture *fixture)
-{
-  BurdockPlacement item = placement (fixture, 0);
-
-  item.objective_deadline_us = fixture->now_us - 1;
-  burdock_balancer_submit (fixture->balancer, &item, fixture->now_us);
-  return item.handle;
-}
-
 static void
 report_group (Fixture *fixture, uint64_t epoch, bool open)
 {
@@ -381,29 +368,62 @@
   burdock_balancer_set_rank_state (fixture->balancer, &state, fixture->now_us);
 }
 
-/* The only group of a pool is broken for 4.5 s, and callers come back once when told to.
- * Guards against holding a request for a second that cannot be served meanwhile, and
- * against a caller that is sent away with a delay that brings it back to the same broken
- * group. A caller that has come back waits, as it does not come back again. */
+typedef struct {
+  const char *name;
+  uint32_t closed_ms;   /* since when the group is closed, when the request comes */
+  uint32_t last_ms;     /* how long it was closed the time before, 0 if never */
+  uint32_t can_wait_ms; /* for the first event */
+  uint32_t left_ms;     /* for the whole answer */
+  bool waits;
+  uint32_t retry_min_ms;
+  uint32_t retry_max_ms; /* with the spread of 0.4 s */
+} ClosedCase;
+
+static const ClosedCase closed_cases[] = {
+  { "opens too late", 0, 0, 1000, 8000, false, 2200, 2600 },
+  { "opens too late for a call with little time", 0, 0, 1000, 1000, false, 1000, 1400 },
+  { "opens in time", 0, 0, 2500, 8000, true, 0, 0 },
+  { "opens soon", 1500, 0, 1000, 8000, true, 0, 0 },
+  { "stays closed for as long as the last time", 0, 4000, 2500, 8000, false, 4000, 4400 },
+  { "was closed for a short time", 0, 500, 1000, 8000, true, 0, 0 },
+  { "stays closed for longer than expected", 5000, 0, 1000, 8000, false, 2800, 3200 },
+};
+
+/* The only group of a pool is closed. Guards against holding a request that cannot be
+ * served meanwhile, against refusing one that can wait until the group opens, and against
+ * a delay that brings a caller back to the same closed group. */
 static void
-a_broken_group_refuses_at_once (void)
+a_closed_group_refuses_who_cannot_wait (void)
 {
-  Fixture fixture;
+  for (uint32_t i = 0; i < TEST_COUNT (closed_cases); i++) {
+    const ClosedCase *row = &closed_cases[i];
+    BurdockPlacement item;
+    Fixture fixture;
 
-  set_up_group (&fixture, 3);
-  report_group (&fixture, 1, false);
-  submit (&fixture, 0);
-  CU_ASSERT_EQUAL (fixture.refusals, 1);
-  CU_ASSERT_TRUE (fixture.retry_after_ms >= 2000 && fixture.retry_after_ms <= 2660);
-  submit_late (&fixture);
-  CU_ASSERT_EQUAL (fixture.refusals, 1);
-  advance_time (&fixture, 900 * US_PER_MS);
-  CU_ASSERT_EQUAL (fixture.placed, 0);
-  report_group (&fixture, 2, true);
-  advance_time (&fixture, 100 * US_PER_MS);
-  CU_ASSERT_EQUAL (fixture.placed, 1);
-  CU_ASSERT_EQUAL (fixture.refusals, 1);
-  burdock_balancer_free (fixture.balancer);
+    set_up_group (&fixture, 3);
+    if (row->last_ms > 0) {
+      report_group (&fixture, 1, false);
+      advance_time (&fixture, row->last_ms * US_PER_MS);
+      report_group (&fixture, 2, true);
+    }
+    report_group (&fixture, 2, false);
+    for (uint32_t t = 0; t < row->closed_ms; t += 500) {
+      advance_time (&fixture, 500 * US_PER_MS);
+      report_group (&fixture, 2, false);
+    }
+    item = placement (&fixture, 0);
+    item.times.first_part_deadline_us = fixture.now_us + row->can_wait_ms * US_PER_MS;
+    item.times.deadline_us = fixture.now_us + row->left_ms * US_PER_MS;
+    burdock_balancer_submit (fixture.balancer, &item, fixture.now_us);
+    if (fixture.refused[item.handle] == row->waits || fixture.placed > 0 ||
+        (!row->waits && (fixture.retry_after_ms < row->retry_min_ms ||
+                         fixture.retry_after_ms > row->retry_max_ms)))
+      CU_FAIL (row->name);
+    report_group (&fixture, 3, true);
+    advance_time (&fixture, 100 * US_PER_MS);
+    CU_ASSERT_EQUAL (fixture.placed_at[item.handle] != 0, row->waits);
+    burdock_balancer_free (fixture.balancer);
+  }
 }
 
 /* Guards against refusing requests because one of two groups is broken, or because the
@@ -446,75 +466,62 @@
   burdock_balancer_free (fixture.balancer);
 }
 
-/* Ten gateways see the same free capacity of 32 in a group, and each has ten late
- * requests. Guards against each gateway using the whole capacity before the next
- * heartbeats. */
+/* Ten gateways see the same 28 free places when a group opens, and each has ten requests
+ * that wait for it. Guards against each gateway filling all of them before it hears of
+ * the others. */
 static void
-gateways_share_the_capacity_for_late_requests (void)
+gateways_share_the_places_for_waiting_requests (void)
 {
   Fixture fixture;
 
   set_up_group (&fixture, 20);
-  for (uint32_t round = 0; round < 20; round++) {
+  report_group (&fixture, 1, false);
+  for (uint32_t round = 0; round < 15; round++) {
     for (uint64_t peer = 1; peer < 10; peer++)
       burdock_balancer_set_peer_load (fixture.balancer, peer, HEARTBEAT_US, NULL, 0,
                                       fixture.now_us);
     advance_time (&fixture, 100 * US_PER_MS);
   }
   for (uint32_t i = 0; i < 10; i++)
-    submit_late (&fixture);
+    submit (&fixture, 0);
+  CU_ASSERT_EQUAL (fixture.placed + fixture.refusals, 0);
+  report_group (&fixture, 2, true);
   advance_time (&fixture, 100 * US_PER_MS);
-  /* A tenth of the capacity per heartbeat interval, and the accumulated credit. */
-  CU_ASSERT_TRUE (fixture.placed >= 2 && fixture.placed <= 5);
+  /* A tenth of the places for each heartbeat, as much from before, and two to spare. */
+  CU_ASSERT_TRUE (fixture.placed >= 3 && fixture.placed <= 8);
   burdock_balancer_free (fixture.balancer);
 }
 
-/* While no agent of a group reports, late requests are not limited. Guards against
- * driving the credit below zero with them, which would block late requests once the
+/* While no agent of a group reports, waiting requests need no credit. Guards against
+ * driving the credit below zero with them, which would keep requests waiting once the
  * agents report again. */
 static void
-late_credit_does_not_go_negative (void)
+credit_does_not_go_negative (void)
 {
+  BurdockLoadItem loads[] = { { .upstream_id = 1, .outstanding = 20 },
+                              { .upstream_id = 2, .outstanding = 20 } };
   uint32_t before;
   Fixture fixture;
 
   set_up_group (&fixture, 20);
+  burdock_balancer_set_peer_load (fixture.balancer, 9, 10 * US_PER_S, loads, 2,
+                                  fixture.now_us);
   advance_time (&fixture, 3 * US_PER_S);
-  for (uint64_t peer = 1; peer < 10; peer++)
-    burdock_balancer_set_peer_load (fixture.balancer, peer, HEARTBEAT_US, NULL, 0,
-                                    fixture.now_us);
   for (uint32_t i = 0; i < 40; i++)
-    submit_late (&fixture);
-  for (uint32_t i = 0; i < fixture.next_handle; i++)
-    burdock_balancer_finish (fixture.balancer, fixture.placed_at[fixture.order[i]],
-                             BURDOCK_UPSTREAM_OK, fixture.now_us);
+    submit (&fixture, 0);
+  CU_ASSERT_EQUAL (fixture.placed, 0);
+  burdock_balancer_set_peer_load (fixture.balancer, 9, 10 * US_PER_S, NULL, 0,
+                                  fixture.now_us);
+  CU_ASSERT_EQUAL (fixture.placed, 40);
   before = fixture.placed;
   report_step (&fixture, 0, 11);
   report_step (&fixture, 1, 11);
-  advance_time (&fixture, 100 * US_PER_MS);
-  submit_late (&fixture);
-  CU_ASSERT_EQUAL (fixture.placed, before + 1);
-  burdock_balancer_free (fixture.balancer);
-}
-
-/* A group has an initial capacity of 16 and gets both late and on-time requests. Guards
- * against late requests filling the group, so that no on-time request can start. */
-static void
-late_requests_leave_slots_for_others (void)
-{
-  Fixture fixture;
-  uint32_t late;
-
-  set_up_group (&fixture, 10);
-  for (uint32_t i = 0; i < 16; i++) {
-    submit_late (&fixture);
-    advance_time (&fixture, 50 * US_PER_MS);
-  }
-  late = fixture.placed;
-  CU_ASSERT_TRUE (late >= 12 && late < 16);
   submit (&fixture, 0);
-  CU_ASSERT_EQUAL (fixture.placed, late + 1);
-  CU_ASSERT_EQUAL (fixture.order[late], fixture.next_handle);
+  CU_ASSERT_EQUAL (fixture.placed, before);
+  for (uint32_t i = 0; i < before; i++)
+    burdock_balancer_finish (fixture.balancer, fixture.placed_at[fixture.order[i]],
+                             BURDOCK_UPSTREAM_OK, fixture.now_us);
+  CU_ASSERT_EQUAL (fixture.placed, before + 1);
   burdock_balancer_free (fixture.balancer);
 }
 
@@ -643,10 +650,11 @@
   set_up (&fixture, items, 2);
   report_rank (&fixture, 1, 5, true);
   report_rank (&fixture, 2, 5, false);
-  handle = submit_late (&fixture);
+  advance_time (&fixture, 1500 * US_PER_MS);
+  handle = submit (&fixture, 0);
   CU_ASSERT_EQUAL (fixture.placed, 0);
   report_rank (&fixture, 1, 6, true);
-  advance_time (&fixture, 100 * US_PER_MS); /* late requests start one by one */
+  advance_time (&fixture, 100 * US_PER_MS);
   CU_ASSERT_EQUAL (fixture.placed, 1);
   CU_ASSERT_EQUAL (fixture.order[0], handle);
   burdock_balancer_free (fixture.balancer);
@@ -786,8 +794,8 @@
   { "slots of a dead gateway stay in use", load_of_a_dead_gateway_expires },
   { "an upstream that is leaving or removed gets requests",
     leaving_and_removed_upstreams_get_nothing },
-  { "urgent or on-time requests wait behind others", order_of_waiting_requests },
-  { "all requests start too late during an overload", newest_on_time_request_goes_first },
+  { "the order of requests does not follow from urgency and time left",
+    order_of_waiting_requests },
   { "a slow request is cancelled without a free slot elsewhere",
     capacity_excludes_the_given_upstream },
   { "a stalled upstream gets the next request", stalled_upstreams_are_ejected },
@@ -797,18 +805,15 @@
     upstreams_that_answer_others_are_not_silent },
   { "all gateways select the first free upstream after full ones",
     gateways_spread_over_free_upstreams },
-  { "late requests are blocked after a lack of agent reports",
-    late_credit_does_not_go_negative },
-  { "late requests of all gateways fill a group together",
-    gateways_share_the_capacity_for_late_requests },
-  { "late requests use the slots of on-time requests",
-    late_requests_leave_slots_for_others },
+  { "requests keep waiting after a lack of agent reports", credit_does_not_go_negative },
+  { "waiting requests of all gateways fill a group together",
+    gateways_share_the_places_for_waiting_requests },
   { "a group that runs again stays without requests",
     advancing_steps_end_the_ejection_of_a_group },
   { "a large group that runs again stays without requests",
     steps_of_different_ranks_end_the_ejection },
-  { "a request waits for a broken group, or returns while it is still broken",
-    a_broken_group_refuses_at_once },
+  { "a request waits in vain for a closed group, or is refused although it could wait",
+    a_closed_group_refuses_who_cannot_wait },
   { "a pool refuses requests although a group may run them",
     a_pool_with_a_usable_group_is_not_suspended },
   { "a restarted rank gets requests although its group is broken",
--- a/tests/test-overload.c
+++ b/tests/test-overload.c
@@ -4,7 +4,6 @@
 
 #include <apr_general.h>
 #include <stdio.h>
-#include <string.h>
 
 /* Equal callers get the same, and upstreams work for callers who still wait. */
 #define DIFFERENCE_MAX 0.05
@@ -145,16 +144,13 @@
   { "callers who can be served in time are served unequally", callers_are_served_alike },
 };
 
-/* Runs the tests of KNOWN-RED.txt instead with the argument "known-red". */
 int
-main (int argc, char **argv)
+main (void)
 {
-  bool known_red = argc > 1 && strcmp (argv[1], "known-red") == 0;
   int status;
 
   apr_initialize ();
-  status = known_red ? test_main ("overload known-red", tests, TEST_COUNT (tests))
-                     : test_main ("overload", NULL, 0);
+  status = test_main ("overload", tests, TEST_COUNT (tests));
   apr_terminate ();
   return status;
 }
--- a/tests/test-platform-decode.c
+++ b/tests/test-platform-decode.c
@@ -318,6 +318,48 @@
   }
 }
 
+typedef struct {
+  const char *kind;
+  const char *slo_ms;
+  const char *pause_ms;
+  uint32_t patience_ms;
+} PatienceCase;
+
+static const PatienceCase patience_cases[] = {
+  { "streaming", "400", "120", 2000 },       { "streaming", "600", "120", 2400 },
+  { "streaming", "400", "300", 2400 },       { "streaming", "0", "0", 2000 },
+  { "streaming", "4e9", "120", UINT32_MAX }, { "idempotent", "600", "300", 0 },
+};
+
+/* The protocol says how long callers of a stream wait for an event. Guards against
+ * requests that begin after their callers have left, or are refused too early. */
+static void
+patience_follows_from_the_route (void)
+{
+  for (size_t i = 0; i < TEST_COUNT (patience_cases); i++) {
+    const PatienceCase *row = &patience_cases[i];
+    BurdockRouteTable *table;
+    BurdockError error;
+    const BurdockRoute *route;
+    char text[512];
+
+    snprintf (text, sizeof text,
+              "{\"version\":7,\"routes\":[{\"name\":\"a\",\"host\":\"h\","
+              "\"prefix\":\"/a/\",\"routeType\":\"%s\",\"service\":\"s\","
+              "\"sloMs\":%s,\"itlTargetMs\":%s}],\"services\":[{\"name\":\"s\"}]}",
+              row->kind, row->slo_ms, row->pause_ms);
+    CU_ASSERT_EQUAL_FATAL (burdock_platform_decode_routes (bytes_of (text), &table,
+                                                           &error),
+                           0);
+    route = burdock_route_table_find (table, "h", "/a/x");
+    CU_ASSERT_PTR_NOT_NULL (route);
+    if (route == NULL)
+      return;
+    CU_ASSERT_EQUAL (route->patience_ms, row->patience_ms);
+    burdock_route_table_unref (table);
+  }
+}
+
 typedef struct {
   const char *key;
   const char *value;
@@ -450,6 +492,8 @@
 }
 
 static const Test tests[] = {
+  { "a request begins after its caller has left a stream",
+    patience_follows_from_the_route },
   { "an invalid row is used as an upstream", invalid_upstream_rows_are_rejected },
   { "an upstream has an address that cannot be connected to",
     addresses_can_be_connected_to },
