Derive stall timeouts from the time for which callers wait

Callers saw: a stream was taken back from its upstream after 0.7 s without a first event and 0.9 s without the next one, and a call after 1.2 times the latency objective, whatever time its caller had: too early for one that waits long, too late for one with 0.6 s.

Cause: the figures came from callers who leave after two seconds and from the objective, after which an answer is still of use to its caller.

An attempt of a stream is now stalled after half of the time for which its caller waits without an event, so that the next attempt has as much; a call after twice the time that most answers take elsewhere, not before 0.4 s (a packet lost twice) or half of the time that its caller allows. Nothing known: half of that time. Silent upstreams are still noticed after 0.7 s, at the next event too (it was 0.9 s).

--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -478,16 +478,22 @@
   }
 }
 
+static uint64_t
+silent_us (const BurdockForward *forward, uint64_t now_us)
+{
+  return burdock_attempt_silence_us (now_us, forward->last_activity_us);
+}
+
 static void
 report_silence (const BurdockForward *forward, uint64_t now_us)
 {
-  uint64_t silent_us = burdock_attempt_silence_us (now_us, forward->last_activity_us);
+  uint64_t time_us = silent_us (forward, now_us);
 
   if (burdock_balancer_report_silence (forward->gateway->traffic.balancer,
-                                       forward->upstream.key, silent_us, now_us))
+                                       forward->upstream.key, time_us, now_us))
     burdock_log_subject (BURDOCK_LOG_WARNING, "upstream silent",
                          forward->caller.request_id, forward->upstream.id, "silent_ms %u",
-                         (uint32_t)(silent_us / US_PER_MS));
+                         (uint32_t)(time_us / US_PER_MS));
 }
 
 /* Retries or resumes at another upstream if the policy, the capacity and the retry budget
@@ -525,23 +531,25 @@
   apply_action (forward, action);
 }
 
-static bool
-is_stalled (const BurdockForward *forward, const BurdockAnswerEstimate *estimate,
-            uint64_t now_us)
+static uint64_t
+allowed_us (const BurdockForward *forward)
 {
-  return burdock_attempt_silence_us (now_us, forward->last_activity_us) >
-         burdock_attempt_stall_timeout_us (forward->route,
-                                           forward->attempt_event_count > 0, estimate);
+  return forward->deadline_us - forward->received_us;
 }
 
-/* Whether an attempt is stalled if nothing is known of the times of others. */
 static bool
-may_be_stalled (const BurdockForward *forward, uint64_t now_us)
+is_waiting_for_data (const BurdockForward *forward)
 {
-  BurdockAnswerEstimate unknown = { 0 };
+  return forward->phase == BURDOCK_FORWARD_SENT && !forward->reading_paused;
+}
 
-  return forward->phase == BURDOCK_FORWARD_SENT && !forward->reading_paused &&
-         is_stalled (forward, &unknown, now_us);
+/* Whether an attempt may be stalled, whatever the times of others are. */
+static bool
+is_late (const BurdockForward *forward, uint64_t now_us)
+{
+  return is_waiting_for_data (forward) &&
+         silent_us (forward, now_us) >
+             burdock_attempt_stall_min_us (forward->route, allowed_us (forward));
 }
 
 static void
@@ -549,7 +557,7 @@
 {
   for (const BurdockForward *forward = traffic->forwards; forward != NULL;
        forward = forward->next) {
-    if (forward->route->kind != BURDOCK_ROUTE_STREAM && may_be_stalled (forward, now_us))
+    if (forward->route->kind != BURDOCK_ROUTE_STREAM && is_late (forward, now_us))
       burdock_answer_times_note_wait (traffic->answer_times, forward->route->name,
                                       forward->upstream.key, now_us);
   }
@@ -560,7 +568,8 @@
 {
   BurdockAnswerEstimate estimate = estimate_elsewhere (forward, now_us);
 
-  if (!is_stalled (forward, &estimate, now_us))
+  if (silent_us (forward, now_us) <=
+      burdock_attempt_stall_timeout_us (forward->route, allowed_us (forward), &estimate))
     return;
   report_silence (forward, now_us);
   retry_stalled (forward, &estimate, now_us);
@@ -599,8 +608,11 @@
       withdraw_quarantined (forward);
     else if (forward->phase == BURDOCK_FORWARD_SENT && forward->reading_paused)
       burdock_forward_read_on (forward, now_us);
-    else if (may_be_stalled (forward, now_us))
+    else if (is_late (forward, now_us))
       check_stall (forward, now_us);
+    else if (forward->route->kind == BURDOCK_ROUTE_STREAM &&
+             is_waiting_for_data (forward))
+      report_silence (forward, now_us);
   }
   return traffic->forward_count > 0 ? now_us + TICK_INTERVAL_US : BURDOCK_LOOP_NEVER_US;
 }
--- a/libburdock/attempt-policy.c
+++ b/libburdock/attempt-policy.c
@@ -6,33 +6,45 @@
 
 #define US_PER_MS UINT64_C (1000)
 
-/* Stall timeouts for the first event of a stream and between events. Normally the first
- * event arrives within 300 ms and each further one within 200 ms. Callers time out after
- * two seconds. */
-#define FIRST_EVENT_TIMEOUT_MS 700
-#define NEXT_EVENT_TIMEOUT_MS 900
-
-/* Stall timeout of other calls, as a multiple of the objective, which the answer has
- * missed by then. */
-#define STALL_OBJECTIVE_FACTOR 1.2
-
-/* The same as a multiple of the time within which most answers come elsewhere. Times that
- * vary as those of most services (exponential, or log-normal with a shape of up to 1)
- * exceed it in at most 3 of 100 requests. */
+/* An attempt is taken back while the other half of the time that its caller waits is left
+ * for the next one. */
+#define WAIT_DIVISOR 2
+
+/* An answer is this late if one of its packets is lost twice: it is repeated after 0.2 s,
+ * and once more before 0.4 s. */
+#define PACKET_LOSS_US (400 * US_PER_MS)
+
+/* Stall timeout of calls, as a multiple of the time within which most answers come
+ * elsewhere. Times that vary as those of most services (exponential, or log-normal with a
+ * shape of up to 1) exceed it in at most 3 of 100 requests. */
 #define STALL_ANSWER_FACTOR 2
 
 /* With less time left until the deadline, another attempt cannot complete. */
 #define ATTEMPT_TIME_MIN_US (150 * US_PER_MS)
 
 uint64_t
-burdock_attempt_stall_timeout_us (const BurdockRoute *route, bool has_events,
+burdock_attempt_stall_min_us (const BurdockRoute *route, uint64_t allowed_us)
+{
+  uint64_t wait_us = allowed_us;
+
+  if (route->kind == BURDOCK_ROUTE_STREAM && route->patience_ms > 0 &&
+      route->patience_ms * US_PER_MS < allowed_us)
+    wait_us = route->patience_ms * US_PER_MS;
+  wait_us /= WAIT_DIVISOR;
+  return route->kind == BURDOCK_ROUTE_STREAM || wait_us < PACKET_LOSS_US ? wait_us
+                                                                         : PACKET_LOSS_US;
+}
+
+uint64_t
+burdock_attempt_stall_timeout_us (const BurdockRoute *route, uint64_t allowed_us,
                                   const BurdockAnswerEstimate *estimate)
 {
-  uint64_t timeout_us =
-      (uint64_t)(route->objective_ms * STALL_OBJECTIVE_FACTOR * US_PER_MS);
+  uint64_t timeout_us = burdock_attempt_stall_min_us (route, allowed_us);
 
   if (route->kind == BURDOCK_ROUTE_STREAM)
-    return (has_events ? NEXT_EVENT_TIMEOUT_MS : FIRST_EVENT_TIMEOUT_MS) * US_PER_MS;
+    return timeout_us;
+  if (estimate->long_us == 0)
+    return allowed_us / WAIT_DIVISOR;
   if (timeout_us < estimate->long_us * STALL_ANSWER_FACTOR)
     timeout_us = estimate->long_us * STALL_ANSWER_FACTOR;
   return timeout_us < estimate->longest_us ? estimate->longest_us : timeout_us;
--- a/libburdock/attempt-policy.h
+++ b/libburdock/attempt-policy.h
@@ -56,18 +56,25 @@
  */
 BurdockAttemptAction burdock_attempt_next_action (const BurdockAttemptContext *state);
 
+/**
+ * burdock_attempt_stall_min_us() - time without data before which no attempt is stalled
+ * @allowed_us: time that the caller, or the route, allows for the whole answer
+ */
+uint64_t burdock_attempt_stall_min_us (const BurdockRoute *route, uint64_t allowed_us);
+
 /**
  * burdock_attempt_stall_timeout_us() - time without data after which an attempt is
  * stalled
- * @has_events: this attempt has received events of the stream
+ * @allowed_us: time that the caller, or the route, allows for the whole answer
  * @estimate: times of whole answers of the route; not used for streams
  *
- * An attempt that is not a stream is stalled if its answer is late and has taken clearly
- * longer than others take elsewhere. If all upstreams need that long, another attempt
- * would only begin the same work again. At an upstream that works it may be one of the
- * few requests that take longer wherever they run.
+ * An attempt that is not a stream is stalled if it has taken clearly longer than others
+ * take elsewhere. If all upstreams need that long, another attempt would only begin the
+ * same work again. At an upstream that works it may be one of the few requests that take
+ * longer wherever they run. Streams share the steps of their group, so the times of
+ * others say little; their callers leave after a known time without an event.
  */
-uint64_t burdock_attempt_stall_timeout_us (const BurdockRoute *route, bool has_events,
+uint64_t burdock_attempt_stall_timeout_us (const BurdockRoute *route, uint64_t allowed_us,
                                            const BurdockAnswerEstimate *estimate);
 
 /**
