Give the store's own limit as the reason for few calls

Callers saw nothing.

Cause: the comments. The store answers a stated number of calls per second of all processes together and rejects the others, and a burst of changes ends the long polls of all gateways at once.

--- a/gateway/control.c
+++ b/gateway/control.c
@@ -19,7 +19,8 @@
 
 /* Delay of the next call after changes of upstreams, as a part of the time within which a
  * change has to be applied. Instances that start or leave together cause bursts of
- * changes; each of them ends the calls of all gateways, and each call is charged for. */
+ * changes, each of which ends the calls of all gateways. The store answers only so many
+ * calls per second of all processes together, and rejects the others. */
 #define CHANGES_DELAY_RATIO 0.25
 #define CHANGES_DELAY_MAX_MS 1000
 
