Leave half of a request's time when a connection to an upstream fails

Callers saw: a call with 0.6 or 0.8 s left that was sent to an upstream without power got no answer from another one, as connecting took up to 0.7 s of it.

Cause: the limit was fixed, with the reason that a later answer misses every latency objective. It is now at most half of the time that is left, and at most 0.7 s for another reason: the first packet of the connection is lost then, and is sent again only after 1 s.

Evidence: the table of test-attempt-policy; 0.6 and 0.8 s had 0.7 s before. No load was played for it; it changes nothing for callers with 1.4 s or more.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -11,10 +11,6 @@
 
 #define US_PER_MS UINT64_C (1000)
 
-/* A new connection takes a few milliseconds. A lost packet is retransmitted after 1 s,
- * which is too late for every latency objective. */
-#define CONNECT_TIMEOUT_MS 700
-
 /* Largest answer that is buffered until it is complete. */
 #define BUFFERED_ANSWER_MAX_BYTES (8u << 20)
 
@@ -421,7 +417,8 @@
                            .body_bytes = body.length_bytes,
                            .at_most_once = true,
                            .max_idle_s = traffic->keep_alive_max_s,
-                           .connect_timeout_ms = CONNECT_TIMEOUT_MS,
+                           .connect_timeout_ms =
+                               burdock_attempt_connect_timeout_ms (headers.remaining_ms),
                            .ctx = forward,
                            .head = answer_head,
                            .accepts = accepts_data,
--- a/libburdock/attempt-policy.c
+++ b/libburdock/attempt-policy.c
@@ -19,6 +19,10 @@
  * shape of up to 1) exceed it in at most 3 of 100 requests. */
 #define STALL_ANSWER_FACTOR 2
 
+/* A new connection takes a few milliseconds. One that takes longer has lost its first
+ * packet, which is sent again only after 1 s; another upstream answers sooner. */
+#define CONNECT_TIMEOUT_MS 700
+
 /* With less time left until the deadline, another attempt cannot complete. */
 #define ATTEMPT_TIME_MIN_US (150 * US_PER_MS)
 
@@ -50,6 +54,16 @@
   return timeout_us < estimate->longest_us ? estimate->longest_us : timeout_us;
 }
 
+uint32_t
+burdock_attempt_connect_timeout_ms (uint32_t left_ms)
+{
+  uint32_t timeout_ms = left_ms / WAIT_DIVISOR;
+
+  if (timeout_ms == 0)
+    return 1;
+  return timeout_ms < CONNECT_TIMEOUT_MS ? timeout_ms : CONNECT_TIMEOUT_MS;
+}
+
 uint64_t
 burdock_attempt_silence_us (uint64_t now_us, uint64_t last_activity_us)
 {
--- a/libburdock/attempt-policy.h
+++ b/libburdock/attempt-policy.h
@@ -77,6 +77,13 @@
 uint64_t burdock_attempt_stall_timeout_us (const BurdockRoute *route, uint64_t allowed_us,
                                            const BurdockAnswerEstimate *estimate);
 
+/**
+ * burdock_attempt_connect_timeout_ms() - limit for opening a connection to an upstream
+ * @left_ms: time until the deadline of the request, of which the other half is left for
+ *   another upstream
+ */
+uint32_t burdock_attempt_connect_timeout_ms (uint32_t left_ms);
+
 /**
  * burdock_attempt_silence_us() - time since the last activity of an attempt, 0 if it was
  * sent after @now_us was read
--- a/tests/test-attempt-policy.c
+++ b/tests/test-attempt-policy.c
@@ -212,6 +212,25 @@
   }
 }
 
+typedef struct {
+  uint32_t left_ms;
+  uint32_t timeout_ms;
+} ConnectCase;
+
+static const ConnectCase connect_cases[] = {
+  { 8000, 700 }, { 1400, 700 }, { 800, 400 }, { 600, 300 }, { 1, 1 }, { 0, 1 },
+};
+
+/* Guards against a connection to an upstream without power that takes all the time of a
+ * request, so that no other upstream gets it. */
+static void
+connecting_leaves_time_for_another_upstream (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (connect_cases); i++)
+    CU_ASSERT_EQUAL (burdock_attempt_connect_timeout_ms (connect_cases[i].left_ms),
+                     connect_cases[i].timeout_ms);
+}
+
 /* Guards against an attempt that counts as stalled for ages because it was sent after the
  * time of the check was read. */
 static void
@@ -223,6 +242,8 @@
 }
 
 static const Test tests[] = {
+  { "connecting takes all the time of a request",
+    connecting_leaves_time_for_another_upstream },
   { "an attempt that was just sent counts as silent",
     an_attempt_that_was_just_sent_is_not_silent },
   { "a stream is broken off while no retry is allowed",
