Lower the limit of a group by the pauses that a stream is expected to have

Callers saw: how many streams run at once, and so who is refused, followed from a share of late gaps that "one stream in four" may have, and from a mean gap of two thirds of the target.

The gateway now records the longest gap of each stream that ends. The limit of a group falls by a step while the usual longest gap and its usual deviation (both over the last five seconds) miss the target, and rises while they meet it: a stream starts if it is expected to keep its promise. While the mean gap misses the target the limit falls faster, as before.

test-balancer's test of bursts records the streams that had them as well.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -348,6 +348,15 @@
          (forward->caller.last_event_id == 0 && forward->run_count == 0);
 }
 
+static void
+record_stream (const BurdockForward *forward)
+{
+  if (forward->attempt_event_count > 1)
+    burdock_balancer_record_stream (forward->gateway->traffic.balancer,
+                                    forward->upstream.key, forward->longest_gap_us,
+                                    forward->route->pause_ms);
+}
+
 static void
 answer_done (void *ctx, const BurdockHttpResult *result)
 {
@@ -358,6 +367,7 @@
 
   end_pause (forward, burdock_loop_now_us ());
   forward->attempt_sent = result->sent;
+  record_stream (forward);
   if (result->new_connection)
     forward->gateway->traffic.counters.connections++;
   if (attempt_result != BURDOCK_ATTEMPT_COMPLETE)
@@ -452,6 +462,7 @@
     return;
   burdock_http_transfer_cancel (forward->transfer);
   forward->transfer = NULL;
+  record_stream (forward);
   end_pause (forward, burdock_loop_now_us ());
   burdock_balancer_finish (forward->gateway->traffic.balancer, forward->upstream.key,
                            outcome, burdock_loop_now_us ());
--- a/libburdock/balancer-private.h
+++ b/libburdock/balancer-private.h
@@ -33,10 +33,13 @@
   uint32_t slots;
   uint32_t outstanding;
   uint32_t gap_count;
-  uint32_t late_gap_count;
-  double late_gap_ratio;   /* smoothed */
-  double relative_gap_sum; /* gaps as multiples of their target */
-  double credit;           /* waiting requests that this gateway may place now */
+  uint32_t stream_count;  /* that have ended, and the sums of their longest gaps */
+  double longest_gap_sum; /* as multiples of their targets, and of the deviations */
+  double deviation_sum;
+  double longest_gap;           /* smoothed */
+  double longest_gap_deviation; /* mean deviation from it, smoothed */
+  double relative_gap_sum;      /* gaps as multiples of their target */
+  double credit;                /* waiting requests that this gateway may place now */
   Liveness liveness;
   uint64_t silent_step;      /* first step reported since the group was marked silent */
   uint32_t silent_step_rank; /* rank that reported it */
--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -2,6 +2,7 @@
 
 #include "hash-table.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -46,21 +47,22 @@
 #define GROUP_UTILIZATION_MIN 0.3
 #define GROUP_UTILIZATION_MAX 1.0
 
-/* The limit is multiplied by GROUP_UTILIZATION_DECREASE while the mean gap between
- * events, as a ratio to its target, exceeds MEAN_GAP_GOAL by more than
- * MEAN_GAP_TOLERANCE. */
+/* The limit is multiplied by GROUP_UTILIZATION_DECREASE while the mean gap is longer than
+ * its target, so that all streams miss it. Otherwise it is lowered by a step while a
+ * stream whose longest gap is the usual one and its usual deviation misses the target,
+ * and raised by one while such a stream meets it. */
 #define GROUP_UTILIZATION_DECREASE 0.97
-#define MEAN_GAP_GOAL 0.66
-#define MEAN_GAP_TOLERANCE 0.05
-
-/* Otherwise the limit follows the ratio of gaps that exceed their target. One late gap
- * out of about twenty makes a stream late. Long steps come in bursts, when the demand for
- * experts has jumped, and hardly affect the mean. */
-#define LATE_GAP_RATIO_GOAL 0.03         /* one stream in four, with twenty gaps each */
-#define LATE_GAP_RATIO_MAX 0.05          /* bounds the recovery time after a burst */
-#define LATE_GAP_GAIN 0.1                /* averages over about ten adjustments */
 #define GROUP_UTILIZATION_RECOVERY 0.015 /* step while below the initial value */
 #define GROUP_UTILIZATION_STEP 0.005
+
+/* Averages over about twenty adjustments, so that jumps of the demand for experts, which
+ * come every few seconds, count in proportion to their time. */
+#define LONGEST_GAP_GAIN 0.05
+
+/* A gap of several targets is that of an upstream that hangs, which fewer streams do not
+ * shorten. */
+#define LONGEST_GAP_MAX 2.0
+
 #define GROUP_ADJUST_US UINT64_C (250000)
 #define GROUP_GAPS_MIN 6
 
@@ -593,8 +595,25 @@
     return;
   node->group->gap_count++;
   node->group->relative_gap_sum += (double)gap_us / (target_ms * US_PER_MS);
-  if (gap_us > target_ms * US_PER_MS)
-    node->group->late_gap_count++;
+}
+
+void
+burdock_balancer_record_stream (BurdockBalancer *balancer, uint64_t upstream,
+                                uint64_t longest_gap_us, uint32_t target_ms)
+{
+  Node *node = burdock_balancer_node (balancer, upstream);
+  double longest;
+
+  if (node == NULL || node->group == NULL || target_ms == 0 || longest_gap_us == 0)
+    return;
+  longest = (double)longest_gap_us / (target_ms * US_PER_MS);
+  if (longest > LONGEST_GAP_MAX)
+    longest = LONGEST_GAP_MAX;
+  if (node->group->longest_gap <= 0)
+    node->group->longest_gap = longest;
+  node->group->longest_gap_sum += longest;
+  node->group->deviation_sum += fabs (longest - node->group->longest_gap);
+  node->group->stream_count++;
 }
 
 static bool
@@ -629,29 +648,36 @@
 }
 
 static void
-update_late_gap_ratio (Group *group)
+average_longest_gaps (Group *group)
 {
-  double late = (double)group->late_gap_count / group->gap_count;
-
-  group->late_gap_ratio += (late - group->late_gap_ratio) * LATE_GAP_GAIN;
-  if (group->late_gap_ratio > LATE_GAP_RATIO_MAX)
-    group->late_gap_ratio = LATE_GAP_RATIO_MAX;
+  if (group->stream_count == 0)
+    return;
+  group->longest_gap +=
+      (group->longest_gap_sum / group->stream_count - group->longest_gap) *
+      LONGEST_GAP_GAIN;
+  group->longest_gap_deviation +=
+      (group->deviation_sum / group->stream_count - group->longest_gap_deviation) *
+      LONGEST_GAP_GAIN;
+  group->longest_gap_sum = group->deviation_sum = 0;
+  group->stream_count = 0;
 }
 
 static void
 adjust_utilization_limit (Group *group)
 {
+  double long_gap;
   double mean;
 
   if (group->gap_count < GROUP_GAPS_MIN)
     return;
   mean = group->relative_gap_sum / group->gap_count;
-  update_late_gap_ratio (group);
+  average_longest_gaps (group);
+  long_gap = group->longest_gap + group->longest_gap_deviation;
   group->relative_gap_sum = 0;
-  group->gap_count = group->late_gap_count = 0;
-  if (mean > MEAN_GAP_GOAL + MEAN_GAP_TOLERANCE)
+  group->gap_count = 0;
+  if (mean > 1)
     group->utilization_limit *= GROUP_UTILIZATION_DECREASE;
-  else if (group->late_gap_ratio > LATE_GAP_RATIO_GOAL)
+  else if (long_gap > 1)
     group->utilization_limit -= GROUP_UTILIZATION_STEP;
   else if (group->utilization_limit < GROUP_UTILIZATION_INITIAL)
     group->utilization_limit += GROUP_UTILIZATION_RECOVERY;
--- a/libburdock/balancer.h
+++ b/libburdock/balancer.h
@@ -246,6 +246,14 @@
 void burdock_balancer_record_event (BurdockBalancer *balancer, uint64_t upstream,
                                     uint64_t gap_us, uint32_t target_ms, uint64_t now_us);
 
+/**
+ * burdock_balancer_record_stream() - records that a stream has ended
+ * @longest_gap_us: longest time between two of its events, 0 if it had fewer
+ * @target_ms: longest gap that meets the target, 0 for no target
+ */
+void burdock_balancer_record_stream (BurdockBalancer *balancer, uint64_t upstream,
+                                     uint64_t longest_gap_us, uint32_t target_ms);
+
 /**
  * burdock_balancer_record_limit() - records the rate limit in an answer of an upstream
  * @per_s: requests per second from all gateways together, or BURDOCK_RATE_UNLIMITED
--- a/tests/test-balancer.c
+++ b/tests/test-balancer.c
@@ -661,8 +661,8 @@
 }
 
 /* Gaps are half the target, with a burst of long ones each second, as after jumps in
- * demand. Guards against a limit that follows only the mean gap and makes all streams
- * late. */
+ * demand, so that each stream has a long one. Guards against a limit that follows only the
+ * mean gap and makes all streams late. */
 static void
 bursts_of_long_gaps_lower_the_limit (void)
 {
@@ -681,6 +681,8 @@
                                      round % 4 == 0 && i < 10 ? 130 * US_PER_MS
                                                               : 60 * US_PER_MS,
                                      120, fixture.now_us);
+    for (uint32_t i = 0; i < 4; i++)
+      burdock_balancer_record_stream (fixture.balancer, 1, 130 * US_PER_MS, 120);
     advance_time (&fixture, 250 * US_PER_MS);
     report_rank (&fixture, 1, 1, true);
   }
