Tell callers of requests that have not run when a place is expected

Callers saw: a request that its upstreams had rejected was refused with a delay of 1 s, also when its group was closed for longer or a place free sooner; one that was quarantined while it ran or waited as well, though the time of the next trial is known.

Cause: fixed delays where the balancer and the quarantine know the time. Both are asked now; 1 s remains for a process that waits for its configuration and after a planned stop.

Evidence: a case of test-balancer (nothing waits: at most 0.5 s; the group is closed: 2.2 to 2.6 s).

--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -110,6 +110,18 @@
                                          &forward->caller.prompt, burdock_loop_now_us ());
 }
 
+/* Refuses a request that is_quarantined(). */
+static void
+refuse_until_tried_again (BurdockForward *forward)
+{
+  uint32_t retry_after_ms = BURDOCK_RETRY_AFTER_DEFAULT_MS;
+
+  burdock_part_quarantine_admit (forward->gateway->traffic.quarantine,
+                                 &forward->caller.prompt, burdock_loop_now_us (),
+                                 &retry_after_ms);
+  burdock_forward_refuse_quarantined (forward, retry_after_ms);
+}
+
 static void
 abort_forward (BurdockForward *forward)
 {
@@ -184,7 +196,10 @@
     resubmit (forward);
     break;
   case BURDOCK_ACTION_REFUSE:
-    refuse_forward (forward, BURDOCK_RETRY_AFTER_DEFAULT_MS);
+    refuse_forward (forward,
+                    burdock_balancer_retry_after_ms (forward->gateway->traffic.balancer,
+                                                     &forward->placement,
+                                                     burdock_loop_now_us ()));
     break;
   case BURDOCK_ACTION_FAIL:
     fail_forward (forward, 502);
@@ -260,7 +275,7 @@
 decide_retry (BurdockForward *forward, uint64_t now_us)
 {
   if (is_quarantined (forward))
-    burdock_forward_refuse_quarantined (forward, BURDOCK_RETRY_AFTER_DEFAULT_MS);
+    refuse_until_tried_again (forward);
   else if (now_us >= forward->check_until_us)
     resubmit (forward);
 }
@@ -311,7 +326,7 @@
   if (!forward->answer_started && is_quarantined (forward)) {
     burdock_balancer_finish (gateway->traffic.balancer, upstream->key,
                              BURDOCK_UPSTREAM_ABANDONED, burdock_loop_now_us ());
-    burdock_forward_refuse_quarantined (forward, BURDOCK_RETRY_AFTER_DEFAULT_MS);
+    refuse_until_tried_again (forward);
     return;
   }
   forward->upstream = *upstream;
@@ -584,7 +599,7 @@
                        forward->upstream.id, "a part of the prompt was quarantined");
   forward->run_count++;
   burdock_forward_cancel (forward, BURDOCK_UPSTREAM_ABANDONED);
-  burdock_forward_refuse_quarantined (forward, BURDOCK_RETRY_AFTER_DEFAULT_MS);
+  refuse_until_tried_again (forward);
 }
 
 uint64_t
--- a/libburdock/balancer-queue.c
+++ b/libburdock/balancer-queue.c
@@ -434,19 +434,44 @@
     pool->waiting_since_us = 0;
 }
 
+/* Callers that are refused together come back one after the other. */
+static uint32_t
+spread_ms (BurdockBalancer *balancer, const Pool *pool, uint64_t delay_us)
+{
+  double spread_us = turnover_us (pool);
+
+  if (spread_us <= 0)
+    spread_us = RETRY_SPREAD_DEFAULT_US;
+  return (
+      uint32_t)(((double)delay_us + spread_us * next_random (balancer) / RANDOM_RANGE) /
+                1000);
+}
+
 static void
 refuse_request (BurdockBalancer *balancer, const Pool *pool, uint64_t handle,
                 const BurdockQueueDecision *decision)
 {
   const BurdockBalancerHandler *handler = &balancer->handler;
-  double spread_us = turnover_us (pool);
-  double delay_us = (double)decision->retry_after_us;
 
-  if (spread_us <= 0)
-    spread_us = RETRY_SPREAD_DEFAULT_US;
-  delay_us += spread_us * next_random (balancer) / RANDOM_RANGE;
   balancer->stats.refused++;
-  handler->refuse (handler->ctx, handle, decision->reason, (uint32_t)(delay_us / 1000));
+  handler->refuse (handler->ctx, handle, decision->reason,
+                   spread_ms (balancer, pool, decision->retry_after_us));
+}
+
+uint32_t
+burdock_balancer_retry_after_ms (BurdockBalancer *balancer,
+                                 const BurdockPlacement *placement, uint64_t now_us)
+{
+  Pool *pool = burdock_balancer_pool (balancer, placement->pool);
+  BurdockPlacement again = *placement;
+  BurdockQueueView view;
+
+  balancer->now_us = now_us;
+  again.excluded_count = 0;
+  view = view_pool (balancer, pool, &again);
+  count_waiting (pool, &again, &view);
+  return spread_ms (balancer, pool,
+                    burdock_queue_retry_after_us (&placement->times, &view));
 }
 
 static void
--- a/libburdock/balancer.h
+++ b/libburdock/balancer.h
@@ -231,6 +231,14 @@
 bool burdock_balancer_has_capacity (BurdockBalancer *balancer,
                                     const BurdockPlacement *placement, uint64_t upstream);
 
+/**
+ * burdock_balancer_retry_after_ms() - delay to suggest to the caller of a request that has
+ * not run and is not sent again
+ */
+uint32_t burdock_balancer_retry_after_ms (BurdockBalancer *balancer,
+                                          const BurdockPlacement *placement,
+                                          uint64_t now_us);
+
 /** burdock_balancer_withdraw() - removes a queued request without a callback */
 void burdock_balancer_withdraw (BurdockBalancer *balancer, uint64_t handle);
 
--- a/libburdock/queue-policy.c
+++ b/libburdock/queue-policy.c
@@ -69,8 +69,9 @@
 
 /* The caller has to come back while it can still be served, even if that is sooner than
  * expected. */
-static uint64_t
-retry_after_us (const BurdockRequestTimes *times, const BurdockQueueView *view)
+uint64_t
+burdock_queue_retry_after_us (const BurdockRequestTimes *times,
+                              const BurdockQueueView *view)
 {
   uint64_t latest_us = time_before (times->deadline_us, times->work_us);
   uint64_t delay_us = view->opens_us == UINT64_MAX
@@ -87,7 +88,8 @@
 refuse (const BurdockRequestTimes *times, const BurdockQueueView *view)
 {
   BurdockQueueDecision decision = { .action = BURDOCK_QUEUE_REFUSE,
-                                    .retry_after_us = retry_after_us (times, view),
+                                    .retry_after_us =
+                                        burdock_queue_retry_after_us (times, view),
                                     .reason = BURDOCK_REASON_OVERLOAD };
 
   if (view->opens_us > view->now_us)
--- a/libburdock/queue-policy.h
+++ b/libburdock/queue-policy.h
@@ -83,6 +83,11 @@
  * get its answer; requests of the same priority start in this order */
 uint64_t burdock_queue_latest_start_us (const BurdockRequestTimes *times);
 
+/** burdock_queue_retry_after_us() - time after which the caller of a request that is not
+ * served now may be served */
+uint64_t burdock_queue_retry_after_us (const BurdockRequestTimes *times,
+                                       const BurdockQueueView *view);
+
 /** burdock_queue_decide() - what to do with a request that arrives, or that waits */
 BurdockQueueDecision burdock_queue_decide (const BurdockRequestTimes *times,
                                            const BurdockQueueView *view);
--- a/tests/test-balancer.c
+++ b/tests/test-balancer.c
@@ -426,6 +426,27 @@
   }
 }
 
+/* Guards against a caller whose request no upstream has taken and that is told to come
+ * back while the group is closed, or later than needed. */
+static void
+delay_of_a_request_that_has_not_run (void)
+{
+  BurdockPlacement item;
+  uint32_t delay_ms;
+  Fixture fixture;
+
+  set_up_group (&fixture, 3);
+  item = placement (&fixture, 0);
+  item.excluded[item.excluded_count++] = 1;
+  item.excluded[item.excluded_count++] = 2;
+  delay_ms = burdock_balancer_retry_after_ms (fixture.balancer, &item, fixture.now_us);
+  CU_ASSERT_TRUE (delay_ms <= 500);
+  report_group (&fixture, 1, false);
+  delay_ms = burdock_balancer_retry_after_ms (fixture.balancer, &item, fixture.now_us);
+  CU_ASSERT_TRUE (delay_ms >= 2200 && delay_ms <= 2600);
+  burdock_balancer_free (fixture.balancer);
+}
+
 /* Guards against refusing requests because one of two groups is broken, or because the
  * reports of a broken group have stopped. */
 static void
@@ -661,8 +682,8 @@
 }
 
 /* Gaps are half the target, with a burst of long ones each second, as after jumps in
- * demand, so that each stream has a long one. Guards against a limit that follows only the
- * mean gap and makes all streams late. */
+ * demand, so that each stream has a long one. Guards against a limit that follows only
+ * the mean gap and makes all streams late. */
 static void
 bursts_of_long_gaps_lower_the_limit (void)
 {
@@ -814,6 +835,8 @@
     advancing_steps_end_the_ejection_of_a_group },
   { "a large group that runs again stays without requests",
     steps_of_different_ranks_end_the_ejection },
+  { "a caller comes back too early, or too late, after a request that has not run",
+    delay_of_a_request_that_has_not_run },
   { "a request waits in vain for a closed group, or is refused although it could wait",
     a_closed_group_refuses_who_cannot_wait },
   { "a pool refuses requests although a group may run them",
