Split selection and limits from the queue of the balancer

The selection of upstreams is in balancer-select.c, the limits of groups in balancer-limit.c; lines are moved, names that are shared get the prefix.

--- a/libburdock/balancer-private.h
+++ b/libburdock/balancer-private.h
@@ -2,8 +2,9 @@
  * DOC: balancer-private.h - state shared by the files of the balancer
  *
  * balancer.c tracks the state of upstreams, groups and other gateways; balancer-queue.c
- * places, queues and refuses requests; balancer-rates.c keeps the rate limits of
- * upstreams.
+ * queues, refuses and places requests; balancer-select.c selects their upstreams;
+ * balancer-limit.c adjusts how many requests a group runs; balancer-rates.c keeps the
+ * rate limits of upstreams.
  */
 #ifndef BURDOCK_BALANCER_PRIVATE_H
 #define BURDOCK_BALANCER_PRIVATE_H
@@ -120,6 +121,27 @@
   BurdockBalancerStats stats;
 };
 
+/* Initial utilization limit of a group, as a share of its slots, at which most steps meet
+ * their target even while demand changes. */
+#define BURDOCK_GROUP_UTILIZATION_INITIAL 0.7
+
+/* Number of values that burdock_balancer_random() returns. */
+#define BURDOCK_BALANCER_RANDOM_RANGE 2147483648.0
+
+static inline uint32_t
+burdock_balancer_random (BurdockBalancer *balancer)
+{
+  balancer->random_state = balancer->random_state * UINT64_C (6364136223846793005) + 1;
+  return (uint32_t)(balancer->random_state >> 33);
+}
+
+static inline uint64_t
+burdock_balancer_report_interval_us (const BurdockBalancer *balancer)
+{
+  return balancer->heartbeat_interval_us > TICK_US ? balancer->heartbeat_interval_us
+                                                   : TICK_US;
+}
+
 static inline uint32_t
 outstanding (const Node *node)
 {
@@ -138,6 +160,22 @@
 void burdock_balancer_subtract_from_group (Node *node);
 void burdock_balancer_add_to_group (Node *node);
 
+/**
+ * burdock_balancer_select() - the least loaded of a few eligible upstreams; NULL for none
+ * @waited: the request has waited, and needs credit
+ */
+Node *burdock_balancer_select (BurdockBalancer *balancer, const Pool *pool,
+                               const BurdockPlacement *placement, bool waited);
+
+/** burdock_balancer_opens_us() - time at which an upstream is expected to take requests,
+ * not after the present time if one does; UINT64_MAX if there is none */
+uint64_t burdock_balancer_opens_us (const BurdockBalancer *balancer, const Pool *pool,
+                                    const BurdockPlacement *placement);
+
+/** burdock_balancer_adjust_limits() - adjusts how many requests the groups run; called
+ * with each tick */
+void burdock_balancer_adjust_limits (BurdockBalancer *balancer);
+
 /** burdock_balancer_dispatch() - places queued requests while upstreams are eligible */
 void burdock_balancer_dispatch (BurdockBalancer *balancer);
 
--- a/libburdock/balancer-queue.c
+++ b/libburdock/balancer-queue.c
@@ -1,33 +1,13 @@
-/* Placement, queueing and refusal of requests. */
+/* Queueing, refusal and placement of requests. */
 #include "balancer-private.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-/* Each agent reports once a second. Without a report for this long the state of a group
- * is unknown, and its limit is not applied. */
-#define AGENT_REPORT_TIMEOUT_US UINT64_C (2500000)
-
-/* Load, in requests, that a failure rate of 1 adds in the comparison of upstreams. */
-#define FAILURE_PENALTY_REQUESTS 24.0
-
-/* A lower rate may come from a single lost response rather than a faulty upstream. */
-#define FAILURE_RATE_MIN 0.15
-
-/* Load, as a share of its slots, added to an upstream in another failure domain. */
-#define REMOTE_DOMAIN_PENALTY 0.04
-
-/* Weight of the group's load relative to the load of the rank itself: the length of a
- * step depends on the whole group, and less on the rank. */
-#define GROUP_LOAD_WEIGHT 2.0
-
 /* One waiting request now and one next, so that a long idle time does not allow a burst.
  */
 #define CREDIT_SPARE 2.0
 
-/* Eligible upstreams that are compared for a request. */
-#define SAMPLE_SIZE 3
-
 /* Share of the retry budget that is used. Gateways do not learn of each other's retries
  * in time to use the whole budget safely. */
 #define RETRY_BUDGET_RATIO 0.6
@@ -42,10 +22,6 @@
  * become free once, or over this time if it is not known. */
 #define RETRY_SPREAD_DEFAULT_US UINT64_C (400000)
 
-/* Time for which a group stays closed, until one such time has been measured: its lost
- * rank is started again, and the group formed. */
-#define GROUP_CLOSED_DEFAULT_US UINT64_C (2200000)
-
 /* Requests in a row that find a free place show that an overload is over. At an overload
  * one of them finds a place now and then, before another gateway takes it. */
 #define SENT_AT_ONCE_MIN 4
@@ -76,16 +52,6 @@
   return balancer->settings.retry_allowance * RETRY_BUDGET_RATIO / gateways;
 }
 
-/* Number of values that next_random() returns. */
-#define RANDOM_RANGE 2147483648.0
-
-static uint32_t
-next_random (BurdockBalancer *balancer)
-{
-  balancer->random_state = balancer->random_state * UINT64_C (6364136223846793005) + 1;
-  return (uint32_t)(balancer->random_state >> 33);
-}
-
 static void
 add_retries (const BurdockBalancer *balancer, Pool *pool, double count)
 {
@@ -95,125 +61,6 @@
       pool->retries_left + count < retries_max ? pool->retries_left + count : retries_max;
 }
 
-/* Each gateway has its own queue, and all of them see the same free places until they
- * hear of each other again. Waiting requests therefore need credit: for each place that a
- * request of this gateway has freed, and for its part of the other free places. */
-static bool
-group_has_capacity (const BurdockBalancer *balancer, const Group *group, bool waited)
-{
-  if (group == NULL || balancer->now_us - group->last_report_us > AGENT_REPORT_TIMEOUT_US)
-    return true;
-  if (waited && group->credit < 1)
-    return false;
-  return group->open && group->outstanding < group->slots * group->utilization_limit;
-}
-
-static bool
-is_excluded (const BurdockPlacement *placement, uint64_t key)
-{
-  for (uint32_t i = 0; i < placement->excluded_count; i++) {
-    if (placement->excluded[i] == key)
-      return true;
-  }
-  return false;
-}
-
-static double
-node_load (const BurdockBalancer *balancer, const Node *node)
-{
-  double load = outstanding (node);
-
-  if (node->failure_rate > FAILURE_RATE_MIN)
-    load += node->failure_rate * FAILURE_PENALTY_REQUESTS;
-  load /= node->info.slots > 0 ? node->info.slots : 1;
-  if (strcmp (node->info.failure_domain, balancer->settings.failure_domain) != 0)
-    load += REMOTE_DOMAIN_PENALTY;
-  if (node->group != NULL && node->group->slots > 0)
-    load += GROUP_LOAD_WEIGHT * node->group->outstanding / node->group->slots;
-  return load;
-}
-
-static bool
-is_usable (const Node *node, const Pool *pool)
-{
-  return node->listed && node->pool == pool && !node->info.leaving;
-}
-
-static bool
-is_silent (const BurdockBalancer *balancer, const Node *node)
-{
-  return node->liveness.silent_until_us > balancer->now_us ||
-         (node->group != NULL &&
-          node->group->liveness.silent_until_us > balancer->now_us);
-}
-
-static uint64_t
-report_interval_us (const BurdockBalancer *balancer)
-{
-  return balancer->heartbeat_interval_us > TICK_US ? balancer->heartbeat_interval_us
-                                                   : TICK_US;
-}
-
-static bool
-is_eligible (const BurdockBalancer *balancer, const Node *node, const Pool *pool,
-             const BurdockPlacement *placement, bool waited)
-{
-  return is_usable (node, pool) && node->ejected_until_us <= balancer->now_us &&
-         node->paused_until_us <= balancer->now_us && !is_silent (balancer, node) &&
-         outstanding (node) < node->info.slots &&
-         burdock_rate_share_allows (&node->rate, report_interval_us (balancer)) &&
-         !is_excluded (placement, node->info.key) &&
-         group_has_capacity (balancer, node->group, waited);
-}
-
-/* Fills @sample with eligible nodes by reservoir sampling, each equally likely, and
- * returns their number. Scanning from a random start would favour the nodes that follow a
- * long run of full ones. */
-static uint32_t
-sample_nodes (BurdockBalancer *balancer, const Pool *pool,
-              const BurdockPlacement *placement, bool waited, Node **sample)
-{
-  uint32_t seen = 0;
-
-  for (uint32_t i = 0; i < balancer->node_count; i++) {
-    Node *node = balancer->nodes[i];
-    uint32_t at;
-
-    if (!is_eligible (balancer, node, pool, placement, waited))
-      continue;
-    at = seen < SAMPLE_SIZE ? seen : next_random (balancer) % (seen + 1);
-    seen++;
-    if (at < SAMPLE_SIZE)
-      sample[at] = node;
-  }
-  return seen < SAMPLE_SIZE ? seen : SAMPLE_SIZE;
-}
-
-/* Returns the least loaded node of a random sample, NULL if none is eligible. The loads
- * are as old as the last heartbeats; if all gateways took the least loaded upstream of
- * the fleet, they would overload it together. */
-static Node *
-select_node (BurdockBalancer *balancer, const Pool *pool,
-             const BurdockPlacement *placement, bool waited)
-{
-  Node *sample[SAMPLE_SIZE];
-  uint32_t count = sample_nodes (balancer, pool, placement, waited, sample);
-  uint32_t start = next_random (balancer); /* breaks ties */
-  Node *best = NULL;
-  double best_load = 0;
-
-  for (uint32_t i = 0; i < count; i++) {
-    Node *node = sample[(start + i) % count];
-    double load = node_load (balancer, node);
-
-    if (best != NULL && load >= best_load)
-      continue;
-    best = node;
-    best_load = load;
-  }
-  return best;
-}
-
 /* Whether a waiting request starts before one of @priority that has to start by
  * @latest_start_us. Within a priority the one that can wait least comes first. */
 static bool
@@ -287,7 +134,7 @@
 place_queued (BurdockBalancer *balancer, Pool *pool)
 {
   for (QueuedRequest **at = &pool->queue; *at != NULL; at = &(*at)->next) {
-    Node *node = select_node (balancer, pool, &(*at)->placement, true);
+    Node *node = burdock_balancer_select (balancer, pool, &(*at)->placement, true);
 
     if (node != NULL) {
       if (node->group != NULL && node->group->credit >= 1)
@@ -324,59 +171,6 @@
   balancer->dispatching = false;
 }
 
-/* A group that has been closed for longer than expected is expected to stay closed for as
- * long again as it is overdue. */
-static uint64_t
-group_opens_us (const BurdockBalancer *balancer, const Group *group)
-{
-  uint64_t closed_us = balancer->now_us - group->broken_us;
-  uint64_t expected_us =
-      group->closed_for_us > 0 ? group->closed_for_us : GROUP_CLOSED_DEFAULT_US;
-
-  if (group->open || balancer->now_us - group->last_report_us > AGENT_REPORT_TIMEOUT_US)
-    return 0;
-  return balancer->now_us +
-         (closed_us < expected_us ? expected_us - closed_us : closed_us - expected_us);
-}
-
-static uint64_t
-latest_of (uint64_t a_us, uint64_t b_us)
-{
-  return a_us > b_us ? a_us : b_us;
-}
-
-/* Time at which an upstream is expected to take requests, if it has a free place. */
-static uint64_t
-node_opens_us (const BurdockBalancer *balancer, const Node *node)
-{
-  uint64_t opens_us = latest_of (node->ejected_until_us, node->paused_until_us);
-
-  opens_us = latest_of (opens_us, node->liveness.silent_until_us);
-  if (node->group == NULL)
-    return opens_us;
-  opens_us = latest_of (opens_us, node->group->liveness.silent_until_us);
-  return latest_of (opens_us, group_opens_us (balancer, node->group));
-}
-
-static uint64_t
-pool_opens_us (const BurdockBalancer *balancer, const Pool *pool,
-               const BurdockPlacement *placement)
-{
-  uint64_t first_us = UINT64_MAX;
-
-  for (uint32_t i = 0; i < balancer->node_count && first_us > balancer->now_us; i++) {
-    const Node *node = balancer->nodes[i];
-    uint64_t opens_us;
-
-    if (!is_usable (node, pool) || is_excluded (placement, node->info.key))
-      continue;
-    opens_us = node_opens_us (balancer, node);
-    if (opens_us < first_us)
-      first_us = opens_us;
-  }
-  return first_us;
-}
-
 /* Time for which a request keeps its place, by Little's law; 0 if it is not known. */
 static double
 turnover_us (const Pool *pool)
@@ -401,11 +195,13 @@
            const BurdockPlacement *placement)
 {
   return (BurdockQueueView){ .now_us = balancer->now_us,
-                             .opens_us = pool_opens_us (balancer, pool, placement),
+                             .opens_us =
+                                 burdock_balancer_opens_us (balancer, pool, placement),
                              .starts_per_s = starts_per_s (balancer, pool),
                              .waiting_since_us = pool->waiting_since_us,
                              .turnover_us = (uint64_t)turnover_us (pool),
-                             .update_us = report_interval_us (balancer) };
+                             .update_us =
+                                 burdock_balancer_report_interval_us (balancer) };
 }
 
 /* Counts the waiting requests before a new one. */
@@ -442,9 +238,9 @@
 
   if (spread_us <= 0)
     spread_us = RETRY_SPREAD_DEFAULT_US;
-  return (
-      uint32_t)(((double)delay_us + spread_us * next_random (balancer) / RANDOM_RANGE) /
-                1000);
+  return (uint32_t)(((double)delay_us + spread_us * burdock_balancer_random (balancer) /
+                                            BURDOCK_BALANCER_RANDOM_RANGE) /
+                    1000);
 }
 
 static void
@@ -495,7 +291,7 @@
 
   balancer->now_us = now_us;
   count_submitted (balancer, pool, placement);
-  node = select_node (balancer, pool, placement, false);
+  node = burdock_balancer_select (balancer, pool, placement, false);
   view = view_pool (balancer, pool, placement);
   view.has_room = node != NULL;
   view.is_admitted = placement->admitted;
@@ -523,7 +319,7 @@
     return false;
   if (elsewhere.excluded_count < BURDOCK_EXCLUDED_MAX)
     elsewhere.excluded[elsewhere.excluded_count++] = upstream;
-  return select_node (balancer, pool, &elsewhere, false) != NULL;
+  return burdock_balancer_select (balancer, pool, &elsewhere, false) != NULL;
 }
 
 void
@@ -585,7 +381,7 @@
   BurdockPlacement any = { 0 };
 
   if (pool->waiting_since_us != 0 &&
-      pool_opens_us (balancer, pool, &any) > balancer->now_us)
+      burdock_balancer_opens_us (balancer, pool, &any) > balancer->now_us)
     pool->waiting_since_us = balancer->now_us;
 }
 
@@ -639,7 +435,7 @@
 refill_credit (const BurdockBalancer *balancer, uint64_t elapsed_us)
 {
   double gateways = apr_hash_count (balancer->peers) + 1;
-  uint64_t interval_us = report_interval_us (balancer);
+  uint64_t interval_us = burdock_balancer_report_interval_us (balancer);
 
   for (apr_hash_index_t *at = apr_hash_first (NULL, balancer->groups); at != NULL;
        at = apr_hash_next (at)) {
@@ -680,8 +476,10 @@
   for (uint32_t i = 0; i < balancer->node_count; i++) {
     if (balancer->nodes[i]->rate.limited)
       burdock_rate_share_advance (&balancer->nodes[i]->rate, weight,
-                                  report_interval_us (balancer), elapsed_us,
-                                  next_random (balancer) / RANDOM_RANGE);
+                                  burdock_balancer_report_interval_us (balancer),
+                                  elapsed_us,
+                                  burdock_balancer_random (balancer) /
+                                      BURDOCK_BALANCER_RANDOM_RANGE);
   }
 }
 
--- a/libburdock/balancer.h
+++ b/libburdock/balancer.h
@@ -232,8 +232,8 @@
                                     const BurdockPlacement *placement, uint64_t upstream);
 
 /**
- * burdock_balancer_retry_after_ms() - delay to suggest to the caller of a request that has
- * not run and is not sent again
+ * burdock_balancer_retry_after_ms() - delay to suggest to the caller of a request that
+ * has not run and is not sent again
  */
 uint32_t burdock_balancer_retry_after_ms (BurdockBalancer *balancer,
                                           const BurdockPlacement *placement,
