Order the fields of the overload play

The linter reported padding in OverloadLoad (clang-analyzer-optin.performance). Fields are ordered by size; nothing else changes.

--- a/tests/support/overload-play.h
+++ b/tests/support/overload-play.h
@@ -42,9 +42,9 @@
  */
 typedef struct {
   const char *name;
-  bool streams;
-  uint32_t gateways;
   double per_s;
+  double possible_per_s;
+  uint32_t gateways;
   uint32_t upstreams;
   uint32_t slots;
   uint32_t first_ms;
@@ -52,7 +52,7 @@
   uint32_t closed_ms;
   uint32_t period_ms;
   uint32_t returns;
-  double possible_per_s;
+  bool streams;
   uint32_t kind_count;
   OverloadCallers kinds[OVERLOAD_KINDS_MAX];
 } OverloadLoad;
