Play callers with more and less time against real gateways

The play of the balancer gives it what the gateway should; whether the gateway does was shown by no test.

Scenario equal-callers: two gateways as processes, calls at 1.5 times what the upstreams can end, half of the callers with 3.0 s and half with 2.8 s, as in the users' measurement. The shares that are answered may differ by 0.05, and 0.9 of what the upstreams can end has to be answered.

--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,7 @@
 	python3 tests/soak/scenarios.py faulty-answers --build $(BUILD) --seed $(SEED) --seconds 15 --callers 24
 	python3 tests/soak/scenarios.py silent-poll-all --build $(BUILD) --seed $(SEED) --seconds 12
 	python3 tests/soak/scenarios.py paused-stream --build $(BUILD) --seed $(SEED)
+	python3 tests/soak/scenarios.py equal-callers --build $(BUILD) --seed $(SEED) --seconds 40
 	python3 tests/soak/scenarios.py planned-stop --build $(BUILD) --seed $(SEED) --seconds 45 --callers 24
 	python3 tests/soak/scenarios.py stop-limit --build $(BUILD) --seed $(SEED)
 	python3 tests/soak/scenarios.py stop-end --build $(BUILD) --seed $(SEED)
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -7,6 +7,7 @@
 stream-request: the same with a stream, at upstreams of two groups.
 limit: most upstreams name a limit of requests a second, and a gateway is started meanwhile.
 endless-streams: bodies of streams without end, read quickly and slowly.
+equal-callers: calls whose callers have more or less time, more than upstreams can end.
 faulty-answers: refusals written twice, heads cut, errors where a stream is to be resumed.
 late-row: a row from before the notice of an upstream that leaves is written after it.
 leaving-answers: an upstream says in its answers that it leaves, and the store is silent.
@@ -30,6 +31,7 @@
 
 import soak
 from endless import EndlessStreamsScenario, SlowReadersScenario
+from equal import EqualCallersScenario
 from faulty import FaultyAnswersScenario
 from leaving import (LateRowScenario, LeavingAnswersScenario, PausedStreamScenario,
                      RetryAfterScenario)
@@ -396,7 +398,7 @@
     gateway_count = 3
 
 
-SCENARIOS = {"endless-streams": EndlessBodiesScenario,
+SCENARIOS = {"endless-streams": EndlessBodiesScenario, "equal-callers": EqualCallersScenario,
              "faulty-answers": FaultyAnswersScenario, "late-row": LateRowScenario,
              "leaving-answers": LeavingAnswersScenario,
              "limit": LimitScenario, "odd-rows": OddRowsScenario,
