Log the times from which a refusal followed

An on-call engineer could not see from the logs why a request was refused at once: the times that the decision uses were in no line.

No behaviour changes.

--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -78,6 +78,7 @@
 refuse_forward (BurdockForward *forward, uint32_t retry_after_ms)
 {
   forward->gateway->traffic.counters.refused++;
+  forward->retry_after_ms = retry_after_ms;
   set_outcome (forward, "refused", 503);
   burdock_forward_answer_error (forward->http_request, 503, "{\"error\":\"not run\"}\n",
                                 retry_after_ms);
@@ -366,6 +367,12 @@
   return (int64_t)((forward->received_us - traffic->stop.began_us) / US_PER_MS);
 }
 
+static uint64_t
+allowed_us (const BurdockForward *forward)
+{
+  return forward->deadline_us - forward->received_us;
+}
+
 static void
 log_request (const BurdockForward *forward, bool delivered)
 {
@@ -380,7 +387,8 @@
       "outcome %s status %u route %s pool %s generation %u upstreams %" PRIu64
       " delivered %d sent %u ran %u "
       "reason %s first_ms %u total_ms %u placed_ms %u events %u pause_ms %u "
-      "digest %016" PRIx64 " stop_ms %" PRId64 " slow_caller_ms %u",
+      "digest %016" PRIx64 " stop_ms %" PRId64 " slow_caller_ms %u "
+      "allowed_ms %u first_part_ms %u work_ms %u retry_after_ms %u",
       forward->outcome, forward->final_status, forward->route->name, forward->pool->name,
       (uint32_t)forward->table->version, forward->upstream_version, delivered,
       forward->send_count, forward->run_count, burdock_reason_name (forward->reason),
@@ -390,7 +398,10 @@
           : 0,
       forward->attempt_event_count, (uint32_t)(forward->longest_gap_us / US_PER_MS),
       forward->digest, received_in_stop_ms (forward),
-      (uint32_t)(burdock_forward_paused_us (forward, now_us) / US_PER_MS));
+      (uint32_t)(burdock_forward_paused_us (forward, now_us) / US_PER_MS),
+      (uint32_t)(allowed_us (forward) / US_PER_MS),
+      (uint32_t)(forward->placement.times.first_part_us / US_PER_MS),
+      (uint32_t)(forward->placement.times.work_us / US_PER_MS), forward->retry_after_ms);
 }
 
 /* A request whose answer is not delivered has lost its caller, unless the process ends.
@@ -546,12 +557,6 @@
   apply_action (forward, action);
 }
 
-static uint64_t
-allowed_us (const BurdockForward *forward)
-{
-  return forward->deadline_us - forward->received_us;
-}
-
 static bool
 is_waiting_for_data (const BurdockForward *forward)
 {
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -46,6 +46,7 @@
  * @paused_us: time of all pauses before it
  * @attempt_event_count: events of the current attempt that were delivered
  * @reason: why the request was not placed
+ * @retry_after_ms: delay that was suggested to its caller, 0 for none
  * @upstream_version: version of the last change of the upstreams that was known when the
  *   current or last attempt was sent
  * @sent_us: start of the current or last attempt
@@ -92,6 +93,7 @@
   uint64_t paused_us;
   uint32_t attempt_event_count;
   BurdockReason reason;
+  uint32_t retry_after_ms;
   BurdockEventStream event_stream;
   uint64_t upstream_version;
   uint64_t sent_us;
