Read the id of an event from its own line

Callers saw, if an upstream sends an event with an empty id: all later events of the stream dropped, or the same stream with and without an id, depending on how it arrives.

Cause: event_id() read the number with strtoull(), which skips the ends of lines and so takes the digits of the next event, and gives the highest number for one beyond 64 bits, after which every id is an old one.

The number is now read from the line of the field; one beyond 64 bits is no id.

--- a/libburdock/event-stream.c
+++ b/libburdock/event-stream.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define DECIMAL_BASE 10
 #define ID_FIELD "id:"
 
 void
@@ -54,6 +55,24 @@
   return 0;
 }
 
+/* Number at the start of a field, after spaces; 0 for none and for one beyond 64 bits. */
+static uint64_t
+parse_number (const char *at, const char *end)
+{
+  uint64_t number = 0;
+
+  while (at < end && *at == ' ')
+    at++;
+  for (; at < end && *at >= '0' && *at <= '9'; at++) {
+    uint64_t digit = (uint64_t)(*at - '0');
+
+    if (number > (UINT64_MAX - digit) / DECIMAL_BASE)
+      return 0;
+    number = number * DECIMAL_BASE + digit;
+  }
+  return number;
+}
+
 /* Id of an event, 0 if it has none. */
 static uint64_t
 event_id (const char *event, uint32_t length_bytes)
@@ -64,8 +83,9 @@
   while (line < end) {
     const char *next = memchr (line, '\n', (size_t)(end - line));
 
-    if (strncmp (line, ID_FIELD, strlen (ID_FIELD)) == 0)
-      return strtoull (line + strlen (ID_FIELD), NULL, 10);
+    if ((size_t)(end - line) >= strlen (ID_FIELD) &&
+        memcmp (line, ID_FIELD, strlen (ID_FIELD)) == 0)
+      return parse_number (line + strlen (ID_FIELD), end);
     if (next == NULL)
       return 0;
     line = next + 1;
--- a/tests/test-event-stream.c
+++ b/tests/test-event-stream.c
@@ -43,6 +43,13 @@
     "id: 4\ndata: b\n\n", 4, 1, false },
   { "id after another line", "burdock: 2\nid: 5\ndata: a\n\n", 0,
     "burdock: 2\nid: 5\ndata: a\n\n", 5, 1, false },
+  { "empty id before another event", "id:\n\nid: 7\ndata: a\n\n", 0,
+    "id:\n\nid: 7\ndata: a\n\n", 7, 2, false },
+  { "empty id before digits", "id: \n\n9\n\n", 0, "id: \n\n9\n\n", 0, 2, false },
+  { "id beyond 64 bits", "id: 18446744073709551616\n\nid: 2\n\n", 0,
+    "id: 18446744073709551616\n\nid: 2\n\n", 2, 2, false },
+  { "highest id", "id: 18446744073709551615\n\n", 0, "id: 18446744073709551615\n\n",
+    UINT64_MAX, 1, false },
   { "event without id", ": comment\n\n", 4, ": comment\n\n", 4, 1, false },
 };
 
