--- a/libburdock/balancer-queue.c
+++ b/libburdock/balancer-queue.c
@@ -232,7 +232,7 @@
 
 /* Callers that are refused together come back one after the other. */
 static uint32_t
-spread_ms (BurdockBalancer *balancer, const Pool *pool, uint64_t delay_us)
+delay_with_spread_ms (BurdockBalancer *balancer, const Pool *pool, uint64_t delay_us)
 {
   double spread_us = turnover_us (pool);
 
@@ -251,7 +251,7 @@
 
   balancer->stats.refused++;
   handler->refuse (handler->ctx, handle, decision->reason,
-                   spread_ms (balancer, pool, decision->retry_after_us));
+                   delay_with_spread_ms (balancer, pool, decision->retry_after_us));
 }
 
 uint32_t
@@ -266,8 +266,8 @@
   again.excluded_count = 0;
   view = view_pool (balancer, pool, &again);
   count_waiting (pool, &again, &view);
-  return spread_ms (balancer, pool,
-                    burdock_queue_retry_after_us (&placement->times, &view));
+  return delay_with_spread_ms (balancer, pool,
+                               burdock_queue_retry_after_us (&placement->times, &view));
 }
 
 static void
