--- a/tests/support/overload-play.c
+++ b/tests/support/overload-play.c
@@ -11,7 +11,10 @@
 #define US_PER_S (1000 * US_PER_MS)
 #define STEP_US US_PER_MS
 #define TICK_US (50 * US_PER_MS)
-#define HEARTBEAT_US (100 * US_PER_MS)
+
+/* As gateway/peers.c: with many gateways each receives 160 heartbeats in a second. */
+#define HEARTBEAT_MIN_US (100 * US_PER_MS)
+#define HEARTBEATS_PER_S 160
 #define REPORT_US US_PER_S
 
 /* Callers are counted who come in this time. The first ones find all upstreams idle, and
@@ -20,9 +23,9 @@
 #define COUNT_UNTIL_US (36 * US_PER_S)
 #define LENGTH_US (46 * US_PER_S)
 
-#define GATEWAYS_MAX 16
-#define UPSTREAMS_MAX 32
-#define REQUESTS_MAX 1024
+#define GATEWAYS_MAX 330
+#define UPSTREAMS_MAX 192
+#define REQUESTS_MAX 4096
 #define AT_ONCE_US (200 * US_PER_MS)
 
 typedef enum {
@@ -63,7 +66,8 @@
   Gateway gateways[GATEWAYS_MAX];
   uint32_t running[UPSTREAMS_MAX];
   Request requests[REQUESTS_MAX];
-  uint32_t next_free;
+  uint32_t used; /* requests from there on are free */
+  uint64_t heartbeat_us;
   bool open;
   uint64_t epoch;
   uint64_t useful_us;
@@ -191,11 +195,12 @@
 receive (Play *play)
 {
   const OverloadLoad *load = play->load;
-  Request *request;
+  Request *request = play->requests;
 
-  do {
-    request = &play->requests[play->next_free++ % REQUESTS_MAX];
-  } while (request->phase != REQUEST_NONE);
+  while (request->phase != REQUEST_NONE)
+    request++;
+  if (request == &play->requests[play->used])
+    play->used++;
   *request = (Request){ .kind = draw_kind (play),
                         .counted = play->now_us >= COUNT_FROM_US &&
                                    play->now_us < COUNT_UNTIL_US };
@@ -270,19 +275,26 @@
     submit (play, request);
 }
 
+/* Gateways send their heartbeats at different times. */
+static bool
+is_heartbeat_due (const Play *play, uint32_t gateway)
+{
+  uint64_t phase_us = play->heartbeat_us * gateway / play->load->gateways;
+
+  return (play->now_us + phase_us - phase_us % STEP_US) % play->heartbeat_us == 0;
+}
+
 static void
-exchange_heartbeats (Play *play)
+send_heartbeat (Play *play, uint32_t from)
 {
-  for (uint32_t from = 0; from < play->load->gateways; from++) {
-    BurdockLoadItem items[UPSTREAMS_MAX];
-    uint32_t count =
-        burdock_balancer_own_load (play->gateways[from].balancer, items, UPSTREAMS_MAX);
-
-    for (uint32_t to = 0; to < play->load->gateways; to++) {
-      if (to != from)
-        burdock_balancer_set_peer_load (play->gateways[to].balancer, from + 1,
-                                        HEARTBEAT_US, items, count, play->now_us);
-    }
+  BurdockLoadItem items[UPSTREAMS_MAX];
+  uint32_t count =
+      burdock_balancer_own_load (play->gateways[from].balancer, items, UPSTREAMS_MAX);
+
+  for (uint32_t to = 0; to < play->load->gateways; to++) {
+    if (to != from)
+      burdock_balancer_set_peer_load (play->gateways[to].balancer, from + 1,
+                                      play->heartbeat_us, items, count, play->now_us);
   }
 }
 
@@ -318,7 +330,7 @@
   if (open) {
     play->epoch++;
   } else {
-    for (uint32_t i = 0; i < REQUESTS_MAX; i++) {
+    for (uint32_t i = 0; i < play->used; i++) {
       if (play->requests[i].phase == REQUEST_RUNNING ||
           play->requests[i].phase == REQUEST_QUEUED)
         leave (play, &play->requests[i]);
@@ -336,12 +348,14 @@
     if (play->now_us % REPORT_US == 0)
       report_group (play);
   }
-  for (uint32_t i = 0; i < REQUESTS_MAX; i++) {
+  for (uint32_t i = 0; i < play->used; i++) {
     if (play->requests[i].phase != REQUEST_NONE)
       advance_request (play, &play->requests[i]);
   }
-  if (play->now_us % HEARTBEAT_US == 0)
-    exchange_heartbeats (play);
+  for (uint32_t i = 0; i < play->load->gateways; i++) {
+    if (is_heartbeat_due (play, i))
+      send_heartbeat (play, i);
+  }
   for (uint32_t i = 0; play->now_us % TICK_US == 0 && i < play->load->gateways; i++)
     burdock_balancer_tick (play->gateways[i].balancer, play->now_us);
 }
@@ -366,6 +380,10 @@
     burdock_balancer_set_upstreams (gateway->balancer, upstreams, load->upstreams,
                                     play->now_us);
   }
+  play->heartbeat_us = load->gateways * US_PER_S / HEARTBEATS_PER_S;
+  play->heartbeat_us -= play->heartbeat_us % STEP_US;
+  if (play->heartbeat_us < HEARTBEAT_MIN_US)
+    play->heartbeat_us = HEARTBEAT_MIN_US;
   play->open = true;
   play->epoch = 1;
   if (load->streams)
