--- a/daemon/http-client.c
+++ b/daemon/http-client.c
@@ -1,5 +1,8 @@
 #include "http-client.h"
 
+#include "http-framing.h"
+#include "log.h"
+
 #include <apr_portable.h>
 #include <curl/curl.h>
 #include <errno.h>
@@ -60,6 +63,7 @@
   size_t scanned_bytes;
   bool body_too_long;
   size_t header_bytes;
+  BurdockHttpFraming framing;
   struct curl_slist *headers;
   bool added;
   bool cancelled;
@@ -165,8 +169,12 @@
   result.sent = burdock_http_transfer_is_sent (transfer);
   result.new_connection = connections > 0;
   result.body_too_long = transfer->body_too_long;
+  result.malformed = transfer->framing.malformed;
   if (code == CURLE_OPERATION_TIMEDOUT && !result.sent)
     result.status = -ECONNREFUSED;
+  if (result.malformed != NULL)
+    burdock_log (BURDOCK_LOG_WARNING, "malformed answer", transfer->handle.url, "%s",
+                 result.malformed);
   if (transfer->body != NULL) {
     transfer->body[transfer->body_bytes] = '\0';
     result.body = transfer->body;
@@ -460,24 +468,23 @@
   return length_bytes;
 }
 
-/* libcurl passes the header lines one by one; an empty line ends them. Interim (1xx)
- * responses have headers of their own, which are skipped. */
+/* libcurl passes the header lines one by one, those of interim (1xx) responses and
+ * trailers included. */
 static size_t
 receive_header (char *line, size_t size, size_t count, void *ctx)
 {
   Transfer *transfer = ctx;
+  BurdockHttpFraming *framing = &transfer->framing;
   size_t length_bytes = size * count;
-  long http_status = 0;
+  bool had_head = burdock_http_framing_has_head (framing);
 
   transfer->header_bytes += length_bytes;
-  if (transfer->cancelled || transfer->header_bytes > HEADERS_MAX_BYTES)
+  if (transfer->cancelled || transfer->header_bytes > HEADERS_MAX_BYTES ||
+      burdock_http_framing_read_line (framing, line, length_bytes) < 0)
     return 0;
-  if (transfer->head == NULL || length_bytes > 2 || line[0] != '\r')
-    return length_bytes;
-  curl_easy_getinfo (transfer->handle.easy, CURLINFO_RESPONSE_CODE, &http_status);
-  if (http_status < 200)
+  if (transfer->head == NULL || had_head || !burdock_http_framing_has_head (framing))
     return length_bytes;
-  return transfer->head (transfer->ctx, transfer, (int32_t)http_status) < 0
+  return transfer->head (transfer->ctx, transfer, framing->http_status) < 0
              ? 0
              : length_bytes;
 }
--- a/daemon/http-client.h
+++ b/daemon/http-client.h
@@ -20,13 +20,15 @@
  * struct BurdockHttpResult - outcome of a transfer
  * @status: 0 if the complete response was received; -ECONNREFUSED if no connection was
  *   established, so that nothing reached the peer; -ETIMEDOUT; -EIO if the connection
- *   ended, or a callback ended the transfer, after the request was started
+ *   ended, a callback ended the transfer or the response is malformed, after the request
+ *   was started
  * @http_status: HTTP status code, 0 if none was received
  * @sent: whether a part of the request may have reached the peer
  * @new_connection: whether the transfer opened a connection instead of reusing one
  * @body: response body with a terminating zero, valid during the callback; empty if the
  *   data callback received it
  * @body_too_long: the body was longer than the call allows; @status is -EIO then
+ * @malformed: what is malformed in the response, see http-framing.h; NULL if nothing is
  */
 typedef struct {
   int32_t status;
@@ -36,6 +38,7 @@
   const char *body;
   size_t body_bytes;
   bool body_too_long;
+  const char *malformed;
 } BurdockHttpResult;
 
 /**
--- /dev/null
+++ b/daemon/http-framing.h
@@ -0,0 +1,48 @@
+/**
+ * DOC: http-framing.h - checks the framing of an HTTP/1.1 response, without I/O
+ *
+ * libcurl reads what it can of a malformed head: it uses the digits at the start of a
+ * length, skips lines that are no fields and guesses statuses. The body that it returns
+ * is then not the one that the server sent. This check accepts only what RFC 9112 allows
+ * a server to send, in the one form that leaves no choice of where the body ends.
+ */
+#ifndef BURDOCK_HTTP_FRAMING_H
+#define BURDOCK_HTTP_FRAMING_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** enum BurdockHttpFramingPart - what the next line of a response belongs to */
+typedef enum {
+  BURDOCK_HTTP_STATUS_LINE,
+  BURDOCK_HTTP_FIELDS,
+  BURDOCK_HTTP_TRAILERS,
+} BurdockHttpFramingPart;
+
+/**
+ * struct BurdockHttpFraming - state of the check of one response; zeroed at its start
+ * @http_status: status code of the last status line
+ * @minor_version: x of HTTP/1.x
+ * @malformed: what is malformed, NULL while nothing is
+ */
+typedef struct {
+  BurdockHttpFramingPart part;
+  int32_t http_status;
+  int32_t minor_version;
+  const char *malformed;
+} BurdockHttpFraming;
+
+/**
+ * burdock_http_framing_read_line() - checks the next line of a head or of trailers
+ * @line: with its end
+ * Returns 0, or -EPROTO from the first malformed line on.
+ */
+int burdock_http_framing_read_line (BurdockHttpFraming *framing, const char *line,
+                                    size_t length_bytes);
+
+/** burdock_http_framing_has_head() - whether the head of a final (not interim) response
+ * is complete */
+bool burdock_http_framing_has_head (const BurdockHttpFraming *framing);
+
+#endif
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -284,12 +284,14 @@
   burdock_log_subject (BURDOCK_LOG_INFO, "attempt failed", forward->caller.request_id,
                        forward->upstream.id,
                        "result %d status %d http %d form %d sent %d new %d after_ms %u "
-                       "events %u prompt %s digest %016" PRIx64,
+                       "events %u prompt %s digest %016" PRIx64 "%s%s",
                        attempt_result, result->status, result->http_status,
                        forward->answer_kind, result->sent, result->new_connection,
                        (uint32_t)((burdock_loop_now_us () - forward->sent_us) /
                                   US_PER_MS),
-                       forward->attempt_event_count, prompt, forward->digest);
+                       forward->attempt_event_count, prompt, forward->digest,
+                       result->malformed != NULL ? " malformed: " : "",
+                       result->malformed != NULL ? result->malformed : "");
 }
 
 /* Whether the connection of an attempt ended before its answer, after it was sent. */
--- /dev/null
+++ b/tests/test-malformed-answers.c
@@ -0,0 +1,211 @@
+/* Servers in trouble whose answers are no HTTP/1.1 responses. */
+#include "http-client.h"
+#include "raw-server.h"
+#include "test.h"
+
+#include <apr_general.h>
+#include <curl/curl.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TIMEOUT_MS 2000
+#define BODY_MAX_BYTES 64
+
+#define RAW(text) (text), sizeof (text) - 1
+
+#define OK "HTTP/1.1 200 OK\r\n"
+#define LENGTH "Content-Length: 2\r\n"
+#define CODING "Transfer-Encoding: chunked\r\n"
+#define BODY "\r\nab"
+#define CHUNKS "\r\n2\r\nab\r\n0\r\n\r\n"
+
+typedef struct {
+  const char *name;
+  const char *answer;
+  size_t answer_bytes;
+} MalformedCase;
+
+static const MalformedCase status_cases[] = {
+  { "status 000", RAW ("HTTP/1.1 000 OK\r\n" LENGTH BODY) },
+  { "status 000 in chunks", RAW ("HTTP/1.1 000 OK\r\n" CODING CHUNKS) },
+  { "status 099", RAW ("HTTP/1.1 099 OK\r\n" LENGTH BODY) },
+  { "status 600", RAW ("HTTP/1.1 600 OK\r\n" LENGTH BODY) },
+  { "status 999", RAW ("HTTP/1.1 999 OK\r\n" LENGTH BODY) },
+  { "status with two digits", RAW ("HTTP/1.1 20 OK\r\n" LENGTH BODY) },
+  { "status with four digits", RAW ("HTTP/1.1 2000 OK\r\n" LENGTH BODY) },
+  { "status with a sign", RAW ("HTTP/1.1 +20 OK\r\n" LENGTH BODY) },
+  { "status with a letter", RAW ("HTTP/1.1 20O OK\r\n" LENGTH BODY) },
+  { "no status", RAW ("HTTP/1.1 OK\r\n" LENGTH BODY) },
+  { "no blank after the status", RAW ("HTTP/1.1 200OK\r\n" LENGTH BODY) },
+  { "two blanks before the status", RAW ("HTTP/1.1  200 OK\r\n" LENGTH BODY) },
+  { "tab before the status", RAW ("HTTP/1.1\t200 OK\r\n" LENGTH BODY) },
+  { "control byte in the reason", RAW ("HTTP/1.1 200 O\x01K\r\n" LENGTH BODY) },
+  { "another protocol that looks alike", RAW ("HTTP 200 OK\r\n" LENGTH BODY) },
+  { "blank before the status line", RAW (" " OK LENGTH BODY) },
+  { "unknown minor version", RAW ("HTTP/1.7 200 OK\r\n" LENGTH BODY) },
+  { "HTTP/2", RAW ("HTTP/2 200 OK\r\n" LENGTH BODY) },
+  { "small letters", RAW ("http/1.1 200 OK\r\n" LENGTH BODY) },
+  { "switch to another protocol", RAW ("HTTP/1.1 101 x\r\nUpgrade: x\r\n" BODY) },
+};
+
+typedef struct {
+  const char *name;
+  const char *answer;
+  size_t answer_bytes;
+  int32_t http_status;
+  const char *body;
+} SoundCase;
+
+#define FIELD(line) RAW (OK LENGTH line "\r\n" BODY), 200, "ab"
+
+static const SoundCase sound_cases[] = {
+  { "length", RAW (OK LENGTH BODY), 200, "ab" },
+  { "chunks", RAW (OK CODING CHUNKS), 200, "ab" },
+  { "neither, to the end of the connection", RAW (OK BODY), 200, "ab" },
+  { "HTTP/1.0", RAW ("HTTP/1.0 200 OK\r\n" LENGTH BODY), 200, "ab" },
+  { "empty reason", RAW ("HTTP/1.1 200 \r\n" LENGTH BODY), 200, "ab" },
+  { "no reason", RAW ("HTTP/1.1 200\r\n" LENGTH BODY), 200, "ab" },
+  { "bytes above 127 in a reason", RAW ("HTTP/1.1 200 \xc3\xa9\r\n" LENGTH BODY), 200,
+    "ab" },
+  { "least status of a final answer", RAW ("HTTP/1.1 200 x\r\n" LENGTH BODY), 200, "ab" },
+  { "largest status", RAW ("HTTP/1.1 599 x\r\n" LENGTH BODY), 599, "ab" },
+  { "zeros before a length", RAW (OK "Content-Length: 002\r\n" BODY), 200, "ab" },
+  { "blanks around a length", RAW (OK "Content-Length: \t2 \t\r\n" BODY), 200, "ab" },
+  { "no blank before a length", RAW (OK "Content-Length:2\r\n" BODY), 200, "ab" },
+  { "small letters", RAW (OK "content-length: 2\r\n" BODY), 200, "ab" },
+  { "the same length twice", RAW (OK LENGTH LENGTH BODY), 200, "ab" },
+  { "the same length in a list", RAW (OK "Content-Length: 2, 2\r\n" BODY), 200, "ab" },
+  { "capital letters", RAW (OK "TRANSFER-ENCODING: CHUNKED\r\n" CHUNKS), 200, "ab" },
+  { "length of an empty answer", RAW ("HTTP/1.1 204 x\r\nContent-Length: 0\r\n\r\n"), 204,
+    "" },
+  { "length of an unchanged answer", RAW ("HTTP/1.1 304 x\r\nContent-Length: 2\r\n\r\n"),
+    304, "" },
+  { "interim answer", RAW ("HTTP/1.1 103 x\r\nX-A: b\r\n\r\n" OK LENGTH BODY), 200,
+    "ab" },
+  { "empty value", FIELD ("X-A:") },
+  { "blanks in a value", FIELD ("X-A: b c\td") },
+  { "bytes above 127 in a value", FIELD ("X-A: \xc3\xa9") },
+  { "all letters of names", FIELD ("!#$%&'*+-.^_`|~09azAZ: b") },
+  { "colon in a value", FIELD ("X-A: b: c") },
+  { "chunk extension", RAW (OK CODING "\r\n2;x=y\r\nab\r\n0\r\n\r\n"), 200, "ab" },
+  { "blanks after the size of a chunk", RAW (OK CODING "\r\n2  \r\nab\r\n0\r\n\r\n"), 200,
+    "ab" },
+  { "zeros before the size of a chunk", RAW (OK CODING "\r\n0002\r\nab\r\n000\r\n\r\n"),
+    200, "ab" },
+  { "trailer", RAW (OK CODING "\r\n2\r\nab\r\n0\r\nX-T: y\r\n\r\n"), 200, "ab" },
+};
+
+/**
+ * struct Call - a request, and what its sender is told
+ * @head_calls: how often the head callback was called
+ */
+typedef struct {
+  BurdockLoop *loop;
+  uint32_t head_calls;
+  int32_t status;
+  int32_t http_status;
+  char body[BODY_MAX_BYTES];
+} Call;
+
+static int
+count_head (void *ctx, BurdockHttpTransfer *transfer, int32_t http_status)
+{
+  Call *call = ctx;
+
+  call->head_calls++;
+  return 0;
+}
+
+static void
+call_done (void *ctx, const BurdockHttpResult *result)
+{
+  Call *call = ctx;
+
+  call->status = result->status;
+  call->http_status = result->http_status;
+  snprintf (call->body, sizeof call->body, "%s", result->body);
+  burdock_loop_stop (call->loop);
+}
+
+/* Sends a request to a server that answers with the given bytes. */
+static Call
+receive (const char *answer, size_t answer_bytes)
+{
+  RawServer *server = raw_server_start (answer, answer_bytes);
+  Call call = { .loop = burdock_loop_new () };
+  BurdockHttpClient *client = burdock_http_client_new (call.loop);
+  char url[64];
+  BurdockHttpCall options = { .method = "POST",
+                              .url = url,
+                              .timeout_ms = TIMEOUT_MS,
+                              .ctx = &call,
+                              .head = count_head,
+                              .done = call_done };
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%u", raw_server_port (server));
+  CU_ASSERT_EQUAL (burdock_http_client_start (client, &options), 0);
+  burdock_loop_run (call.loop);
+  burdock_http_client_free (client);
+  burdock_loop_free (call.loop);
+  raw_server_stop (server);
+  return call;
+}
+
+static void
+check_malformed (const MalformedCase *cases, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++) {
+    Call call = receive (cases[i].answer, cases[i].answer_bytes);
+
+    if (call.status == -EIO)
+      continue;
+    printf ("%s: status %d, HTTP %d, body \"%s\"\n", cases[i].name, call.status,
+            call.http_status, call.body);
+    CU_FAIL ("a malformed answer was accepted");
+  }
+}
+
+/* Guards against an answer whose status is a guess. */
+static void
+malformed_status_lines_are_refused (void)
+{
+  check_malformed (status_cases, TEST_COUNT (status_cases));
+}
+
+/* Guards against a check that refuses what servers may send. */
+static void
+sound_answers_are_complete (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (sound_cases); i++) {
+    const SoundCase *test = &sound_cases[i];
+    Call call = receive (test->answer, test->answer_bytes);
+
+    if (call.status == 0 && call.http_status == test->http_status &&
+        strcmp (call.body, test->body) == 0 && call.head_calls == 1)
+      continue;
+    printf ("%s: status %d, HTTP %d, body \"%s\"\n", test->name, call.status,
+            call.http_status, call.body);
+    CU_FAIL ("a sound answer was refused");
+  }
+}
+
+static const Test tests[] = {
+  { "an answer with a malformed status line is taken for one",
+    malformed_status_lines_are_refused },
+  { "a sound answer is refused", sound_answers_are_complete },
+};
+
+int
+main (void)
+{
+  int status;
+
+  apr_initialize ();
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  status = test_main ("malformed-answers", tests, TEST_COUNT (tests));
+  curl_global_cleanup ();
+  apr_terminate ();
+  return status;
+}
