--- a/daemon/http-framing.c
+++ b/daemon/http-framing.c
@@ -84,6 +84,34 @@
   return 0;
 }
 
+/* Whether a field name may contain @byte (RFC 9110, section 5.6.2). */
+static bool
+is_name_byte (char byte)
+{
+  return is_digit (byte) || (byte >= 'a' && byte <= 'z') ||
+         (byte >= 'A' && byte <= 'Z') ||
+         (byte != '\0' && strchr ("!#$%&'*+-.^_`|~", byte) != NULL);
+}
+
+/* Also refuses a line that goes on with the field before it: RFC 9112 forbids servers to
+ * send one, and clients differ in how they read it. */
+static int
+read_field (BurdockHttpFraming *framing, const char *line, size_t length_bytes)
+{
+  const char *colon = memchr (line, ':', length_bytes);
+
+  if (colon == NULL)
+    return refuse (framing, "a line of the head is no field");
+  if (colon == line)
+    return refuse (framing, "a field has no name");
+  for (const char *at = line; at < colon; at++)
+    if (!is_name_byte (*at))
+      return refuse (framing, "the name of a field has a byte that names cannot have");
+  if (has_control (colon, length_bytes - (size_t)(colon - line)))
+    return refuse (framing, "the value of a field has a control byte");
+  return 0;
+}
+
 static int
 end_head (BurdockHttpFraming *framing)
 {
@@ -104,7 +132,8 @@
   length_bytes -= 2;
   if (framing->part == BURDOCK_HTTP_STATUS_LINE)
     return read_status_line (framing, line, length_bytes);
-  return length_bytes == 0 ? end_head (framing) : 0;
+  return length_bytes == 0 ? end_head (framing)
+                           : read_field (framing, line, length_bytes);
 }
 
 bool
--- a/tests/test-malformed-answers.c
+++ b/tests/test-malformed-answers.c
@@ -50,6 +50,45 @@
   { "switch to another protocol", RAW ("HTTP/1.1 101 x\r\nUpgrade: x\r\n" BODY) },
 };
 
+static const MalformedCase field_cases[] = {
+  { "no colon", RAW (OK LENGTH "X-A b\r\n" BODY) },
+  { "no colon after the name of the length", RAW (OK "Content-Length 2\r\n" BODY) },
+  { "a word", RAW (OK LENGTH "spoilt\r\n" BODY) },
+  { "no name", RAW (OK LENGTH ": b\r\n" BODY) },
+  { "blank in a name", RAW (OK LENGTH "X A: b\r\n" BODY) },
+  { "blank in the name of the length", RAW (OK "Content Length: 2\r\n" BODY) },
+  { "blank before the colon", RAW (OK LENGTH "X-A : b\r\n" BODY) },
+  { "blank after the name of the length", RAW (OK "Content-Length : 2\r\n" BODY) },
+  { "blank after the name of the coding",
+    RAW (OK "Transfer-Encoding : chunked\r\n" CHUNKS) },
+  { "tab in a name", RAW (OK LENGTH "X\tA: b\r\n" BODY) },
+  { "tab before the colon", RAW (OK LENGTH "X-A\t: b\r\n" BODY) },
+  { "control byte in a name", RAW (OK LENGTH "X\x01-A: b\r\n" BODY) },
+  { "control byte before the colon of the length",
+    RAW (OK "Content-Length\x0b: 2\r\n" BODY) },
+  { "delete in a name", RAW (OK LENGTH "X\x7f: b\r\n" BODY) },
+  { "zero in a name", RAW (OK LENGTH "X\0A: b\r\n" BODY) },
+  { "byte above 127 in a name", RAW (OK LENGTH "X\xe9: b\r\n" BODY) },
+  { "brackets in a name", RAW (OK LENGTH "X(A): b\r\n" BODY) },
+  { "quotes in a name", RAW (OK LENGTH "\"X\": b\r\n" BODY) },
+  { "first field begins with a blank", RAW (OK " Content-Length: 2\r\n" BODY) },
+  { "field begins with a blank", RAW (OK LENGTH "X-A: b\r\n c\r\n" BODY) },
+  { "field begins with a tab", RAW (OK LENGTH "X-A: b\r\n\tc\r\n" BODY) },
+  { "length in a folded line", RAW (OK "X-A: b\r\n Content-Length: 2\r\n" BODY) },
+  { "control byte in a value", RAW (OK LENGTH "X-A: b\x02\r\n" BODY) },
+  { "zero in a value", RAW (OK LENGTH "X-A: b\0c\r\n" BODY) },
+  { "delete in a value", RAW (OK LENGTH "X-A: \x7f\r\n" BODY) },
+  { "carriage return in a value", RAW (OK LENGTH "X-A: b\rX-B: c\r\n" BODY) },
+  { "line that ends without a carriage return", RAW (OK "X-A: b\n" LENGTH BODY) },
+  { "head that ends without a carriage return", RAW (OK LENGTH "\nab") },
+  { "two carriage returns", RAW (OK LENGTH "X-A: b\r\r\n" BODY) },
+  { "field of an interim answer",
+    RAW ("HTTP/1.1 103 x\r\nX A: b\r\n\r\n" OK LENGTH BODY) },
+  { "trailer without a colon", RAW (OK CODING "\r\n2\r\nab\r\n0\r\nspoilt\r\n\r\n") },
+  { "blank in the name of a trailer",
+    RAW (OK CODING "\r\n2\r\nab\r\n0\r\nX A: b\r\n\r\n") },
+};
+
 typedef struct {
   const char *name;
   const char *answer;
@@ -174,6 +213,13 @@
   check_malformed (status_cases, TEST_COUNT (status_cases));
 }
 
+/* Guards against an answer of which a line was ignored, or passed on as a field. */
+static void
+malformed_fields_are_refused (void)
+{
+  check_malformed (field_cases, TEST_COUNT (field_cases));
+}
+
 /* Guards against a check that refuses what servers may send. */
 static void
 sound_answers_are_complete (void)
@@ -194,6 +240,8 @@
 static const Test tests[] = {
   { "an answer with a malformed status line is taken for one",
     malformed_status_lines_are_refused },
+  { "an answer with a line that is no field is taken for one",
+    malformed_fields_are_refused },
   { "a sound answer is refused", sound_answers_are_complete },
 };
 
