--- a/daemon/http-framing.c
+++ b/daemon/http-framing.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <string.h>
+#include <strings.h>
 
 #define VERSION_TEXT "HTTP/1."
 #define STATUS_DIGITS 3
@@ -9,6 +10,12 @@
 #define STATUS_MIN 100
 #define STATUS_MAX 599
 #define SWITCHING_PROTOCOLS 101
+#define NO_CONTENT 204
+
+typedef struct {
+  const char *text;
+  size_t length_bytes;
+} Span;
 
 static int
 refuse (BurdockHttpFraming *framing, const char *reason)
@@ -93,12 +100,84 @@
          (byte != '\0' && strchr ("!#$%&'*+-.^_`|~", byte) != NULL);
 }
 
+static bool
+equals (Span span, const char *text)
+{
+  return span.length_bytes == strlen (text) &&
+         strncasecmp (span.text, text, span.length_bytes) == 0;
+}
+
+static bool
+is_blank (char byte)
+{
+  return byte == ' ' || byte == '\t';
+}
+
+static Span
+trim (Span span)
+{
+  while (span.length_bytes > 0 && is_blank (span.text[0])) {
+    span.text++;
+    span.length_bytes--;
+  }
+  while (span.length_bytes > 0 && is_blank (span.text[span.length_bytes - 1]))
+    span.length_bytes--;
+  return span;
+}
+
+/* Returns false for anything but digits, and above the range of libcurl. */
+static bool
+parse_length (Span digits, uint64_t *out)
+{
+  *out = 0;
+  for (size_t i = 0; i < digits.length_bytes; i++) {
+    if (!is_digit (digits.text[i]) ||
+        *out > (INT64_MAX - (uint64_t)(digits.text[i] - '0')) / 10)
+      return false;
+    *out = *out * 10 + (uint64_t)(digits.text[i] - '0');
+  }
+  return digits.length_bytes > 0;
+}
+
+/* The value may be a list, and the field may come again, if all lengths are the same. */
+static int
+read_length (BurdockHttpFraming *framing, Span list)
+{
+  while (true) {
+    const char *comma = memchr (list.text, ',', list.length_bytes);
+    size_t item_bytes = comma != NULL ? (size_t)(comma - list.text) : list.length_bytes;
+    uint64_t body_bytes;
+
+    if (!parse_length (trim ((Span){ list.text, item_bytes }), &body_bytes))
+      return refuse (framing, "the Content-Length is no number");
+    if (framing->has_length && body_bytes != framing->body_bytes)
+      return refuse (framing, "the head has two values of Content-Length");
+    framing->has_length = true;
+    framing->body_bytes = body_bytes;
+    if (comma == NULL)
+      return 0;
+    list = (Span){ comma + 1, list.length_bytes - item_bytes - 1 };
+  }
+}
+
+/* Requests ask for no other coding (TE). */
+static int
+read_coding (BurdockHttpFraming *framing, Span coding)
+{
+  if (framing->chunked || !equals (coding, "chunked"))
+    return refuse (framing, "the Transfer-Encoding is not chunked");
+  framing->chunked = true;
+  return 0;
+}
+
 /* Also refuses a line that goes on with the field before it: RFC 9112 forbids servers to
  * send one, and clients differ in how they read it. */
 static int
 read_field (BurdockHttpFraming *framing, const char *line, size_t length_bytes)
 {
   const char *colon = memchr (line, ':', length_bytes);
+  Span name;
+  Span value;
 
   if (colon == NULL)
     return refuse (framing, "a line of the head is no field");
@@ -109,14 +188,33 @@
       return refuse (framing, "the name of a field has a byte that names cannot have");
   if (has_control (colon, length_bytes - (size_t)(colon - line)))
     return refuse (framing, "the value of a field has a control byte");
-  return 0;
+  name = (Span){ line, (size_t)(colon - line) };
+  value = trim ((Span){ colon + 1, length_bytes - name.length_bytes - 1 });
+  if (framing->part == BURDOCK_HTTP_TRAILERS)
+    return 0;
+  if (equals (name, "Content-Length"))
+    return read_length (framing, value);
+  return equals (name, "Transfer-Encoding") ? read_coding (framing, value) : 0;
 }
 
+/* Checks the fields that tell the length of the body against each other and against the
+ * status. */
 static int
 end_head (BurdockHttpFraming *framing)
 {
-  framing->part = framing->http_status < FINAL_STATUS_MIN ? BURDOCK_HTTP_STATUS_LINE
-                                                          : BURDOCK_HTTP_TRAILERS;
+  bool interim = framing->http_status < FINAL_STATUS_MIN;
+
+  if (framing->has_length && framing->chunked)
+    return refuse (framing, "the head has a Content-Length and a Transfer-Encoding");
+  if (framing->chunked && framing->minor_version == 0)
+    return refuse (framing, "HTTP/1.0 has no Transfer-Encoding");
+  /* libcurl would read the final answer in the chunks of an interim one. */
+  if ((interim || framing->http_status == NO_CONTENT) &&
+      (framing->chunked || framing->body_bytes > 0))
+    return refuse (framing, "an answer with this status has no body");
+  framing->part = BURDOCK_HTTP_TRAILERS;
+  if (interim)
+    *framing = (BurdockHttpFraming){ 0 };
   return 0;
 }
 
--- a/daemon/http-framing.h
+++ b/daemon/http-framing.h
@@ -24,12 +24,18 @@
  * struct BurdockHttpFraming - state of the check of one response; zeroed at its start
  * @http_status: status code of the last status line
  * @minor_version: x of HTTP/1.x
+ * @has_length: the head has a Content-Length
+ * @body_bytes: its value
+ * @chunked: the head has the Transfer-Encoding chunked
  * @malformed: what is malformed, NULL while nothing is
  */
 typedef struct {
   BurdockHttpFramingPart part;
   int32_t http_status;
   int32_t minor_version;
+  bool has_length;
+  bool chunked;
+  uint64_t body_bytes;
   const char *malformed;
 } BurdockHttpFraming;
 
--- a/tests/test-malformed-answers.c
+++ b/tests/test-malformed-answers.c
@@ -50,6 +50,42 @@
   { "switch to another protocol", RAW ("HTTP/1.1 101 x\r\nUpgrade: x\r\n" BODY) },
 };
 
+static const MalformedCase length_cases[] = {
+  { "letter after a length", RAW (OK "Content-Length: 2x\r\n" BODY) },
+  { "length of letters", RAW (OK "Content-Length: xy\r\n" BODY) },
+  { "empty length", RAW (OK "Content-Length:\r\n" BODY) },
+  { "negative length", RAW (OK "Content-Length: -2\r\n" BODY) },
+  { "length with a sign", RAW (OK "Content-Length: +2\r\n" BODY) },
+  { "hexadecimal length", RAW (OK "Content-Length: 0x2\r\n" BODY) },
+  { "fraction", RAW (OK "Content-Length: 2.0\r\n" BODY) },
+  { "exponent", RAW (OK "Content-Length: 2e0\r\n" BODY) },
+  { "two lengths in one value", RAW (OK "Content-Length: 2, 1\r\n" BODY) },
+  { "length with a blank", RAW (OK "Content-Length: 2 1\r\n" BODY) },
+  { "list that ends with a comma", RAW (OK "Content-Length: 2,\r\n" BODY) },
+  { "two lengths", RAW (OK "Content-Length: 1\r\n" LENGTH BODY) },
+  { "length above 64 bits", RAW (OK "Content-Length: 99999999999999999999999\r\n" BODY) },
+  { "length above 63 bits", RAW (OK "Content-Length: 9223372036854775808\r\n" BODY) },
+  { "length and chunks", RAW (OK LENGTH CODING CHUNKS) },
+  { "chunks and length", RAW (OK CODING LENGTH CHUNKS) },
+  { "unknown coding", RAW (OK "Transfer-Encoding: chunky\r\n" CHUNKS) },
+  { "empty coding", RAW (OK "Transfer-Encoding:\r\n" CHUNKS) },
+  { "identity", RAW (OK "Transfer-Encoding: identity\r\n" BODY) },
+  { "chunks in chunks", RAW (OK "Transfer-Encoding: chunked, chunked\r\n" CHUNKS) },
+  { "coding twice", RAW (OK CODING CODING CHUNKS) },
+  { "coding with a parameter", RAW (OK "Transfer-Encoding: chunked;x\r\n" CHUNKS) },
+  { "coding with a letter more", RAW (OK "Transfer-Encoding: chunkedx\r\n" CHUNKS) },
+  { "chunks in HTTP/1.0", RAW ("HTTP/1.0 200 OK\r\n" CODING CHUNKS) },
+  { "length of an answer without a body",
+    RAW ("HTTP/1.1 204 x\r\nContent-Length: 2\r\n" BODY) },
+  { "chunks of an answer without a body", RAW ("HTTP/1.1 204 x\r\n" CODING CHUNKS) },
+};
+
+static const MalformedCase interim_cases[] = {
+  { "length of an interim answer",
+    RAW ("HTTP/1.1 103 x\r\nContent-Length: 1\r\n\r\n" OK BODY) },
+  { "chunks of an interim answer", RAW ("HTTP/1.1 103 x\r\n" CODING "\r\n" OK CHUNKS) },
+};
+
 static const MalformedCase field_cases[] = {
   { "no colon", RAW (OK LENGTH "X-A b\r\n" BODY) },
   { "no colon after the name of the length", RAW (OK "Content-Length 2\r\n" BODY) },
@@ -121,6 +157,8 @@
     "" },
   { "length of an unchanged answer", RAW ("HTTP/1.1 304 x\r\nContent-Length: 2\r\n\r\n"),
     304, "" },
+  { "interim answer with an empty body",
+    RAW ("HTTP/1.1 103 x\r\nContent-Length: 0\r\n\r\n" OK LENGTH BODY), 200, "ab" },
   { "interim answer", RAW ("HTTP/1.1 103 x\r\nX-A: b\r\n\r\n" OK LENGTH BODY), 200,
     "ab" },
   { "empty value", FIELD ("X-A:") },
@@ -213,6 +251,20 @@
   check_malformed (status_cases, TEST_COUNT (status_cases));
 }
 
+/* Guards against a body that was cut at a length that its server did not mean. */
+static void
+malformed_lengths_are_refused (void)
+{
+  check_malformed (length_cases, TEST_COUNT (length_cases));
+}
+
+/* Guards against a final answer that is read in the chunks of an interim one. */
+static void
+lengths_of_interim_answers_are_refused (void)
+{
+  check_malformed (interim_cases, TEST_COUNT (interim_cases));
+}
+
 /* Guards against an answer of which a line was ignored, or passed on as a field. */
 static void
 malformed_fields_are_refused (void)
@@ -240,8 +292,12 @@
 static const Test tests[] = {
   { "an answer with a malformed status line is taken for one",
     malformed_status_lines_are_refused },
+  { "an answer with a malformed length is taken for a complete one",
+    malformed_lengths_are_refused },
   { "an answer with a line that is no field is taken for one",
     malformed_fields_are_refused },
+  { "the length of an interim answer is used for the final one",
+    lengths_of_interim_answers_are_refused },
   { "a sound answer is refused", sound_answers_are_complete },
 };
 
