--- a/daemon/http-client.c
+++ b/daemon/http-client.c
@@ -157,13 +157,17 @@
   return sent_bytes > 0;
 }
 
-/* libcurl takes a head that ends with the connection, or at a zero byte, for a whole one.
- */
-static bool
-lacks_head (const Transfer *transfer, CURLcode code)
+/* What is malformed in the response of a transfer, or NULL. libcurl takes a head that
+ * ends with the connection, or at a zero byte, for a whole one. */
+static const char *
+find_malformed (const Transfer *transfer, CURLcode code)
 {
-  return code == CURLE_OK && !transfer->connect_only &&
-         !burdock_http_framing_has_head (&transfer->framing);
+  const BurdockHttpFraming *framing = &transfer->framing;
+
+  if (code == CURLE_OK && !transfer->connect_only && framing->malformed == NULL &&
+      !burdock_http_framing_has_head (framing))
+    return "the head has no end";
+  return framing->malformed;
 }
 
 static void
@@ -179,16 +183,14 @@
   result.sent = burdock_http_transfer_is_sent (transfer);
   result.new_connection = connections > 0;
   result.body_too_long = transfer->body_too_long;
-  result.malformed = transfer->framing.malformed;
-  if (lacks_head (transfer, code)) {
-    result.status = -EIO;
-    result.malformed = "the head has no end";
-  }
+  result.malformed = find_malformed (transfer, code);
   if (code == CURLE_OPERATION_TIMEDOUT && !result.sent)
     result.status = -ECONNREFUSED;
-  if (result.malformed != NULL)
+  if (result.malformed != NULL) {
+    result.status = -EIO;
     burdock_log (BURDOCK_LOG_WARNING, "malformed answer", transfer->handle.url, "%s",
                  result.malformed);
+  }
   if (transfer->body != NULL) {
     transfer->body[transfer->body_bytes] = '\0';
     result.body = transfer->body;
@@ -451,7 +453,7 @@
   size_t length_bytes = size * count;
   long http_status = 0;
 
-  if (transfer->cancelled)
+  if (transfer->cancelled || transfer->framing.malformed != NULL)
     return 0;
   if (transfer->accepts != NULL && !transfer->accepts (transfer->ctx)) {
     transfer->paused = true;
@@ -482,6 +484,19 @@
   return length_bytes;
 }
 
+/* Receives all that libcurl reports of a transfer. Only here does a body come as its
+ * server has sent it: libcurl decodes chunks leniently, and reads "0x2" as the last one.
+ */
+static int
+check_body (CURL *easy, curl_infotype type, char *data, size_t length_bytes, void *ctx)
+{
+  Transfer *transfer = ctx;
+
+  if (type == CURLINFO_DATA_IN)
+    burdock_http_framing_read_body (&transfer->framing, data, length_bytes);
+  return 0;
+}
+
 /* libcurl passes the header lines one by one, those of interim (1xx) responses and
  * trailers included. */
 static size_t
@@ -581,6 +596,8 @@
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, receive_body);
   curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, receive_header);
   curl_easy_setopt (easy, CURLOPT_SOCKOPTFUNCTION, enable_keepalive);
+  curl_easy_setopt (easy, CURLOPT_VERBOSE, 1L);
+  curl_easy_setopt (easy, CURLOPT_DEBUGFUNCTION, check_body);
   if (call->at_most_once)
     curl_easy_setopt (easy, CURLOPT_PREREQFUNCTION, refuse_resend);
   if (strcmp (call->method, "HEAD") == 0)
@@ -686,6 +703,7 @@
   curl_easy_setopt (transfer->handle.easy, CURLOPT_WRITEDATA, transfer);
   curl_easy_setopt (transfer->handle.easy, CURLOPT_HEADERDATA, transfer);
   curl_easy_setopt (transfer->handle.easy, CURLOPT_PREREQDATA, transfer);
+  curl_easy_setopt (transfer->handle.easy, CURLOPT_DEBUGDATA, transfer);
   curl_easy_setopt (transfer->handle.easy, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
   set_connection (transfer->handle.easy, call);
   set_headers (transfer, call);
--- a/daemon/http-framing.c
+++ b/daemon/http-framing.c
@@ -190,7 +190,7 @@
     return refuse (framing, "the value of a field has a control byte");
   name = (Span){ line, (size_t)(colon - line) };
   value = trim ((Span){ colon + 1, length_bytes - name.length_bytes - 1 });
-  if (framing->part == BURDOCK_HTTP_TRAILERS)
+  if (framing->part == BURDOCK_HTTP_BODY)
     return 0;
   if (equals (name, "Content-Length"))
     return read_length (framing, value);
@@ -212,7 +212,7 @@
   if ((interim || framing->http_status == NO_CONTENT) &&
       (framing->chunked || framing->body_bytes > 0))
     return refuse (framing, "an answer with this status has no body");
-  framing->part = BURDOCK_HTTP_TRAILERS;
+  framing->part = BURDOCK_HTTP_BODY;
   if (interim)
     *framing = (BurdockHttpFraming){ 0 };
   return 0;
@@ -234,8 +234,131 @@
                            : read_field (framing, line, length_bytes);
 }
 
+/* Returns -1 for a byte that is no hexadecimal digit. */
+static int
+digit_value (char byte)
+{
+  if (is_digit (byte))
+    return byte - '0';
+  if (byte >= 'a' && byte <= 'f')
+    return byte - 'a' + 10;
+  return byte >= 'A' && byte <= 'F' ? byte - 'A' + 10 : -1;
+}
+
+static int
+read_size_digit (BurdockHttpFraming *framing, char byte)
+{
+  int value = digit_value (byte);
+
+  if (value < 0 || framing->chunk_bytes > INT64_MAX >> 4)
+    return refuse (framing, "the size of a chunk is no number");
+  framing->chunk_bytes = framing->chunk_bytes << 4 | (uint64_t)value;
+  framing->chunk_part = BURDOCK_HTTP_CHUNK_SIZE;
+  return 0;
+}
+
+/* Reads what may follow the digits of a size: blanks, an extension, the end of the line.
+ */
+static int
+read_after_size (BurdockHttpFraming *framing, char byte)
+{
+  bool in_extension = framing->chunk_part == BURDOCK_HTTP_CHUNK_EXTENSION;
+
+  if (byte == '\r')
+    framing->chunk_part = BURDOCK_HTTP_CHUNK_SIZE_LF;
+  else if (byte == ';')
+    framing->chunk_part = BURDOCK_HTTP_CHUNK_EXTENSION;
+  else if (is_blank (byte) && !in_extension)
+    framing->chunk_part = BURDOCK_HTTP_CHUNK_SIZE_BLANKS;
+  else if (!in_extension || is_control (byte))
+    return refuse (framing, "the size of a chunk is no number");
+  return 0;
+}
+
+static int
+expect (BurdockHttpFraming *framing, char byte, char expected, BurdockHttpChunkPart next)
+{
+  if (byte != expected)
+    return refuse (framing, "a chunk does not end where its size tells");
+  framing->chunk_part = next;
+  return 0;
+}
+
+static int
+read_trailer_byte (BurdockHttpFraming *framing, char byte)
+{
+  bool begin = framing->chunk_part == BURDOCK_HTTP_TRAILER_BEGIN;
+
+  if (byte == '\n')
+    return refuse (framing, "a line does not end with CR and LF");
+  if (byte != '\r')
+    framing->chunk_part = BURDOCK_HTTP_TRAILER;
+  else
+    framing->chunk_part = begin ? BURDOCK_HTTP_CHUNKS_LF : BURDOCK_HTTP_TRAILER_LF;
+  return 0;
+}
+
+/* Reads any byte of a chunked body that is no data of a chunk. */
+static int
+read_chunk_byte (BurdockHttpFraming *framing, char byte)
+{
+  switch (framing->chunk_part) {
+  case BURDOCK_HTTP_CHUNK_SIZE_BEGIN:
+    framing->chunk_bytes = 0;
+    return read_size_digit (framing, byte);
+  case BURDOCK_HTTP_CHUNK_SIZE:
+    return digit_value (byte) >= 0 ? read_size_digit (framing, byte)
+                                   : read_after_size (framing, byte);
+  case BURDOCK_HTTP_CHUNK_SIZE_BLANKS:
+  case BURDOCK_HTTP_CHUNK_EXTENSION:
+    return read_after_size (framing, byte);
+  case BURDOCK_HTTP_CHUNK_SIZE_LF:
+    return expect (framing, byte, '\n',
+                   framing->chunk_bytes > 0 ? BURDOCK_HTTP_CHUNK_DATA
+                                            : BURDOCK_HTTP_TRAILER_BEGIN);
+  case BURDOCK_HTTP_CHUNK_DATA_CR:
+    return expect (framing, byte, '\r', BURDOCK_HTTP_CHUNK_DATA_LF);
+  case BURDOCK_HTTP_CHUNK_DATA_LF:
+    return expect (framing, byte, '\n', BURDOCK_HTTP_CHUNK_SIZE_BEGIN);
+  case BURDOCK_HTTP_TRAILER_LF:
+    return expect (framing, byte, '\n', BURDOCK_HTTP_TRAILER_BEGIN);
+  case BURDOCK_HTTP_CHUNKS_LF:
+    return expect (framing, byte, '\n', BURDOCK_HTTP_CHUNKS_END);
+  default:
+    return read_trailer_byte (framing, byte);
+  }
+}
+
+int
+burdock_http_framing_read_body (BurdockHttpFraming *framing, const char *data,
+                                size_t length_bytes)
+{
+  size_t at = 0;
+
+  if (framing->malformed != NULL)
+    return -EPROTO;
+  if (!framing->chunked || framing->part != BURDOCK_HTTP_BODY)
+    return 0;
+  while (at < length_bytes && framing->chunk_part != BURDOCK_HTTP_CHUNKS_END) {
+    size_t left_bytes = length_bytes - at;
+
+    if (framing->chunk_part != BURDOCK_HTTP_CHUNK_DATA) {
+      if (read_chunk_byte (framing, data[at++]) < 0)
+        return -EPROTO;
+      continue;
+    }
+    if (left_bytes > framing->chunk_bytes)
+      left_bytes = framing->chunk_bytes;
+    at += left_bytes;
+    framing->chunk_bytes -= left_bytes;
+    if (framing->chunk_bytes == 0)
+      framing->chunk_part = BURDOCK_HTTP_CHUNK_DATA_CR;
+  }
+  return 0;
+}
+
 bool
 burdock_http_framing_has_head (const BurdockHttpFraming *framing)
 {
-  return framing->part == BURDOCK_HTTP_TRAILERS && framing->malformed == NULL;
+  return framing->part == BURDOCK_HTTP_BODY && framing->malformed == NULL;
 }
--- a/daemon/http-framing.h
+++ b/daemon/http-framing.h
@@ -13,13 +13,30 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/** enum BurdockHttpFramingPart - what the next line of a response belongs to */
+/** enum BurdockHttpFramingPart - what comes next in a response */
 typedef enum {
   BURDOCK_HTTP_STATUS_LINE,
   BURDOCK_HTTP_FIELDS,
-  BURDOCK_HTTP_TRAILERS,
+  BURDOCK_HTTP_BODY,
 } BurdockHttpFramingPart;
 
+/** enum BurdockHttpChunkPart - what the next byte of a chunked body belongs to */
+typedef enum {
+  BURDOCK_HTTP_CHUNK_SIZE_BEGIN,
+  BURDOCK_HTTP_CHUNK_SIZE,
+  BURDOCK_HTTP_CHUNK_SIZE_BLANKS,
+  BURDOCK_HTTP_CHUNK_EXTENSION,
+  BURDOCK_HTTP_CHUNK_SIZE_LF,
+  BURDOCK_HTTP_CHUNK_DATA,
+  BURDOCK_HTTP_CHUNK_DATA_CR,
+  BURDOCK_HTTP_CHUNK_DATA_LF,
+  BURDOCK_HTTP_TRAILER_BEGIN,
+  BURDOCK_HTTP_TRAILER,
+  BURDOCK_HTTP_TRAILER_LF,
+  BURDOCK_HTTP_CHUNKS_LF,
+  BURDOCK_HTTP_CHUNKS_END,
+} BurdockHttpChunkPart;
+
 /**
  * struct BurdockHttpFraming - state of the check of one response; zeroed at its start
  * @http_status: status code of the last status line
@@ -27,6 +44,7 @@
  * @has_length: the head has a Content-Length
  * @body_bytes: its value
  * @chunked: the head has the Transfer-Encoding chunked
+ * @chunk_bytes: size of the current chunk, less what has passed of it
  * @malformed: what is malformed, NULL while nothing is
  */
 typedef struct {
@@ -36,6 +54,8 @@
   bool has_length;
   bool chunked;
   uint64_t body_bytes;
+  BurdockHttpChunkPart chunk_part;
+  uint64_t chunk_bytes;
   const char *malformed;
 } BurdockHttpFraming;
 
@@ -47,6 +67,18 @@
 int burdock_http_framing_read_line (BurdockHttpFraming *framing, const char *line,
                                     size_t length_bytes);
 
+/**
+ * burdock_http_framing_read_body() - checks the next bytes of a body, before its chunks
+ * are decoded
+ *
+ * Bytes after the last chunk belong to no response and are not checked, nor are those of
+ * a body that is not chunked. The content of trailers is left to
+ * burdock_http_framing_read_line().
+ * Returns 0, or -EPROTO from the first malformed chunk on.
+ */
+int burdock_http_framing_read_body (BurdockHttpFraming *framing, const char *data,
+                                    size_t length_bytes);
+
 /** burdock_http_framing_has_head() - whether the head of a final (not interim) response
  * is complete */
 bool burdock_http_framing_has_head (const BurdockHttpFraming *framing);
--- a/tests/test-malformed-answers.c
+++ b/tests/test-malformed-answers.c
@@ -86,6 +86,35 @@
   { "chunks of an interim answer", RAW ("HTTP/1.1 103 x\r\n" CODING "\r\n" OK CHUNKS) },
 };
 
+#define CHUNKED OK CODING "\r\n"
+#define LAST_CHUNK "0\r\n\r\n"
+
+static const MalformedCase chunk_cases[] = {
+  { "letter after a size", RAW (CHUNKED "2x\r\nab\r\n" LAST_CHUNK) },
+  { "hexadecimal prefix", RAW (CHUNKED "0x2\r\nab\r\n" LAST_CHUNK) },
+  { "hexadecimal prefix before a field",
+    RAW (CHUNKED "0x8\r\na: b\r\n\r\n\r\n" LAST_CHUNK) },
+  { "hexadecimal prefix before an event",
+    RAW (CHUNKED "0xe\r\nid: 1\ndata: a\n\n\r\n" LAST_CHUNK) },
+  { "size with a sign", RAW (CHUNKED "+2\r\nab\r\n" LAST_CHUNK) },
+  { "two sizes", RAW (CHUNKED "2 1\r\nab\r\n" LAST_CHUNK) },
+  { "no size", RAW (CHUNKED "\r\nab\r\n" LAST_CHUNK) },
+  { "size after a blank", RAW (CHUNKED " 2\r\nab\r\n" LAST_CHUNK) },
+  { "control byte after a size", RAW (CHUNKED "2\x01\r\nab\r\n" LAST_CHUNK) },
+  { "zero after a size", RAW (CHUNKED "2\0\r\nab\r\n" LAST_CHUNK) },
+  { "size that ends without a carriage return", RAW (CHUNKED "2\nab\r\n" LAST_CHUNK) },
+  { "size that ends with a carriage return", RAW (CHUNKED "2\rab\r\n" LAST_CHUNK) },
+  { "size above 64 bits", RAW (CHUNKED "20000000000000002\r\nab\r\n" LAST_CHUNK) },
+  { "chunk that ends without a carriage return", RAW (CHUNKED "2\r\nab\n" LAST_CHUNK) },
+  { "chunk that ends with two carriage returns",
+    RAW (CHUNKED "2\r\nab\r\r\n" LAST_CHUNK) },
+  { "chunk longer than its size", RAW (CHUNKED "1\r\nab\r\n" LAST_CHUNK) },
+  { "last chunk with letters", RAW (CHUNKED "2\r\nab\r\n0OK\r\n\r\n") },
+  { "end without a carriage return", RAW (CHUNKED "2\r\nab\r\n0\r\n\n") },
+  { "trailer that ends without a carriage return",
+    RAW (CHUNKED "2\r\nab\r\n0\r\nX-T: y\n\r\n") },
+};
+
 static const MalformedCase field_cases[] = {
   { "no colon", RAW (OK LENGTH "X-A b\r\n" BODY) },
   { "no colon after the name of the length", RAW (OK "Content-Length 2\r\n" BODY) },
@@ -266,6 +295,13 @@
   check_malformed (interim_cases, TEST_COUNT (interim_cases));
 }
 
+/* Guards against an answer that ends early at a malformed size of a chunk. */
+static void
+malformed_chunks_are_refused (void)
+{
+  check_malformed (chunk_cases, TEST_COUNT (chunk_cases));
+}
+
 /* Guards against an answer of which a line was ignored, or passed on as a field. */
 static void
 malformed_fields_are_refused (void)
@@ -299,6 +335,8 @@
     malformed_fields_are_refused },
   { "the length of an interim answer is used for the final one",
     lengths_of_interim_answers_are_refused },
+  { "an answer with malformed chunks is taken for a complete one",
+    malformed_chunks_are_refused },
   { "a sound answer is refused", sound_answers_are_complete },
 };
 
