--- a/daemon/http-client.c
+++ b/daemon/http-client.c
@@ -492,8 +492,9 @@
 {
   Transfer *transfer = ctx;
 
-  if (type == CURLINFO_DATA_IN)
-    burdock_http_framing_read_body (&transfer->framing, data, length_bytes);
+  if (type == CURLINFO_DATA_IN &&
+      burdock_http_framing_read_body (&transfer->framing, data, length_bytes) < 0)
+    curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
   return 0;
 }
 
@@ -511,7 +512,10 @@
   if (transfer->cancelled || transfer->header_bytes > HEADERS_MAX_BYTES ||
       burdock_http_framing_read_line (framing, line, length_bytes) < 0)
     return 0;
-  if (transfer->head == NULL || had_head || !burdock_http_framing_has_head (framing))
+  if (had_head || !burdock_http_framing_has_head (framing))
+    return length_bytes;
+  curl_easy_setopt (transfer->handle.easy, CURLOPT_FORBID_REUSE, 0L);
+  if (transfer->head == NULL)
     return length_bytes;
   return transfer->head (transfer->ctx, transfer, framing->http_status) < 0
              ? 0
@@ -659,7 +663,8 @@
   curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT,
                     call->fresh_connection || call->connect_only ? 1L : 0L);
   curl_easy_setopt (easy, CURLOPT_CONNECT_ONLY, call->connect_only ? 1L : 0L);
-  curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, call->connect_only ? 1L : 0L);
+  /* Until the head of its answer has been checked. */
+  curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
   curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN,
                     (long)(call->max_idle_s > 0 ? call->max_idle_s : DEFAULT_MAX_IDLE_S));
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
--- a/tests/test-malformed-answers.c
+++ b/tests/test-malformed-answers.c
@@ -1,6 +1,7 @@
 /* Servers in trouble whose answers are no HTTP/1.1 responses. */
 #include "http-client.h"
 #include "raw-server.h"
+#include "script-server.h"
 #include "test.h"
 
 #include <apr_general.h>
@@ -213,6 +214,7 @@
   uint32_t head_calls;
   int32_t status;
   int32_t http_status;
+  bool new_connection;
   char body[BODY_MAX_BYTES];
 } Call;
 
@@ -232,17 +234,15 @@
 
   call->status = result->status;
   call->http_status = result->http_status;
+  call->new_connection = result->new_connection;
   snprintf (call->body, sizeof call->body, "%s", result->body);
   burdock_loop_stop (call->loop);
 }
 
-/* Sends a request to a server that answers with the given bytes. */
 static Call
-receive (const char *answer, size_t answer_bytes)
+send_request (BurdockHttpClient *client, BurdockLoop *loop, uint16_t port)
 {
-  RawServer *server = raw_server_start (answer, answer_bytes);
-  Call call = { .loop = burdock_loop_new () };
-  BurdockHttpClient *client = burdock_http_client_new (call.loop);
+  Call call = { .loop = loop };
   char url[64];
   BurdockHttpCall options = { .method = "POST",
                               .url = url,
@@ -251,11 +251,23 @@
                               .head = count_head,
                               .done = call_done };
 
-  snprintf (url, sizeof url, "http://127.0.0.1:%u", raw_server_port (server));
+  snprintf (url, sizeof url, "http://127.0.0.1:%u", port);
   CU_ASSERT_EQUAL (burdock_http_client_start (client, &options), 0);
-  burdock_loop_run (call.loop);
+  burdock_loop_run (loop);
+  return call;
+}
+
+/* Sends a request to a server that answers with the given bytes. */
+static Call
+receive (const char *answer, size_t answer_bytes)
+{
+  RawServer *server = raw_server_start (answer, answer_bytes);
+  BurdockLoop *loop = burdock_loop_new ();
+  BurdockHttpClient *client = burdock_http_client_new (loop);
+  Call call = send_request (client, loop, raw_server_port (server));
+
   burdock_http_client_free (client);
-  burdock_loop_free (call.loop);
+  burdock_loop_free (loop);
   raw_server_stop (server);
   return call;
 }
@@ -326,6 +338,51 @@
   }
 }
 
+typedef struct {
+  const char *name;
+  const char *answer;
+  bool reused;
+} ReuseCase;
+
+/* libcurl reads each of them to its end and keeps the connection open. */
+static const ReuseCase reuse_cases[] = {
+  { "sound answer", OK LENGTH BODY, true },
+  { "sound chunks", OK CODING CHUNKS, true },
+  { "answer without a body", "HTTP/1.1 204 x\r\n\r\n", true },
+  { "malformed end of a chunk", CHUNKED "2\r\nab\n" LAST_CHUNK, false },
+  { "malformed end of an empty body", CHUNKED "0\r\n\n", false },
+  { "malformed size of the last chunk", CHUNKED "0 1\r\n\r\n", false },
+  { "malformed end of the chunks", CHUNKED "2\r\nab\r\n0\r\n\n", false },
+  { "malformed length", OK "Content-Length: 2x\r\n" BODY, false },
+};
+
+/* Guards against bytes of a malformed answer that are read as the start of the next one.
+ */
+static void
+connections_of_malformed_answers_are_closed (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (reuse_cases); i++) {
+    const char *const answers[] = { reuse_cases[i].answer, OK LENGTH BODY };
+    ScriptServer *server = script_server_start (answers, TEST_COUNT (answers));
+    BurdockLoop *loop = burdock_loop_new ();
+    BurdockHttpClient *client = burdock_http_client_new (loop);
+    uint16_t port = script_server_port (server);
+    Call first = send_request (client, loop, port);
+    Call second = send_request (client, loop, port);
+
+    CU_ASSERT_EQUAL (first.status == 0, reuse_cases[i].reused);
+    CU_ASSERT_EQUAL (second.status, 0);
+    if (second.new_connection == reuse_cases[i].reused) {
+      printf ("%s: new connection %d\n", reuse_cases[i].name, second.new_connection);
+      CU_FAIL (
+          "a connection is kept after a malformed answer, or closed after a sound one");
+    }
+    burdock_http_client_free (client);
+    burdock_loop_free (loop);
+    script_server_stop (server);
+  }
+}
+
 static const Test tests[] = {
   { "an answer with a malformed status line is taken for one",
     malformed_status_lines_are_refused },
@@ -337,6 +394,8 @@
     lengths_of_interim_answers_are_refused },
   { "an answer with malformed chunks is taken for a complete one",
     malformed_chunks_are_refused },
+  { "a connection is used again after a malformed answer",
+    connections_of_malformed_answers_are_closed },
   { "a sound answer is refused", sound_answers_are_complete },
 };
 
