--- a/cli/client.c
+++ b/cli/client.c
@@ -1,5 +1,6 @@
 #include "auth.h"
 #include "cli.h"
+#include "http-framing.h"
 
 #include <curl/curl.h>
 #include <errno.h>
@@ -99,6 +100,30 @@
   return added_bytes;
 }
 
+static size_t
+check_header (char *line, size_t size, size_t count, void *ctx)
+{
+  return burdock_http_framing_read_line (ctx, line, size * count) == 0 ? size * count : 0;
+}
+
+static int
+check_body (CURL *curl, curl_infotype type, char *data, size_t length_bytes, void *ctx)
+{
+  if (type == CURLINFO_DATA_IN)
+    burdock_http_framing_read_body (ctx, data, length_bytes);
+  return 0;
+}
+
+static void
+set_framing_check (CURL *curl, BurdockHttpFraming *framing)
+{
+  curl_easy_setopt (curl, CURLOPT_HEADERFUNCTION, check_header);
+  curl_easy_setopt (curl, CURLOPT_HEADERDATA, framing);
+  curl_easy_setopt (curl, CURLOPT_VERBOSE, 1L);
+  curl_easy_setopt (curl, CURLOPT_DEBUGFUNCTION, check_body);
+  curl_easy_setopt (curl, CURLOPT_DEBUGDATA, framing);
+}
+
 static struct curl_slist *
 auth_header (const Cli *cli, const char *method, const char *target, BurdockBytes body)
 {
@@ -135,6 +160,7 @@
 {
   CURL *curl = curl_easy_init ();
   struct curl_slist *headers = auth_header (cli, method, target, body);
+  BurdockHttpFraming framing = { 0 };
   char url[URL_BYTES];
   curl_off_t connected_us = 0;
   CURLcode code;
@@ -149,6 +175,7 @@
   curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, (long)cli->timeout_ms);
   curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, append_body);
   curl_easy_setopt (curl, CURLOPT_WRITEDATA, response);
+  set_framing_check (curl, &framing);
   if (strcmp (method, "POST") == 0) {
     curl_easy_setopt (curl, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)body.length_bytes);
     curl_easy_setopt (curl, CURLOPT_POSTFIELDS, body.data);
@@ -158,8 +185,10 @@
   curl_easy_getinfo (curl, CURLINFO_CONNECT_TIME_T, &connected_us);
   curl_slist_free_all (headers);
   curl_easy_cleanup (curl);
+  if (code == CURLE_OK && !burdock_http_framing_has_head (&framing))
+    code = CURLE_WEIRD_SERVER_REPLY;
   if (code != CURLE_OK)
-    /* A truncated answer is not evaluated. */
+    /* A truncated or malformed answer is not evaluated. */
     response->body_bytes = 0;
   if (code == CURLE_OPERATION_TIMEDOUT && connected_us == 0)
     return CLI_CALL_NOT_SENT;
--- a/daemon/http-framing.h
+++ b/daemon/http-framing.h
@@ -71,6 +71,8 @@
  * burdock_http_framing_read_body() - checks the next bytes of a body, before its chunks
  * are decoded
  *
+ * libcurl passes them only to CURLOPT_DEBUGFUNCTION, as CURLINFO_DATA_IN.
+ *
  * Bytes after the last chunk belong to no response and are not checked, nor are those of
  * a body that is not chunked. The content of trailers is left to
  * burdock_http_framing_read_line().
