--- a/daemon/http-client.c
+++ b/daemon/http-client.c
@@ -164,10 +164,15 @@
 {
   const BurdockHttpFraming *framing = &transfer->framing;
 
-  if (code == CURLE_OK && !transfer->connect_only && framing->malformed == NULL &&
+  if (framing->malformed != NULL)
+    return framing->malformed;
+  if (code == CURLE_WEIRD_SERVER_REPLY || code == CURLE_UNSUPPORTED_PROTOCOL ||
+      code == CURLE_BAD_CONTENT_ENCODING)
+    return "libcurl cannot read the head";
+  if (code == CURLE_OK && !transfer->connect_only &&
       !burdock_http_framing_has_head (framing))
     return "the head has no end";
-  return framing->malformed;
+  return NULL;
 }
 
 static void
--- /dev/null
+++ b/tests/soak/malformed.py
@@ -0,0 +1,100 @@
+"""Upstreams in trouble whose answers are no HTTP/1.1 responses."""
+import asyncio
+import random
+import re
+import time
+
+from soak import Soak
+from standin import Runner, answer, body_of, event_count
+
+MALFORMED_RATE = 0.2
+
+FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9a-z-]+")
+
+
+def length(text):
+    """Replaces the line with the length of the body, which comes first."""
+    def change(lines, size):
+        return [lines[0], text.format(size=size, half=size // 2)] + lines[2:]
+    return change
+
+
+def line(text):
+    def change(lines, size):
+        return lines + [text]
+    return change
+
+
+def status(code):
+    def change(lines, size):
+        return [f"HTTP/1.1 {code} x"] + lines[1:]
+    return change
+
+
+# Ways to spoil the lines of a head.
+FORMS = [
+    status("000"), status("2000"), status("20O"),
+    length("Content-Length: {size}x"), length("Content-Length: 0x{size:x}"),
+    length("Content-Length: {size}, {half}"), length("Content-Length: +{half}"),
+    length("Content-Length: {half}\r\nContent-Length: {size}"),
+    length("Content-Length: {size}\r\nContent-Length: {half}"),
+    length("Content-Length: {half} {size}"), length("Content-Length: {half}.0"),
+    length("Content-Length : {size}"), length("Content Length: {size}"),
+    length("Content-Length\v: {size}"), length("Content-Length {size}"),
+    length("Transfer-Encoding : chunked"), length("Transfer-Encoding: chunked, chunked"),
+    line("spoilt"), line(": b"), line(" folded"), line("X A: b"), line("X-A : b"),
+    line("X\x01A: b"), line("X\tA: b"), line("X-A: \x02"),
+]
+
+
+class MalformedRunner(Runner):
+    """Spoils the heads of some answers, and closes their connections."""
+
+    async def work(self, path, attempt, headers, writer):
+        if random.random() >= MALFORMED_RATE:
+            return await super().work(path, attempt, headers, writer)
+        body, more = body_of(attempt), []
+        if path.startswith("/stream/"):
+            first = int(headers.get("last-event-id", 0)) + 1
+            body = "".join(f"id: {n}\ndata: {attempt}-{n}\n\n"
+                           for n in range(first, event_count(attempt) + 1)).encode()
+            more = [("Content-Type", "text/event-stream")]
+        await asyncio.sleep(random.uniform(*self.work_s))
+        sound = answer(200, body, self.answer_headers(attempt) + more)
+        lines = sound[:sound.index(b"\r\n\r\n")].decode().split("\r\n")
+        lines = random.choice(FORMS)(lines, len(body))
+        counts = self.check.malformed_counts
+        counts[attempt] = counts.get(attempt, 0) + 1
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+        await writer.drain()
+        return False
+
+
+class MalformedAnswersScenario(Soak):
+    """Beside the check of each answer of the soak: no malformed answer reaches a caller."""
+
+    runner_class = MalformedRunner
+
+    def __init__(self, options):
+        super().__init__(options)
+        self.check.malformed_counts = {}
+
+    def check_answer(self, kind, attempt, status, headers, body):
+        super().check_answer(kind, attempt, status, headers, body)
+        spoilt = [name for name in headers if name and not FIELD_NAME.fullmatch(name)]
+        if spoilt or not 200 <= status <= 599:
+            self.check.add_violation("MIXED", f"{attempt} ({kind}) received a malformed head: "
+                                              f"{status} {spoilt}")
+        malformed = self.check.malformed_counts.get(attempt, 0)
+        if status == 200 and malformed and malformed == self.check.run_counts[attempt]:
+            self.check.add_violation("MIXED", f"{attempt} ({kind}) received a malformed answer")
+
+    async def run(self):
+        end_time = time.monotonic() + self.options.seconds
+        await asyncio.gather(*(self.caller(lambda: end_time)
+                               for _ in range(self.options.callers)))
+        served = sum(count for key, count in self.outcome_counts.items() if key.endswith("200"))
+        if served * 2 < sum(self.outcome_counts.values()):
+            self.check.add_violation("LOST", f"only {served} requests were served")
+        if len(self.check.malformed_counts) < self.options.callers:
+            self.check.add_violation("SETUP", "too few malformed answers to judge")
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -8,6 +8,7 @@
 limit: most upstreams name a limit of requests a second, and a gateway is started meanwhile.
 endless-streams: bodies of streams without end, read quickly and slowly.
 equal-callers: calls whose callers have more or less time, more than upstreams can end.
+malformed-answers: answers whose heads are no heads of HTTP/1.1.
 faulty-answers: refusals written twice, heads cut, errors where a stream is to be resumed.
 late-row: a row from before the notice of an upstream that leaves is written after it.
 leaving-answers: an upstream says in its answers that it leaves, and the store is silent.
@@ -35,6 +36,7 @@
 from faulty import FaultyAnswersScenario
 from leaving import (LateRowScenario, LeavingAnswersScenario, PausedStreamScenario,
                      RetryAfterScenario)
+from malformed import MalformedAnswersScenario
 from oddrows import OddRowsMixin
 from restored import RestoredScenario
 from standin import CRASHING_PART, CRASHING_PATH, CRASHING_STREAM_PATH, Runner
@@ -401,7 +403,8 @@
 SCENARIOS = {"endless-streams": EndlessBodiesScenario, "equal-callers": EqualCallersScenario,
              "faulty-answers": FaultyAnswersScenario, "late-row": LateRowScenario,
              "leaving-answers": LeavingAnswersScenario,
-             "limit": LimitScenario, "odd-rows": OddRowsScenario,
+             "limit": LimitScenario, "malformed-answers": MalformedAnswersScenario,
+             "odd-rows": OddRowsScenario,
              "paused-stream": PausedStreamScenario,
              "planned-stop": PlannedStopScenario, "prompt-part": PromptPartScenario,
              "request": RequestScenario, "restored": RestoredScenario,
