--- a/Makefile
+++ b/Makefile
@@ -69,7 +69,7 @@
 	$(BUILD)/bench/explore-switch --seed $(SEED)
 
 FUZZ_SECONDS ?= 60
-FUZZ_TARGETS ?= config event-stream maps message rows
+FUZZ_TARGETS ?= config event-stream http-framing maps message rows
 FUZZ_PACKAGES = apr-1 glib-2.0 jansson libcurl libmicrohttpd libsodium msgpack yaml-0.1
 FUZZ_FLAGS = -g -O1 -std=gnu11 -D_GNU_SOURCE -DBURDOCK_VERSION='"fuzz"' \
   -fsanitize=fuzzer,address,undefined -fno-sanitize-recover=undefined \
