--- a/daemon/http-framing.c
+++ b/daemon/http-framing.c
@@ -12,6 +12,8 @@
 #define SWITCHING_PROTOCOLS 101
 #define NO_CONTENT 204
 
+#define NO_LINE_END "a line does not end with CR and LF"
+
 typedef struct {
   const char *text;
   size_t length_bytes;
@@ -226,7 +228,7 @@
     return -EPROTO;
   if (length_bytes < 2 || line[length_bytes - 2] != '\r' ||
       line[length_bytes - 1] != '\n')
-    return refuse (framing, "a line does not end with CR and LF");
+    return refuse (framing, NO_LINE_END);
   length_bytes -= 2;
   if (framing->part == BURDOCK_HTTP_STATUS_LINE)
     return read_status_line (framing, line, length_bytes);
@@ -278,8 +280,12 @@
 static int
 expect (BurdockHttpFraming *framing, char byte, char expected, BurdockHttpChunkPart next)
 {
+  bool after_data = framing->chunk_part == BURDOCK_HTTP_CHUNK_DATA_CR ||
+                    framing->chunk_part == BURDOCK_HTTP_CHUNK_DATA_LF;
+
   if (byte != expected)
-    return refuse (framing, "a chunk does not end where its size tells");
+    return refuse (framing, after_data ? "a chunk does not end where its size tells"
+                                       : NO_LINE_END);
   framing->chunk_part = next;
   return 0;
 }
@@ -290,7 +296,7 @@
   bool begin = framing->chunk_part == BURDOCK_HTTP_TRAILER_BEGIN;
 
   if (byte == '\n')
-    return refuse (framing, "a line does not end with CR and LF");
+    return refuse (framing, NO_LINE_END);
   if (byte != '\r')
     framing->chunk_part = BURDOCK_HTTP_TRAILER;
   else
--- a/daemon/http-framing.h
+++ b/daemon/http-framing.h
@@ -39,11 +39,13 @@
 
 /**
  * struct BurdockHttpFraming - state of the check of one response; zeroed at its start
+ * @part: what comes next; lines that come with the body are trailers
  * @http_status: status code of the last status line
  * @minor_version: x of HTTP/1.x
  * @has_length: the head has a Content-Length
  * @body_bytes: its value
  * @chunked: the head has the Transfer-Encoding chunked
+ * @chunk_part: what comes next in a chunked body
  * @chunk_bytes: size of the current chunk, less what has passed of it
  * @malformed: what is malformed, NULL while nothing is
  */
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -372,6 +372,8 @@
   record_stream (forward);
   if (result->new_connection)
     forward->gateway->traffic.counters.connections++;
+  if (result->malformed != NULL)
+    forward->gateway->traffic.counters.malformed++;
   if (attempt_result != BURDOCK_ATTEMPT_COMPLETE)
     log_failed_attempt (forward, attempt_result, result);
   else if (is_whole_answer (forward))
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -99,6 +99,7 @@
  * @resumed: streams that were resumed at another upstream
  * @events: stream events delivered
  * @connections: connections opened to upstreams
+ * @malformed: answers of upstreams that were no HTTP/1.1 responses
  * @quarantined: requests refused because a part of their prompt crashes upstreams
  * @stop_requests: requests received in a planned stop
  * @stop_given_up: requests that may have run and that were given up at the end of the
@@ -119,6 +120,7 @@
   uint64_t resumed;
   uint64_t events;
   uint64_t connections;
+  uint64_t malformed;
   uint64_t quarantined;
   uint64_t stop_requests;
   uint64_t stop_given_up;
--- a/gateway/local-endpoints.c
+++ b/gateway/local-endpoints.c
@@ -100,6 +100,7 @@
     { "burdock_streams_resumed_total", counters->resumed },
     { "burdock_events_total", counters->events },
     { "burdock_upstream_connections_total", counters->connections },
+    { "burdock_malformed_answers_total", counters->malformed },
     { "burdock_requests_quarantined_total", counters->quarantined },
     { "burdock_stop_requests_total", counters->stop_requests },
     { "burdock_parts_quarantined", burdock_part_quarantine_count (traffic->quarantine) },
--- a/tests/soak/malformed.py
+++ b/tests/soak/malformed.py
@@ -12,20 +12,20 @@
 FIELD_NAME = re.compile(r"[!#$%&'*+.^_`|~0-9a-z-]+")
 
 
-def length(text):
+def with_length(text):
     """Replaces the line with the length of the body, which comes first."""
     def change(lines, size):
         return [lines[0], text.format(size=size, half=size // 2)] + lines[2:]
     return change
 
 
-def line(text):
+def with_line(text):
     def change(lines, size):
         return lines + [text]
     return change
 
 
-def status(code):
+def with_status(code):
     def change(lines, size):
         return [f"HTTP/1.1 {code} x"] + lines[1:]
     return change
@@ -33,17 +33,18 @@
 
 # Ways to spoil the lines of a head.
 FORMS = [
-    status("000"), status("2000"), status("20O"),
-    length("Content-Length: {size}x"), length("Content-Length: 0x{size:x}"),
-    length("Content-Length: {size}, {half}"), length("Content-Length: +{half}"),
-    length("Content-Length: {half}\r\nContent-Length: {size}"),
-    length("Content-Length: {size}\r\nContent-Length: {half}"),
-    length("Content-Length: {half} {size}"), length("Content-Length: {half}.0"),
-    length("Content-Length : {size}"), length("Content Length: {size}"),
-    length("Content-Length\v: {size}"), length("Content-Length {size}"),
-    length("Transfer-Encoding : chunked"), length("Transfer-Encoding: chunked, chunked"),
-    line("spoilt"), line(": b"), line(" folded"), line("X A: b"), line("X-A : b"),
-    line("X\x01A: b"), line("X\tA: b"), line("X-A: \x02"),
+    with_status("000"), with_status("2000"), with_status("20O"),
+    with_length("Content-Length: {size}x"), with_length("Content-Length: 0x{size:x}"),
+    with_length("Content-Length: {size}, {half}"), with_length("Content-Length: +{half}"),
+    with_length("Content-Length: {half}\r\nContent-Length: {size}"),
+    with_length("Content-Length: {size}\r\nContent-Length: {half}"),
+    with_length("Content-Length: {half} {size}"), with_length("Content-Length: {half}.0"),
+    with_length("Content-Length : {size}"), with_length("Content Length: {size}"),
+    with_length("Content-Length\v: {size}"), with_length("Content-Length {size}"),
+    with_length("Transfer-Encoding : chunked"), with_length("Transfer-Encoding: chunked, chunked"),
+    with_line("spoilt"), with_line(": b"), with_line(" folded"), with_line("X A: b"),
+    with_line("X-A : b"),
+    with_line("X\x01A: b"), with_line("X\tA: b"), with_line("X-A: \x02"),
 ]
 
 
