--- a/tests/soak/malformed.py
+++ b/tests/soak/malformed.py
@@ -2,9 +2,8 @@
 import asyncio
 import random
 import re
-import time
 
-from soak import Soak
+from faulty import FaultyAnswersScenario
 from standin import Runner, answer, body_of, event_count
 
 MALFORMED_RATE = 0.2
@@ -71,7 +70,7 @@
         return False
 
 
-class MalformedAnswersScenario(Soak):
+class MalformedAnswersScenario(FaultyAnswersScenario):
     """Beside the check of each answer of the soak: no malformed answer reaches a caller."""
 
     runner_class = MalformedRunner
@@ -91,11 +90,6 @@
             self.check.add_violation("MIXED", f"{attempt} ({kind}) received a malformed answer")
 
     async def run(self):
-        end_time = time.monotonic() + self.options.seconds
-        await asyncio.gather(*(self.caller(lambda: end_time)
-                               for _ in range(self.options.callers)))
-        served = sum(count for key, count in self.outcome_counts.items() if key.endswith("200"))
-        if served * 2 < sum(self.outcome_counts.values()):
-            self.check.add_violation("LOST", f"only {served} requests were served")
+        await super().run()
         if len(self.check.malformed_counts) < self.options.callers:
             self.check.add_violation("SETUP", "too few malformed answers to judge")
