Check that no caller gets an answer with status 000

On another system an upstream's answer with status 000 reached the caller. Here libcurl and the check of heads refuse it.

--- a/tests/soak/malformed.py
+++ b/tests/soak/malformed.py
@@ -50,6 +50,8 @@
 class MalformedRunner(Runner):
     """Spoils the heads of some answers, and closes their connections."""
 
+    forms = FORMS
+
     async def work(self, path, attempt, headers, writer):
         if random.random() >= MALFORMED_RATE:
             return await super().work(path, attempt, headers, writer)
@@ -62,9 +64,10 @@
         await asyncio.sleep(random.uniform(*self.work_s))
         sound = answer(200, body, self.answer_headers(attempt) + more)
         lines = sound[:sound.index(b"\r\n\r\n")].decode().split("\r\n")
-        lines = random.choice(FORMS)(lines, len(body))
+        lines = random.choice(self.forms)(lines, len(body))
         counts = self.check.malformed_counts
         counts[attempt] = counts.get(attempt, 0) + 1
+        self.check.malformed_paths.add(path.split("/")[1])
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
         await writer.drain()
         return False
@@ -77,7 +80,7 @@
 
     def __init__(self, options):
         super().__init__(options)
-        self.check.malformed_counts = {}
+        self.check.malformed_counts, self.check.malformed_paths = {}, set()
 
     def check_answer(self, kind, attempt, status, headers, body):
         super().check_answer(kind, attempt, status, headers, body)
@@ -93,3 +96,31 @@
         await super().run()
         if len(self.check.malformed_counts) < self.options.callers:
             self.check.add_violation("SETUP", "too few malformed answers to judge")
+
+
+def with_status_line(text, line=None):
+    def change(lines, size):
+        return [text] + lines[1:] + ([line] if line else [])
+    return change
+
+
+class ZeroStatusRunner(MalformedRunner):
+    """Answers with the status 000, at times with a statement that the request did not run."""
+
+    forms = [with_status_line("HTTP/1.1 000"), with_status_line("HTTP/1.1 000 "),
+             with_status_line("HTTP/1.1 000 OK"), with_status_line("HTTP/1.0 000 OK"),
+             with_status_line("HTTP/1.1 000 OK", "Connection: close"),
+             with_status_line("HTTP/1.1 000 x", "Burdockwind-Not-Executed: 1")]
+
+
+class ZeroStatusScenario(MalformedAnswersScenario):
+    """Guards against an answer with status 000 that is passed on, for each kind of request."""
+
+    runner_class = ZeroStatusRunner
+
+    async def run(self):
+        await super().run()
+        missing = {prefix.strip("/").split("/")[0]
+                   for prefix, _, _ in self.kinds.values()} - self.check.malformed_paths
+        if missing:
+            self.check.add_violation("SETUP", f"no answer with status 000 for {missing}")
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -9,6 +9,7 @@
 endless-streams: bodies of streams without end, read quickly and slowly.
 equal-callers: calls whose callers have more or less time, more than upstreams can end.
 malformed-answers: answers whose heads are no heads of HTTP/1.1.
+zero-status: answers with the status 000, to each kind of request.
 faulty-answers: refusals written twice, heads cut, errors where a stream is to be resumed.
 late-row: a row from before the notice of an upstream that leaves is written after it.
 leaving-answers: an upstream says in its answers that it leaves, and the store is silent.
@@ -36,7 +37,7 @@
 from faulty import FaultyAnswersScenario
 from leaving import (LateRowScenario, LeavingAnswersScenario, PausedStreamScenario,
                      RetryAfterScenario)
-from malformed import MalformedAnswersScenario
+from malformed import MalformedAnswersScenario, ZeroStatusScenario
 from oddrows import OddRowsMixin
 from restored import RestoredScenario
 from standin import CRASHING_PART, CRASHING_PATH, CRASHING_STREAM_PATH, Runner
@@ -412,7 +413,8 @@
              "slow-readers": SlowCallersScenario, "stream-request": StreamRequestScenario,
              "stop-end": LateRequestScenario, "stop-limit": RequestsAtLimitScenario,
              "silent-poll": SilentPollScenario, "silent-poll-no-era": SilentPollNoEraScenario,
-             "silent-poll-all": SilentPollAllScenario}
+             "silent-poll-all": SilentPollAllScenario,
+             "zero-status": ZeroStatusScenario}
 
 
 async def main():
