Test that the time of a plan does not end switches

A plan for 63 ranks, 252 experts and 8 layers takes 60 ms of a core and 350 to 520 ms at 0.15 of a core, within one tick of the coordinator. The next tick takes that for a pause of the process and ends the switch, so that no map is ever switched.

The simulated group has larger maps on request, and its machines need time for each change that the planner tries, which the planner counts.

--- a/libburdock/copy-plan.c
+++ b/libburdock/copy-plan.c
@@ -271,10 +271,12 @@
          can_load (layer, budget, change->from, change->victim);
 }
 
+static uint64_t tried_count;
 static void
 try_change (Layer *layer, const Change *change)
 {
   Change tried = *change;
+  tried_count++;
 
   tried.gain = evaluate_gain (layer, change) -
                loads_needed (layer, change) * GAIN_PER_LOAD_MIN / layer->ranks;
@@ -435,6 +437,7 @@
   BurdockReplicaPlanResult result = { 0 };
   Layer *layer;
 
+  tried_count = 0;
   if (layers == NULL)
     return result;
   for (uint32_t i = 0; i < map->layers; i++) {
@@ -455,6 +458,7 @@
       result.max_rank_loads = budget.loaded[r];
   }
   free (layers);
+  result.changes_tried = tried_count;
   return result;
 }
 
--- a/libburdock/copy-plan.h
+++ b/libburdock/copy-plan.h
@@ -30,12 +30,14 @@
  * @before, @after: mean over the layers with the old and the new map; 1 is the best
  * @loads: experts to load, all ranks together
  * @max_rank_loads: experts to load at the rank that has to load most
+ * @changes_tried: changes whose gain was computed
  */
 typedef struct {
   double before;
   double after;
   uint32_t loads;
   uint32_t max_rank_loads;
+  uint64_t changes_tried;
 } BurdockReplicaPlanResult;
 
 /** burdock_replica_map_peak() - mean over the layers of the load of the most loaded rank,
--- a/libburdock/map-agent.h
+++ b/libburdock/map-agent.h
@@ -122,6 +122,7 @@
  * @orders: orders sent to engines, retries included
  * @orders_failed: orders that were rejected or timed out
  * @loads: expert copies loaded by the planned maps
+ * @changes_tried: changes whose gain the planner computed, a measure of its work
  * @recoveries: takeovers from another coordinator
  * @peak: load of the most loaded ranks at the last plan, relative to even loads
  */
@@ -130,6 +131,7 @@
   uint64_t orders;
   uint64_t orders_failed;
   uint64_t loads;
+  uint64_t changes_tried;
   uint64_t recoveries;
   double peak;
 } BurdockMapAgentStats;
--- a/libburdock/map-coordinator.c
+++ b/libburdock/map-coordinator.c
@@ -403,6 +403,7 @@
     limits.loads_per_rank = 1;
   result = burdock_replica_plan (&map, self->rates, &limits);
   agent->stats.peak = result.before;
+  agent->stats.changes_tried += result.changes_tried;
   if (result.before - result.after < result.before * PEAK_REDUCTION_MIN) {
     burdock_replica_map_clear (&map);
     burdock_replica_map_clear (&base);
--- a/tests/support/fake-group-engines.c
+++ b/tests/support/fake-group-engines.c
@@ -7,19 +7,25 @@
 #define FORM_GROUP_US (1000 * US_PER_MS)
 #define DEMAND_INTERVAL_US (3500 * US_PER_MS)
 
+static size_t
+hosts_bytes (const FakeGroup *group)
+{
+  return fake_group_expert_count (group) * sizeof (BurdockBitSet);
+}
+
 void
 fake_group_form (FakeGroup *group)
 {
   BurdockReplicaMap map;
 
-  burdock_replica_map_init (&map, LAYERS, group->ranks, EXPERTS);
+  burdock_replica_map_init (&map, group->size.layers, group->ranks, group->size.experts);
   burdock_replica_map_spread (&map);
   group->epoch++;
   for (uint32_t r = 0; r < group->ranks; r++) {
     Engine *engine = &group->engines[r];
 
     *engine = (Engine){ .highest_version = engine->highest_version };
-    memcpy (engine->hosts, map.hosts, sizeof engine->hosts);
+    memcpy (engine->hosts, map.hosts, hosts_bytes (group));
   }
   burdock_replica_map_clear (&map);
 }
@@ -41,7 +47,7 @@
     return -EEXIST;
   engine->highest_version = engine->loading_version = version;
   engine->loaded_at_us = group->now_us + LOAD_US;
-  memcpy (engine->loaded_hosts, event->map.hosts, sizeof engine->loaded_hosts);
+  memcpy (engine->loaded_hosts, event->map.hosts, hosts_bytes (group));
   return 0;
 }
 
@@ -108,8 +114,8 @@
 {
   for (uint32_t r = 1; r < group->ranks; r++) {
     if (group->engines[r].map_version == group->engines[0].map_version &&
-        memcmp (group->engines[r].hosts, group->engines[0].hosts,
-                sizeof group->engines[0].hosts) == 0)
+        memcmp (group->engines[r].hosts, group->engines[0].hosts, hosts_bytes (group)) ==
+            0)
       continue;
     group->mixed_steps++;
     return;
@@ -129,11 +135,11 @@
 
     if (engine->armed_step == group->step && engine->armed_version != 0) {
       engine->map_version = engine->armed_version;
-      memcpy (engine->hosts, engine->loaded_hosts, sizeof engine->hosts);
+      memcpy (engine->hosts, engine->loaded_hosts, hosts_bytes (group));
       engine->armed_version = engine->armed_step = 0;
       switched = true;
     }
-    for (uint32_t i = 0; i < LAYERS * EXPERTS; i++)
+    for (uint32_t i = 0; i < fake_group_expert_count (group); i++)
       engine->counts[i] += (uint64_t)(group->demand[i] * 100);
   }
   group->switches += switched ? 1 : 0;
@@ -161,7 +167,7 @@
 {
   if (group->now_us >= group->next_demand_us) {
     group->next_demand_us = group->now_us + DEMAND_INTERVAL_US;
-    for (uint32_t i = 0; i < LAYERS * EXPERTS; i++)
+    for (uint32_t i = 0; i < fake_group_expert_count (group); i++)
       group->demand[i] = fake_group_random_event (group, 0.1) ? 8 : 0.5;
   }
   if (group->now_us >= group->next_crash_us) {
--- a/tests/support/fake-group-private.h
+++ b/tests/support/fake-group-private.h
@@ -11,9 +11,8 @@
 #include "map-agent.h"
 
 #define RANKS_MAX 96
-#define LAYERS 2
-#define EXPERTS 16
-#define SLOTS 6
+#define LAYERS_MAX 8
+#define EXPERTS_MAX 252
 #define LOAD_US 100000
 #define US_PER_MS UINT64_C (1000)
 #define EVENTS_MAX 65536
@@ -21,16 +20,16 @@
 /** struct Engine - engine of one rank, as specified by the protocol */
 typedef struct {
   uint64_t map_version;
-  BurdockBitSet hosts[LAYERS * EXPERTS];
+  BurdockBitSet hosts[LAYERS_MAX * EXPERTS_MAX];
   uint64_t loaded_version;
-  BurdockBitSet loaded_hosts[LAYERS * EXPERTS];
+  BurdockBitSet loaded_hosts[LAYERS_MAX * EXPERTS_MAX];
   uint64_t loading_version;
   uint64_t loaded_at_us;
   uint64_t highest_version;
   uint64_t armed_version;
   uint64_t armed_step;
   uint64_t held_step;
-  uint64_t counts[LAYERS * EXPERTS];
+  uint64_t counts[LAYERS_MAX * EXPERTS_MAX];
 } Engine;
 
 typedef struct {
@@ -42,6 +41,8 @@
   uint64_t freeze_at_us; /* begin of a freeze of the machine, 0 without one */
   uint64_t engine_frozen_until_us;
   uint64_t next_tick_us;
+  uint64_t plan_us;     /* time taken by the last plan so far */
+  uint64_t plan_end_us; /* end of its last tick */
   uint64_t stop_end_us; /* end of a planned stop, 0 without one */
   bool wants_report;
   bool wants_counts;
@@ -68,6 +69,7 @@
 
 struct FakeGroup {
   BurdockRosterMessage shape; /* of the rosters */
+  FakeGroupSize size;
   uint32_t ranks;
   FakeFaults faults;
   uint64_t random;
@@ -91,16 +93,25 @@
   uint64_t gateway_state_us; /* last state that was sent to the gateway */
   uint64_t longest_gateway_gap_us;
   uint64_t longest_stall_us;
+  uint64_t longest_plan_us;
+  uint64_t longest_busy_us;
   uint32_t mixed_steps;
   uint32_t steps;
   uint32_t switches;
-  double demand[LAYERS * EXPERTS];
+  double demand[LAYERS_MAX * EXPERTS_MAX];
   Engine engines[RANKS_MAX];
   Process processes[RANKS_MAX];
   uint32_t event_limit; /* events at this index and above are unused */
   Event events[EVENTS_MAX];
 };
 
+/** fake_group_expert_count() - experts of all layers */
+static inline uint32_t
+fake_group_expert_count (const FakeGroup *group)
+{
+  return group->size.layers * group->size.experts;
+}
+
 /** fake_group_random() - next number of the group's random sequence */
 uint64_t fake_group_random (FakeGroup *group);
 
--- a/tests/support/fake-group.c
+++ b/tests/support/fake-group.c
@@ -218,22 +218,33 @@
 void
 fake_group_set_shape (FakeGroup *group, const BurdockRosterMessage *shape)
 {
-  group->shape = shape->layers > 0 ? *shape
-                                   : (BurdockRosterMessage){ .layers = LAYERS,
-                                                             .experts = EXPERTS,
-                                                             .slots = SLOTS,
-                                                             .loads_max = LOADS_MAX,
-                                                             .expert_copy_us = LOAD_US };
+  group->shape = shape->layers > 0
+                     ? *shape
+                     : (BurdockRosterMessage){ .layers = group->size.layers,
+                                               .experts = group->size.experts,
+                                               .slots = group->size.slots,
+                                               .loads_max = LOADS_MAX,
+                                               .expert_copy_us = LOAD_US };
 }
 
 FakeGroup *
 fake_group_new (uint64_t seed, uint32_t ranks, const FakeFaults *faults)
+{
+  return fake_group_new_sized (
+      seed, &(FakeGroupSize){ .ranks = ranks, .layers = 2, .experts = 16, .slots = 6 },
+      faults);
+}
+
+FakeGroup *
+fake_group_new_sized (uint64_t seed, const FakeGroupSize *size, const FakeFaults *faults)
 {
   FakeGroup *group = calloc (1, sizeof *group);
 
-  if (group == NULL || ranks > RANKS_MAX)
+  if (group == NULL || size->ranks > RANKS_MAX || size->layers > LAYERS_MAX ||
+      size->experts > EXPERTS_MAX)
     abort ();
-  group->ranks = ranks;
+  group->size = *size;
+  group->ranks = size->ranks;
   group->faults = *faults;
   group->random = seed * UINT64_C (0x9e3779b97f4a7c15) + 1;
   group->now_us = 1000 * US_PER_MS;
@@ -299,7 +310,7 @@
                                .loaded_version = engine->loaded_version,
                                .armed_version = engine->armed_version,
                                .held_step = engine->held_step };
-  uint8_t hosted[LAYERS * (SLOTS + EXPERTS + 1)];
+  uint8_t hosted[LAYERS_MAX * (EXPERTS_MAX + 1)];
   uint32_t bytes = 0;
 
   burdock_map_agent_handle_report (process->agent, &report, group->now_us);
@@ -309,12 +320,13 @@
     process->next_tick_us = group->now_us;
   if (!burdock_map_agent_needs_hosted_experts (process->agent))
     return;
-  for (uint32_t layer = 0; layer < LAYERS; layer++) {
+  for (uint32_t layer = 0; layer < group->size.layers; layer++) {
     uint32_t at = bytes++;
 
     hosted[at] = 0;
-    for (uint32_t e = 0; e < EXPERTS; e++) {
-      if (!burdock_bit_set_has (&engine->hosts[layer * EXPERTS + e], process->rank))
+    for (uint32_t e = 0; e < group->size.experts; e++) {
+      if (!burdock_bit_set_has (&engine->hosts[layer * group->size.experts + e],
+                                process->rank))
         continue;
       hosted[bytes++] = (uint8_t)e;
       hosted[at]++;
@@ -422,6 +434,33 @@
   free (message);
 }
 
+/* Ticks of the same plan follow each other within this time; the next plan begins later.
+ */
+#define PLAN_GAP_MAX_US (45 * US_PER_MS)
+
+/* Occupies the agent for the time that its machine needs for the changes tried in a tick.
+ */
+static void
+tick_process (FakeGroup *group, Process *process)
+{
+  uint64_t tried = burdock_map_agent_stats (process->agent).changes_tried;
+  uint64_t busy_us;
+
+  process->next_tick_us = burdock_map_agent_tick (process->agent, group->now_us);
+  tried = burdock_map_agent_stats (process->agent).changes_tried - tried;
+  busy_us = tried * group->faults.plan_change_ns / 1000;
+  if (busy_us == 0)
+    return;
+  if (group->now_us > process->plan_end_us + PLAN_GAP_MAX_US)
+    process->plan_us = 0;
+  process->plan_us += busy_us;
+  process->frozen_until_us = process->plan_end_us = group->now_us + busy_us;
+  if (process->plan_us > group->longest_plan_us)
+    group->longest_plan_us = process->plan_us;
+  if (busy_us > group->longest_busy_us)
+    group->longest_busy_us = busy_us;
+}
+
 static void
 run_processes (FakeGroup *group)
 {
@@ -444,10 +483,10 @@
       send_report (group, process);
     if (process->wants_counts)
       burdock_map_agent_handle_counts (process->agent, group->engines[r].counts,
-                                       LAYERS * EXPERTS);
+                                       fake_group_expert_count (group));
     process->wants_report = process->wants_counts = false;
     if (group->now_us >= process->next_tick_us)
-      process->next_tick_us = burdock_map_agent_tick (process->agent, group->now_us);
+      tick_process (group, process);
   }
 }
 
@@ -553,6 +592,18 @@
   return group->longest_stall_us;
 }
 
+uint64_t
+fake_group_longest_plan_us (const FakeGroup *group)
+{
+  return group->longest_plan_us;
+}
+
+uint64_t
+fake_group_longest_busy_us (const FakeGroup *group)
+{
+  return group->longest_busy_us;
+}
+
 uint32_t
 fake_group_states (const FakeGroup *group)
 {
--- a/tests/support/fake-group.h
+++ b/tests/support/fake-group.h
@@ -29,6 +29,8 @@
  * @crash_every_us: mean time between crashes of ranks, 0 for none
  * @stopped_agents: number of agents, from the lowest rank on, that get a planned stop in
  * a hold every 10 s and are away for 5 s
+ * @plan_change_ns: time that the machine of an agent needs for each change of a map that
+ *   its planner tries; the agent does nothing else in this time
  * @false_arm_ack: the engine of the last rank accepts arm orders without arming
  */
 typedef struct {
@@ -40,12 +42,31 @@
   uint64_t herd_kill_every_us;
   uint64_t crash_every_us;
   uint32_t stopped_agents;
+  uint32_t plan_change_ns;
   bool false_arm_ack;
 } FakeFaults;
 
-/** fake_group_new() - new group of up to 96 ranks at 1 s of virtual time; release with
- * fake_group_free() */
+/**
+ * struct FakeGroupSize - dimensions of a group and its maps
+ * @ranks: at most 96
+ * @layers: at most 8
+ * @experts: at most 252, in each layer
+ * @slots: experts that a rank can host in a layer
+ */
+typedef struct {
+  uint32_t ranks;
+  uint32_t layers;
+  uint32_t experts;
+  uint32_t slots;
+} FakeGroupSize;
+
+/** fake_group_new() - new group of up to 96 ranks, with 2 layers of 16 experts, at 1 s of
+ * virtual time; release with fake_group_free() */
 FakeGroup *fake_group_new (uint64_t seed, uint32_t ranks, const FakeFaults *faults);
+
+/** fake_group_new_sized() - like fake_group_new(), with other dimensions */
+FakeGroup *fake_group_new_sized (uint64_t seed, const FakeGroupSize *size,
+                                 const FakeFaults *faults);
 void fake_group_free (FakeGroup *group);
 
 /** fake_group_run() - simulates until @until_us of virtual time */
@@ -64,6 +85,13 @@
 /** fake_group_switches() - steps that began with a new map */
 uint32_t fake_group_switches (const FakeGroup *group);
 
+/** fake_group_longest_plan_us() - longest time that the plan of a map has occupied its
+ * machine, with &FakeFaults.plan_change_ns */
+uint64_t fake_group_longest_plan_us (const FakeGroup *group);
+
+/** fake_group_longest_busy_us() - longest part of it without a pause for anything else */
+uint64_t fake_group_longest_busy_us (const FakeGroup *group);
+
 /** fake_group_states() - states that the agents have sent, each counted once per receiver
  */
 uint32_t fake_group_states (const FakeGroup *group);
--- a/tests/test-map-agent.c
+++ b/tests/test-map-agent.c
@@ -7,6 +7,10 @@
 
 #define US_PER_S UINT64_C (1000000)
 
+/* Time of each change that a planner tries, on a machine so slow that a plan for 63 ranks
+ * takes several times as long as a coordinator may be silent. */
+#define PLAN_CHANGE_NS 4000
+
 /* Guards against a group without faults whose maps do not follow the demand, or whose
  * switches stall it. */
 static void
@@ -34,6 +38,32 @@
   fake_group_free (group);
 }
 
+/* Guards against a coordinator that takes the time of its own plan for a pause: in a
+ * group of 63 ranks, a plan took 350 to 520 ms on the machine of the agent, the next tick
+ * ended the switch, and no map was ever switched. The planner may not occupy the agent
+ * for longer than a part of the time after which a coordinator counts as paused, 250 ms.
+ */
+static void
+long_plans_do_not_end_switches (void)
+{
+  FakeGroupSize size = { .ranks = 63, .layers = 8, .experts = 252, .slots = 5 };
+  FakeFaults faults = { .plan_change_ns = PLAN_CHANGE_NS };
+  /* A plan may load six experts per rank. */
+  BurdockRosterMessage shape = {
+    .layers = 8, .experts = 252, .slots = 5, .loads_max = 4, .expert_copy_us = 25000
+  };
+  FakeGroup *group = fake_group_new_sized (1, &size, &faults);
+
+  fake_group_set_shape (group, &shape);
+  fake_group_run (group, 20 * US_PER_S);
+  CU_ASSERT_TRUE (fake_group_longest_plan_us (group) > US_PER_S / 4);
+  CU_ASSERT_TRUE (fake_group_longest_busy_us (group) < US_PER_S / 10);
+  CU_ASSERT_TRUE (fake_group_switches (group) >= 4);
+  CU_ASSERT_EQUAL (fake_group_mixed_steps (group), 0);
+  CU_ASSERT_TRUE (fake_group_longest_stall_us (group) < US_PER_S / 2);
+  fake_group_free (group);
+}
+
 /**
  * struct FaultCase - groups of one size with the same faults
  * @seeds: number of groups; their seeds are @first_seed and those above it
@@ -396,6 +426,8 @@
   { "a shape that does not match the engines ends an agent, or the following of demand",
     shapes_that_do_not_match_are_survived },
   { "maps do not follow the demand", maps_follow_demand },
+  { "the time of a plan is taken for a pause of the coordinator",
+    long_plans_do_not_end_switches },
   { "orders that time out block new maps", late_orders_do_not_block_maps },
   { "ranks run a step with different maps, or stall", no_step_mixes_maps_under_faults },
   { "the number of states grows with the square of the group",
