Test plans in steps, plans in progress under faults, and failed switches

A plan in steps gives the map of a whole one, leaves the map in use as it is, and each step has its bound. Groups of 63 ranks whose plans take a second mix no maps while agents are frozen and killed, ranks crash and datagrams are lost. Loads that fail again and again give one warning.

--- a/libburdock/copy-plan.h
+++ b/libburdock/copy-plan.h
@@ -70,7 +70,7 @@
 /**
  * burdock_replica_plan_step() - continues the plan; returns whether it is complete
  * @work: bound of the work, in changes tried and operations that take as long. A step may
- *   exceed it by the changes of one expert, at most 768 for each slot of a rank.
+ *   exceed it by the changes of one expert, at most 96 for each slot of a rank and 64.
  */
 bool burdock_replica_plan_step (BurdockReplicaPlan *plan, uint32_t work);
 
--- a/tests/support/fake-group-engines.c
+++ b/tests/support/fake-group-engines.c
@@ -104,6 +104,8 @@
   for (uint32_t r = 0; r < group->ranks; r++) {
     Engine *engine = &group->engines[r];
 
+    if (r == group->ranks - 1 && group->now_us < group->faults.stuck_loads_until_us)
+      continue;
     if (engine->loading_version != 0 && engine->loaded_at_us <= group->now_us)
       engine->loaded_version = engine->loading_version;
   }
--- a/tests/support/fake-group-private.h
+++ b/tests/support/fake-group-private.h
@@ -103,6 +103,7 @@
   uint32_t mixed_steps;
   uint32_t steps;
   uint32_t switches;
+  uint32_t warnings;
   double demand[LAYERS_MAX * EXPERTS_MAX];
   Engine engines[RANKS_MAX];
   Process processes[RANKS_MAX];
--- a/tests/support/fake-group.c
+++ b/tests/support/fake-group.c
@@ -193,6 +193,15 @@
             step, detail);
 }
 
+static void
+log_warning (void *ctx, const char *step, const char *detail)
+{
+  Process *process = ctx;
+
+  process->group->warnings++;
+  log_decision (ctx, step, detail);
+}
+
 static void
 start_process (FakeGroup *group, uint32_t rank)
 {
@@ -202,7 +211,8 @@
                                      .order = send_order,
                                      .refresh = refresh,
                                      .random = random_value,
-                                     .log = log_decision };
+                                     .log = log_decision,
+                                     .warn = log_warning };
   BurdockMapAgentSettings settings = { .id = rank + 1,
                                        .incarnation = group->now_us + rank + 1,
                                        .control = address_of (rank),
@@ -595,6 +605,18 @@
   return group->longest_stall_us;
 }
 
+uint32_t
+fake_group_failed_in_row (const FakeGroup *group, uint32_t rank)
+{
+  return burdock_map_agent_stats (group->processes[rank].agent).switches_failed_in_row;
+}
+
+uint32_t
+fake_group_warnings (const FakeGroup *group)
+{
+  return group->warnings;
+}
+
 uint64_t
 fake_group_longest_plan_us (const FakeGroup *group)
 {
--- a/tests/support/fake-group.h
+++ b/tests/support/fake-group.h
@@ -31,6 +31,8 @@
  * a hold every 10 s and are away for 5 s
  * @plan_change_ns: time that the machine of an agent needs for each change of a map that
  *   its planner tries; the agent does nothing else in this time
+ * @stuck_loads_until_us: virtual time until which the engine of the last rank completes
+ *   no load
  * @false_arm_ack: the engine of the last rank accepts arm orders without arming
  */
 typedef struct {
@@ -43,6 +45,7 @@
   uint64_t crash_every_us;
   uint32_t stopped_agents;
   uint32_t plan_change_ns;
+  uint64_t stuck_loads_until_us;
   bool false_arm_ack;
 } FakeFaults;
 
@@ -85,6 +88,13 @@
 /** fake_group_switches() - steps that began with a new map */
 uint32_t fake_group_switches (const FakeGroup *group);
 
+/** fake_group_failed_in_row() - switches that have failed since the last one that the
+ * agent of @rank has completed */
+uint32_t fake_group_failed_in_row (const FakeGroup *group, uint32_t rank);
+
+/** fake_group_warnings() - warnings that the agents have logged */
+uint32_t fake_group_warnings (const FakeGroup *group);
+
 /** fake_group_longest_plan_us() - longest time that the plan of a map has occupied its
  * machine, with &FakeFaults.plan_change_ns */
 uint64_t fake_group_longest_plan_us (const FakeGroup *group);
--- a/tests/test-copy-plan.c
+++ b/tests/test-copy-plan.c
@@ -10,6 +10,10 @@
 #define RANKS 8
 #define EXPERTS 64
 
+/* Work of a step, and ranks that the planner considers as receivers of a copy. */
+#define STEP_WORK 500
+#define RECEIVERS 32
+
 static const BurdockReplicaLimits limits = { .slots = 11,
                                              .loads_per_layer = 4,
                                              .loads_per_rank = 4 };
@@ -158,6 +162,77 @@
   }
 }
 
+/* Guards against a plan in steps that differs from one without a pause, changes the map
+ * in use, or does much more in a step than it may. */
+static void
+steps_do_not_change_the_plan (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (balance_cases); i++) {
+    const BalanceCase *test = &balance_cases[i];
+    uint64_t step_max = STEP_WORK + (2 + 3 * (uint64_t)test->limits.slots) * RECEIVERS;
+    double *rates = calloc ((size_t)test->layers * test->experts, sizeof *rates);
+    BurdockReplicaPlanResult result;
+    BurdockReplicaPlan *plan;
+    BurdockReplicaMap base;
+    BurdockReplicaMap initial;
+    BurdockReplicaMap whole;
+    BurdockReplicaMap stepped;
+    uint64_t tried = 0;
+    uint32_t steps = 0;
+    bool complete = false;
+
+    make_rates (rates, test->layers, test->experts, 1, test->skew);
+    burdock_replica_map_init (&base, test->layers, test->ranks, test->experts);
+    burdock_replica_map_spread (&base);
+    burdock_replica_map_copy (&initial, &base);
+    burdock_replica_map_copy (&whole, &base);
+    result = burdock_replica_plan (&whole, rates, &test->limits);
+    plan = burdock_replica_plan_begin (&base, rates, &test->limits);
+    for (; !complete; steps++) {
+      complete = burdock_replica_plan_step (plan, STEP_WORK);
+      CU_ASSERT_TRUE (burdock_replica_plan_result (plan).changes_tried - tried <=
+                      step_max);
+      tried = burdock_replica_plan_result (plan).changes_tried;
+    }
+    CU_ASSERT_TRUE (steps > 10);
+    CU_ASSERT_EQUAL (tried, result.changes_tried);
+    CU_ASSERT_EQUAL (burdock_replica_plan_result (plan).loads, result.loads);
+    burdock_replica_plan_finish (plan, &stepped);
+    CU_ASSERT_TRUE (burdock_replica_map_equal (&stepped, &whole));
+    CU_ASSERT_TRUE (burdock_replica_map_equal (&base, &initial));
+    burdock_replica_map_clear (&base);
+    burdock_replica_map_clear (&initial);
+    burdock_replica_map_clear (&whole);
+    burdock_replica_map_clear (&stepped);
+    free (rates);
+  }
+}
+
+/* Guards against larger loads than a balanced map may cause, and against a limit for
+ * balanced maps that applies to all. */
+static void
+balanced_maps_load_less (void)
+{
+  BurdockReplicaLimits limited = limits;
+  double rates[LAYERS * EXPERTS];
+  BurdockReplicaMap map;
+
+  make_rates (rates, LAYERS, EXPERTS, 1, 6);
+  burdock_replica_map_init (&map, LAYERS, RANKS, EXPERTS);
+  for (uint32_t i = 0; i < 2; i++) {
+    uint32_t most = i == 0 ? limits.loads_per_rank : 1;
+
+    burdock_replica_map_spread (&map);
+    limited.balanced_peak =
+        burdock_replica_map_peak (&map, rates) + (i == 0 ? -0.01 : 0.01);
+    limited.balanced_loads_per_rank = 1;
+    CU_ASSERT_EQUAL (burdock_replica_plan (&map, rates, &limited).max_rank_loads, most);
+    burdock_replica_map_clear (&map);
+    burdock_replica_map_init (&map, LAYERS, RANKS, EXPERTS);
+  }
+  burdock_replica_map_clear (&map);
+}
+
 /* Guards against experts that are loaded again and again: a balanced map stays unchanged.
  */
 static void
@@ -253,6 +328,9 @@
 static const Test tests[] = {
   { "a plan loads or holds more than the engine allows", plans_respect_the_limits },
   { "a rank keeps far more than its share", plans_balance_the_loads },
+  { "a plan in steps differs from a whole one, or a step has no bound",
+    steps_do_not_change_the_plan },
+  { "a balanced map causes larger loads than it may", balanced_maps_load_less },
   { "experts are loaded although the map is balanced", balanced_map_stays_unchanged },
   { "encoding alters a map, or truncated bytes are accepted", encoding_round_trips },
   { "changes restore another map, or foreign changes are accepted", changes_round_trip },
--- a/tests/test-map-agent.c
+++ b/tests/test-map-agent.c
@@ -38,6 +38,15 @@
   fake_group_free (group);
 }
 
+static const FakeGroupSize slow_group_size = {
+  .ranks = 63, .layers = 8, .experts = 252, .slots = 5
+};
+
+/* A plan may load six experts per rank. */
+static const BurdockRosterMessage slow_group_shape = {
+  .layers = 8, .experts = 252, .slots = 5, .loads_max = 4, .expert_copy_us = 25000
+};
+
 /* Guards against a coordinator that takes the time of its own plan for a pause: in a
  * group of 63 ranks, a plan took 350 to 520 ms on the machine of the agent, the next tick
  * ended the switch, and no map was ever switched. The planner may not occupy the agent
@@ -46,15 +55,10 @@
 static void
 long_plans_do_not_end_switches (void)
 {
-  FakeGroupSize size = { .ranks = 63, .layers = 8, .experts = 252, .slots = 5 };
   FakeFaults faults = { .plan_change_ns = PLAN_CHANGE_NS };
-  /* A plan may load six experts per rank. */
-  BurdockRosterMessage shape = {
-    .layers = 8, .experts = 252, .slots = 5, .loads_max = 4, .expert_copy_us = 25000
-  };
-  FakeGroup *group = fake_group_new_sized (1, &size, &faults);
+  FakeGroup *group = fake_group_new_sized (1, &slow_group_size, &faults);
 
-  fake_group_set_shape (group, &shape);
+  fake_group_set_shape (group, &slow_group_shape);
   fake_group_run (group, 20 * US_PER_S);
   CU_ASSERT_TRUE (fake_group_longest_plan_us (group) > US_PER_S / 4);
   CU_ASSERT_TRUE (fake_group_longest_busy_us (group) < US_PER_S / 10);
@@ -64,6 +68,78 @@
   fake_group_free (group);
 }
 
+typedef struct {
+  const char *name;
+  FakeFaults faults;
+  uint64_t stall_max_us;
+} SlowCase;
+
+/* Bounds as in the table below. */
+static const SlowCase slow_cases[] = {
+  { "lost datagrams",
+    { .plan_change_ns = PLAN_CHANGE_NS, .lost_datagrams = 0.1 },
+    US_PER_S },
+  { "frozen agents",
+    { .plan_change_ns = PLAN_CHANGE_NS, .freeze_every_us = 2 * US_PER_S },
+    5 * US_PER_S },
+  { "killed agents",
+    { .plan_change_ns = PLAN_CHANGE_NS, .kill_every_us = 2 * US_PER_S },
+    5 * US_PER_S },
+  { "crashed ranks",
+    { .plan_change_ns = PLAN_CHANGE_NS, .crash_every_us = 4 * US_PER_S },
+    3 * US_PER_S },
+  { "frozen machines of coordinators, late orders",
+    { .plan_change_ns = PLAN_CHANGE_NS,
+      .late_orders = 0.2,
+      .machine_freeze_every_us = 3 * US_PER_S },
+    4 * US_PER_S },
+};
+
+/* Guards against a plan that is used although the group, its coordinator or its map has
+ * changed while it was in progress: plans take about a second here. */
+static void
+plans_in_progress_survive_faults (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (slow_cases); i++) {
+    const SlowCase *row = &slow_cases[i];
+
+    for (uint64_t seed = 1; seed <= 2; seed++) {
+      FakeGroup *group = fake_group_new_sized (seed, &slow_group_size, &row->faults);
+
+      fake_group_set_shape (group, &slow_group_shape);
+      fake_group_run (group, 15 * US_PER_S);
+      if (fake_group_mixed_steps (group) != 0 ||
+          fake_group_longest_stall_us (group) > row->stall_max_us) {
+        printf ("%s, seed %u: mixed %u, stalled %u ms\n", row->name, (unsigned)seed,
+                fake_group_mixed_steps (group),
+                (unsigned)(fake_group_longest_stall_us (group) / 1000));
+        CU_FAIL (row->name);
+      }
+      fake_group_free (group);
+    }
+  }
+}
+
+/* Guards against a group whose maps never follow the demand without anyone hearing of it:
+ * each load fails after 3.15 s, and after five failures in a row there is one warning. */
+static void
+failed_switches_are_reported_once (void)
+{
+  FakeFaults faults = { .stuck_loads_until_us = 30 * US_PER_S };
+  FakeGroup *group = fake_group_new (1, 4, &faults);
+
+  fake_group_run (group, 12 * US_PER_S);
+  CU_ASSERT_TRUE (fake_group_failed_in_row (group, 0) > 0);
+  CU_ASSERT_EQUAL (fake_group_warnings (group), 0);
+  fake_group_run (group, 30 * US_PER_S);
+  CU_ASSERT_TRUE (fake_group_failed_in_row (group, 0) >= 5);
+  CU_ASSERT_EQUAL (fake_group_warnings (group), 1);
+  fake_group_run (group, 40 * US_PER_S);
+  CU_ASSERT_TRUE (fake_group_switches (group) > 0);
+  CU_ASSERT_EQUAL (fake_group_failed_in_row (group, 0), 0);
+  fake_group_free (group);
+}
+
 /**
  * struct FaultCase - groups of one size with the same faults
  * @seeds: number of groups; their seeds are @first_seed and those above it
@@ -429,6 +505,10 @@
   { "maps do not follow the demand", maps_follow_demand },
   { "the time of a plan is taken for a pause of the coordinator",
     long_plans_do_not_end_switches },
+  { "a plan is used although the group has changed meanwhile, or stalls it",
+    plans_in_progress_survive_faults },
+  { "switches that fail again and again are not reported, or each time",
+    failed_switches_are_reported_once },
   { "orders that time out block new maps", late_orders_do_not_block_maps },
   { "ranks run a step with different maps, or stall", no_step_mixes_maps_under_faults },
   { "the number of states grows with the square of the group",
