Let an idle coordinator hear of its group after a pause

A coordinator that was paused for longer than the other ranks may be silent took over the group on its first tick afterwards, if no step had begun in its last report: all ranks looked silent, although their states waited in its socket. It now waits for the time in which all ranks report before it plans or takes over.

--- a/libburdock/map-coordinator.c
+++ b/libburdock/map-coordinator.c
@@ -928,16 +928,22 @@
 
 /* After a pause, another agent may have taken over the switch, in ways that have not been
  * heard of yet. A coordinator that may hold a step asks for promises before it goes on;
- * any other one begins a new switch. */
+ * any other one begins a new switch. An idle one first waits for new states and reports:
+ * by those from before the pause, live ranks look silent and the group stalled. */
 static void
 recover_from_pause (BurdockMapAgent *agent, uint64_t now_us)
 {
   BurdockCoordinator *self = &agent->coordinator;
   uint64_t paused_us = now_us - self->last_tick_us;
 
-  if (self->phase == BURDOCK_COORDINATOR_IDLE || self->last_tick_us == 0 ||
-      paused_us <= PAUSE_MAX_US)
+  if (self->last_tick_us == 0 || paused_us <= PAUSE_MAX_US)
     return;
+  if (self->phase == BURDOCK_COORDINATOR_IDLE) {
+    /* An agent that does not coordinate has longer intervals between its ticks. */
+    if (self->coordinates_since_us != 0 && self->next_plan_us < now_us + SETTLE_US)
+      self->next_plan_us = now_us + SETTLE_US;
+    return;
+  }
   if (burdock_coordinator_may_hold (agent)) {
     burdock_coordinator_take_over (agent, true, "the coordinator was paused", now_us);
     return;
--- a/tests/test-map-agent.c
+++ b/tests/test-map-agent.c
@@ -364,6 +364,11 @@
 {
 }
 
+static void
+ignore_order (void *ctx, const BurdockMapOrder *order)
+{
+}
+
 static void
 ignore_refresh (void *ctx, bool counts)
 {
@@ -380,6 +385,72 @@
 {
 }
 
+/* Handles a report of the engine of rank 0 of 2, which does not proceed, and, if @peer is
+ * set, a state of rank 1, and runs the agent. */
+static void
+run_idle_agent (BurdockMapAgent *agent, bool report, bool peer, uint64_t now_us)
+{
+  BurdockRankReport own = {
+    .group = "g", .epoch = 1, .size = 2, .open = true, .active = 1, .step = 5
+  };
+  BurdockMessage *message = calloc (1, sizeof *message);
+
+  if (report)
+    burdock_map_agent_handle_report (agent, &own, now_us);
+  message->header = (BurdockMessageHeader){ .type = BURDOCK_MSG_RANK_STATE,
+                                            .sender_id = 2,
+                                            .sender_incarnation = 2 };
+  message->rank_state = (BurdockRankStateMessage){ .group = "g",
+                                                   .upstream = { .ipv4 = 2, .port = 1 },
+                                                   .epoch = 1,
+                                                   .rank = 1,
+                                                   .size = 2,
+                                                   .open = true,
+                                                   .running = 1,
+                                                   .step = 5 };
+  if (peer)
+    burdock_map_agent_receive (agent, (BurdockAddress){ .ipv4 = 2, .port = 1 }, message,
+                               now_us);
+  burdock_map_agent_tick (agent, now_us);
+  free (message);
+}
+
+/* Guards against a coordinator that was paused itself and takes over a healthy group, as
+ * all other ranks look silent and the group stalled by what it heard before the pause.
+ * Without a pause, a silent rank in a stalled group has to be noticed. */
+static void
+own_pause_is_no_silence_of_others (void)
+{
+  BurdockMapAgentSettings settings = { .id = 1, .incarnation = 1 };
+  BurdockMapAgentHandler handler = { .send = ignore_send,
+                                     .order = ignore_order,
+                                     .refresh = ignore_refresh,
+                                     .random = zero_random,
+                                     .log = ignore_log };
+  BurdockMapAgent *agent = burdock_map_agent_new (&settings, &handler);
+  BurdockMessage *roster = calloc (1, sizeof *roster);
+  uint64_t now_us = US_PER_S;
+
+  run_idle_agent (agent, true, true, now_us);
+  roster->header.type = BURDOCK_MSG_RANK_ROSTER;
+  roster->roster = (BurdockRosterMessage){ .layers = 2, .experts = 4, .slots = 4 };
+  burdock_map_agent_receive (agent, (BurdockAddress){ .ipv4 = 9, .port = 1 }, roster,
+                             now_us);
+  free (roster);
+  for (; now_us < 2 * US_PER_S; now_us += US_PER_S / 20)
+    run_idle_agent (agent, true, true, now_us);
+  now_us += US_PER_S; /* the pause */
+  run_idle_agent (agent, false, false, now_us);
+  CU_ASSERT_EQUAL (burdock_map_agent_stats (agent).recoveries, 0);
+  for (uint64_t end_us = now_us + US_PER_S; now_us < end_us; now_us += US_PER_S / 20)
+    run_idle_agent (agent, true, true, now_us);
+  CU_ASSERT_EQUAL (burdock_map_agent_stats (agent).recoveries, 0);
+  for (uint64_t end_us = now_us + US_PER_S; now_us < end_us; now_us += US_PER_S / 20)
+    run_idle_agent (agent, true, false, now_us);
+  CU_ASSERT_EQUAL (burdock_map_agent_stats (agent).recoveries, 1);
+  burdock_map_agent_free (agent);
+}
+
 typedef struct {
   uint32_t rank;
   uint32_t size;
@@ -502,6 +573,8 @@
     groups_of_every_size_are_reported },
   { "a shape that does not match the engines ends an agent, or the following of demand",
     shapes_that_do_not_match_are_survived },
+  { "a coordinator takes its own pause for the silence of others",
+    own_pause_is_no_silence_of_others },
   { "maps do not follow the demand", maps_follow_demand },
   { "the time of a plan is taken for a pause of the coordinator",
     long_plans_do_not_end_switches },
