--- a/libburdock/map-coordinator.c
+++ b/libburdock/map-coordinator.c
@@ -71,8 +71,8 @@
 #define BALANCED_LOADS_DIVISOR 4
 
 /* Interval between the steps of a plan. A plan of ten steps is delayed by 20 ms in all,
- * little compared with the time to load, and takes about a tenth of a core meanwhile, so
- * that an agent with 0.15 of a core is not throttled. */
+ * little compared with the time to load. A step takes 0.1 ms of a core, so that an agent
+ * with 0.15 of a core, or a core that is twice as slow, can keep up. */
 #define PLAN_TICK_US (2 * US_PER_MS)
 
 /* Failed switches in a row after which a warning is logged: more than one fault causes,
