--- a/libburdock/copy-plan.h
+++ b/libburdock/copy-plan.h
@@ -20,16 +20,16 @@
  * @slots: experts that a rank can host in a layer
  * @loads_per_layer: experts that a rank may load in one layer
  * @loads_per_rank: experts that a rank may load in all layers together
- * @balanced_peak: load of the most loaded ranks, relative to even loads, below which the
- *   map in use counts as balanced; 0 for none
- * @balanced_loads_per_rank: limit for @loads_per_rank in that case
+ * @balanced_loads_per_rank: the same for a map in use that counts as balanced
+ * @balanced_peak: load of the most loaded ranks, relative to even loads, below which it
+ *   does; 0 for never
  */
 typedef struct {
   uint32_t slots;
   uint32_t loads_per_layer;
   uint32_t loads_per_rank;
-  double balanced_peak;
   uint32_t balanced_loads_per_rank;
+  double balanced_peak;
 } BurdockReplicaLimits;
 
 /**
--- a/tests/test-copy-plan.c
+++ b/tests/test-copy-plan.c
@@ -100,8 +100,8 @@
   uint32_t layers;
   uint32_t ranks;
   uint32_t experts;
-  BurdockReplicaLimits limits;
   uint32_t plans;
+  BurdockReplicaLimits limits;
   double skew;
 } BalanceCase;
 
@@ -112,29 +112,29 @@
     LAYERS,
     RANKS,
     EXPERTS,
-    { .slots = 11, .loads_per_layer = 4, .loads_per_rank = 4 },
     16,
+    { .slots = 11, .loads_per_layer = 4, .loads_per_rank = 4 },
     6 },
   { "32 ranks",
     12,
     32,
     128,
-    { .slots = 5, .loads_per_layer = 2, .loads_per_rank = 2 },
     24,
+    { .slots = 5, .loads_per_layer = 2, .loads_per_rank = 2 },
     6 },
   { "96 ranks",
     16,
     96,
     192,
-    { .slots = 3, .loads_per_layer = 2, .loads_per_rank = 8 },
     24,
+    { .slots = 3, .loads_per_layer = 2, .loads_per_rank = 8 },
     3 },
   { "256 ranks",
     4,
     256,
     256,
-    { .slots = 4, .loads_per_layer = 2, .loads_per_rank = 4 },
     24,
+    { .slots = 4, .loads_per_layer = 2, .loads_per_rank = 4 },
     6 },
 };
 
