Bound the memory and connections that clients can take

Each connection could hold a body of 4 MiB for as long as it was open, the buffer of a body doubled as it grew, the call to the upstream held a second copy and an answer two. Bodies above the limit were read to their end.

A body gets room at its announcement, or in steps of 256 KiB if its length is unknown; without room the request is refused at once with 503 and Retry-After. A body above the limit is refused with 413 at its announcement or at the byte that passes the limit, and the connection is closed once its client has read that, after 2 s or 16 MiB at most. A large body that brings less than 4 KiB in 3 s is given up with 408. While connections wait to be accepted, those without a request are closed. mallopt() keeps large buffers mapped, so that they grow without a copy and are given back.

--- a/daemon/http-client.c
+++ b/daemon/http-client.c
@@ -644,12 +644,16 @@
 {
   CURL *easy = transfer->handle.easy;
 
+  curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)call->body_bytes);
+  if (call->body_stays) {
+    curl_easy_setopt (easy, CURLOPT_POSTFIELDS, call->body);
+    return;
+  }
   transfer->request_body = malloc (call->body_bytes + 1);
   if (transfer->request_body == NULL)
     abort ();
   if (call->body_bytes > 0)
     memcpy (transfer->request_body, call->body, call->body_bytes);
-  curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)call->body_bytes);
   curl_easy_setopt (easy, CURLOPT_POSTFIELDS, transfer->request_body);
 }
 
--- a/daemon/http-client.h
+++ b/daemon/http-client.h
@@ -44,7 +44,9 @@
 /**
  * struct BurdockHttpCall - one transfer
  * @method: "GET", "HEAD", "PUT" or "POST"
- * @body: request body; copied
+ * @body: request body; copied unless @body_stays is set
+ * @body_stays: @body stays valid and unchanged until the done callback has returned or
+ *   the transfer was cancelled, and is not copied
  * @at_most_once: the request has an effect and must reach the peer at most once. libcurl
  *   resends a request by itself when a reused connection ends without a response; with
  *   @at_most_once such a transfer ends with -EIO
@@ -77,6 +79,7 @@
   const char *url;
   const void *body;
   size_t body_bytes;
+  bool body_stays;
   bool at_most_once;
   const char *target;
   const char *const *headers;
--- a/daemon/http-response.c
+++ b/daemon/http-response.c
@@ -9,6 +9,9 @@
 
 #define STREAM_BLOCK_BYTES 4096
 
+/* Least growth of a buffer, so that short parts do not each need a larger one. */
+#define GROWTH_BYTES 128
+
 /* Output buffered for a peer that reads slowly: the largest event of a stream, 1 MiB,
  * fits beside what waits when its handler stops to read its source. */
 #define STREAM_MAX_BYTES (2u << 20)
@@ -20,7 +23,7 @@
   uint32_t needed = *length_bytes + added_bytes + 1;
 
   if (needed > *capacity) {
-    uint32_t size = needed + needed / 2 + 128;
+    uint32_t size = needed + needed / 2 + GROWTH_BYTES;
     char *grown = realloc (*buffer, size);
 
     if (grown == NULL)
@@ -181,6 +184,22 @@
   burdock_http_resume (request);
 }
 
+void
+burdock_http_respond_buffer (BurdockHttpRequest *request, uint32_t status, char *body,
+                             uint32_t body_bytes)
+{
+  if (request->response != NULL || request->aborted) {
+    free (body);
+    return;
+  }
+  request->status = status;
+  request->ended = true;
+  request->response =
+      MHD_create_response_from_buffer (body_bytes, body, MHD_RESPMEM_MUST_FREE);
+  add_headers (request, NULL);
+  burdock_http_resume (request);
+}
+
 void
 burdock_http_abort (BurdockHttpRequest *request)
 {
@@ -189,6 +208,40 @@
   burdock_http_resume (request);
 }
 
+/* A large buffer is given back: a stream of large events is rare. */
+static void
+empty_output (BurdockHttpRequest *request)
+{
+  request->output_bytes = request->output_sent_bytes = 0;
+  if (request->output_capacity <= BURDOCK_MEMORY_SMALL_BYTES)
+    return;
+  free (request->output);
+  request->output = NULL;
+  request->output_capacity = 0;
+  burdock_memory_budget_resize (request->server->limits.budget, BURDOCK_MEMORY_OUTPUT,
+                                request->output_reserved_bytes, 0);
+  request->output_reserved_bytes = 0;
+}
+
+/* Appends to the output if the memory budget has room for its buffer. */
+static bool
+append_output (BurdockHttpRequest *request, const char *data, uint32_t length_bytes)
+{
+  uint32_t needed_bytes = request->output_bytes + length_bytes + 1;
+  uint64_t reserved_bytes = request->output_reserved_bytes;
+
+  if (needed_bytes > request->output_capacity) {
+    reserved_bytes = needed_bytes + needed_bytes / 2 + GROWTH_BYTES;
+    if (!burdock_memory_budget_resize (request->server->limits.budget,
+                                       BURDOCK_MEMORY_OUTPUT,
+                                       request->output_reserved_bytes, reserved_bytes))
+      return false;
+    request->output_reserved_bytes = reserved_bytes;
+  }
+  return burdock_http_append (&request->output, &request->output_bytes,
+                              &request->output_capacity, data, length_bytes);
+}
+
 static ssize_t
 read_stream (void *ctx, uint64_t position, char *out, size_t size_bytes)
 {
@@ -202,7 +255,7 @@
     memcpy (out, request->output + request->output_sent_bytes, chunk_bytes);
     request->output_sent_bytes += (uint32_t)chunk_bytes;
     if (chunk_bytes == left_bytes)
-      request->output_bytes = request->output_sent_bytes = 0;
+      empty_output (request);
     return (ssize_t)chunk_bytes;
   }
   if (request->ended)
@@ -259,8 +312,7 @@
     return -EPIPE;
   discard_sent (request);
   if (burdock_http_stream_waiting_bytes (request) + length_bytes > STREAM_MAX_BYTES ||
-      !burdock_http_append (&request->output, &request->output_bytes,
-                            &request->output_capacity, data, length_bytes)) {
+      !append_output (request, data, length_bytes)) {
     burdock_http_abort (request);
     return -ENOBUFS;
   }
--- a/daemon/http-server.c
+++ b/daemon/http-server.c
@@ -25,7 +25,8 @@
                                                   .connection_memory_bytes = 12u << 10,
                                                   .connections = 16384,
                                                   .idle_s = 75,
-                                                  .disconnect_check_ms = 500 };
+                                                  .disconnect_check_ms = 500,
+                                                  .body_copies = 1 };
 
 static bool
 grow_slots (BurdockHttpServer *server)
@@ -119,7 +120,9 @@
     MHD_destroy_response (request->response);
   free (request->target);
   free (request->path);
-  free (request->body);
+  burdock_http_release_body (request);
+  burdock_memory_budget_resize (server->limits.budget, BURDOCK_MEMORY_OUTPUT,
+                                request->output_reserved_bytes, 0);
   free (request->output);
   free_headers (request->headers);
   free (request);
@@ -136,6 +139,9 @@
   if (connection == NULL)
     return;
   connection->descriptor = info->connect_fd;
+  connection->peer = peer;
+  connection->idle_since_us = server->now_us;
+  server->connection_count++;
   connection->next = server->connections;
   if (server->connections != NULL)
     server->connections->previous = connection;
@@ -147,6 +153,7 @@
 {
   if (connection == NULL)
     return;
+  server->connection_count--;
   if (connection->previous != NULL)
     connection->previous->next = connection->next;
   else
@@ -166,6 +173,15 @@
     remove_connection (ctx, *data);
 }
 
+static Connection *
+connection_of (struct MHD_Connection *peer)
+{
+  const union MHD_ConnectionInfo *info =
+      MHD_get_connection_info (peer, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+  return info != NULL ? info->socket_context : NULL;
+}
+
 /* Called by libmicrohttpd with the request target, before any other callback of a
  * request. */
 static void *
@@ -173,6 +189,7 @@
 {
   BurdockHttpServer *server = ctx;
   BurdockHttpRequest *request = calloc (1, sizeof *request);
+  Connection *place = connection_of (connection);
 
   if (request == NULL)
     return NULL;
@@ -189,6 +206,8 @@
     server->open_requests->previous = request;
   server->open_requests = request;
   server->open_count++;
+  if (place != NULL)
+    place->request = request;
   return request;
 }
 
@@ -221,7 +240,12 @@
              enum MHD_RequestTerminationCode code)
 {
   BurdockHttpRequest *request = *data;
+  Connection *place = connection_of (connection);
 
+  if (place != NULL) {
+    place->request = NULL;
+    place->idle_since_us = ((BurdockHttpServer *)ctx)->now_us;
+  }
   if (request == NULL)
     return;
   if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK ||
@@ -243,29 +267,11 @@
   return ntohl (((const struct sockaddr_in *)info->client_addr)->sin_addr.s_addr);
 }
 
-static void
-append_body (BurdockHttpRequest *request, const char *data, size_t length_bytes)
-{
-  if (request->body_bytes + length_bytes > request->server->limits.body_bytes)
-    request->too_large = true;
-  if (!request->too_large &&
-      !burdock_http_append (&request->body, &request->body_bytes, &request->body_capacity,
-                            data, (uint32_t)length_bytes))
-    request->too_large = true;
-}
-
 static void
 dispatch_request (BurdockHttpRequest *request)
 {
   const BurdockHttpHandler *handler = &request->server->handler;
 
-  if (request->too_large) {
-    burdock_http_respond (request, MHD_HTTP_CONTENT_TOO_LARGE, "application/json",
-                          strdup ("{\"refused\":\"bad-request\",\"ran\":\"not-run\","
-                                  "\"error\":\"body above the limit\"}\n"),
-                          "not-run");
-    return;
-  }
   request->dispatched = true;
   handler->request (handler->ctx, request);
 }
@@ -287,13 +293,16 @@
     if (request->ends_with_connection)
       visit_in_each_run (request, server->limits.idle_s + 1);
     request->peer = peer_ipv4 (connection);
-    return request->path != NULL ? MHD_YES : MHD_NO;
+    if (request->path == NULL || !burdock_http_admit_body (request))
+      return MHD_NO;
+    return request->response == NULL
+               ? MHD_YES
+               : MHD_queue_response (connection, request->status, request->response);
   }
-  if (*length_bytes > 0) {
-    append_body (request, data, *length_bytes);
-    *length_bytes = 0;
+  if (*length_bytes > 0)
+    return burdock_http_receive_body (request, data, length_bytes) ? MHD_YES : MHD_NO;
+  if (request->lingering)
     return MHD_YES;
-  }
   if (!request->dispatched && request->response == NULL)
     dispatch_request (request);
   if (request->aborted)
@@ -366,7 +375,7 @@
   for (BurdockHttpRequest *request = server->open_requests; request != NULL;
        request = next) {
     next = request->next;
-    if (request->aborted || !peer_disconnected (request))
+    if (request->aborted || request->lingering || !peer_disconnected (request))
       continue;
     if (request->suspended)
       terminate_request (request);
@@ -381,13 +390,22 @@
 {
   BurdockHttpServer *server = ctx;
 
+  server->now_us = now_us;
+  burdock_http_end_lingering (server);
   if (now_us >= server->next_check_us) {
     check_disconnected (server);
+    burdock_http_check_progress (server);
+    burdock_http_end_idle (server);
+    burdock_http_log_refusals (server);
     server->next_check_us = now_us + server->limits.disconnect_check_ms * US_PER_MS;
     server->run_needed = true; /* closes idle connections after their timeout */
   }
   run_daemon (server);
-  return server->run_needed ? 0 : server->next_check_us;
+  if (server->run_needed)
+    return 0;
+  return server->lingering_count > 0 && server->next_linger_us < server->next_check_us
+             ? server->next_linger_us
+             : server->next_check_us;
 }
 
 static void
@@ -414,6 +432,8 @@
     .idle_s = limit_or_default (limits->idle_s, defaults->idle_s),
     .disconnect_check_ms =
         limit_or_default (limits->disconnect_check_ms, defaults->disconnect_check_ms),
+    .body_copies = limit_or_default (limits->body_copies, defaults->body_copies),
+    .budget = limits->budget,
   };
 }
 
@@ -450,6 +470,8 @@
   server->loop = loop;
   server->handler = *handler;
   server->limits = effective_limits (limits);
+  server->secure = tls != NULL;
+  server->now_us = burdock_loop_now_us ();
   server->daemon = MHD_start_daemon (
       flags, 0, NULL, NULL, handle_request, server, MHD_OPTION_EXTERNAL_LOGGER,
       discard_log, NULL, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&local,
--- a/daemon/http-server.h
+++ b/daemon/http-server.h
@@ -15,6 +15,7 @@
 
 #include "burdock.h"
 #include "loop.h"
+#include "memory-budget.h"
 
 typedef struct BurdockHttpServer BurdockHttpServer;
 typedef struct BurdockHttpRequest BurdockHttpRequest;
@@ -39,13 +40,17 @@
 
 /**
  * struct BurdockHttpLimits - limits of a server; a field that is 0 selects its default
- * @body_bytes: largest request body; a larger one gets the status 413. 1 MiB by default
+ * @body_bytes: largest request body; a larger one gets the status 413 and the end of the
+ *   connection. 1 MiB by default
  * @connection_memory_bytes: memory for request line, headers and output buffer of a
  *   connection, 12 KiB by default
  * @connections: connections open at the same time, 16384 by default
  * @idle_s: time after which an idle connection is closed, 75 s by default
  * @disconnect_check_ms: interval of the checks whether the peers of open requests have
  *   disconnected, 500 ms by default
+ * @body_copies: how often the process holds a body at the same time, once by default
+ * @budget: what bodies and streams are reserved in, NULL for no bound. Used on the thread
+ *   of the server, which does not release it
  */
 typedef struct {
   uint32_t body_bytes;
@@ -53,8 +58,35 @@
   uint32_t connections;
   uint32_t idle_s;
   uint32_t disconnect_check_ms;
+  uint32_t body_copies;
+  BurdockMemoryBudget *budget;
 } BurdockHttpLimits;
 
+/**
+ * typedef BurdockHttpRefusal - why a server refuses a request before the end of its body
+ * @BURDOCK_HTTP_REFUSED_TOO_LARGE: the body is above the limit, 413
+ * @BURDOCK_HTTP_REFUSED_NO_MEMORY: there is no room for the body, 503
+ * @BURDOCK_HTTP_REFUSED_STALLED: the body makes no progress, 408
+ */
+typedef enum {
+  BURDOCK_HTTP_REFUSED_TOO_LARGE,
+  BURDOCK_HTTP_REFUSED_NO_MEMORY,
+  BURDOCK_HTTP_REFUSED_STALLED,
+  BURDOCK_HTTP_REFUSALS,
+} BurdockHttpRefusal;
+
+/**
+ * struct BurdockHttpServerStats - totals since the start
+ * @refused: requests refused before the end of their bodies, by &BurdockHttpRefusal
+ * @idle_ended: connections without a request that were ended to make room
+ * @connections: connections that are open
+ */
+typedef struct {
+  uint64_t refused[BURDOCK_HTTP_REFUSALS];
+  uint64_t idle_ended;
+  uint32_t connections;
+} BurdockHttpServerStats;
+
 /**
  * burdock_http_server_new() - listens at @address with the default limits
  * @address: a port of 0 is replaced by the port bound
@@ -83,6 +115,9 @@
 /** burdock_http_server_quiesce() - closes the listening socket; open connections stay */
 void burdock_http_server_quiesce (BurdockHttpServer *server);
 
+/** burdock_http_server_stats() - valid until the server is freed */
+const BurdockHttpServerStats *burdock_http_server_stats (BurdockHttpServer *server);
+
 /** burdock_http_server_open_count() - number of requests that have not ended */
 uint32_t burdock_http_server_open_count (const BurdockHttpServer *server);
 
@@ -170,12 +205,17 @@
 /**
  * burdock_http_stream_write() - appends to a streamed response
  * Without burdock_http_stream_start(), the first call starts a response of JSON lines
- * with status 200. Returns 0; -ENOBUFS if more than 2 MiB would wait for a slow peer, in
- * which case the request is aborted; -EPIPE if it was aborted or completed before.
+ * with status 200. Returns 0; -ENOBUFS if more than 2 MiB would wait for a slow peer, or
+ * more than the memory budget allows, in which case the request is aborted; -EPIPE if it was aborted or completed before.
  */
 int burdock_http_stream_write (BurdockHttpRequest *request, const char *data,
                                uint32_t length_bytes);
 
+/** burdock_http_respond_buffer() - as burdock_http_respond_bytes(), with a body that the
+ * server releases with free() from now on */
+void burdock_http_respond_buffer (BurdockHttpRequest *request, uint32_t status,
+                                  char *body, uint32_t body_bytes);
+
 /** burdock_http_stream_waiting_bytes() - output that the peer has not read yet; a handler
  * that reads slower while much of it waits does not meet the limit of
  * burdock_http_stream_write() */
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -34,12 +34,15 @@
 /* argp treats option keys in the range of a character as short options. */
 #define FIRST_OPTION_KEY 1000
 
+/* An empty TYPE_U32_OR_EMPTY selects the default: the platform's templates render one for a
+ * setting that a deployment does not have. */
 typedef enum {
   TYPE_NAME,
   TYPE_URL,
   TYPE_FILE,
   TYPE_ADDRESS,
   TYPE_U32,
+  TYPE_U32_OR_EMPTY,
   TYPE_REAL,
   TYPE_SEEDS,
   TYPE_LEVEL,
@@ -123,6 +126,14 @@
     "time from SIGTERM until the process is killed; sets --stop-limit-ms to 0.6 s less, "
     "or to half of it",
     GATEWAY, 0, TYPE_REAL, FIELD (grace_s), 0, 86400 },
+  { "memory-mb", "MB",
+    "memory of the instance, which bounds what is held for clients; 1024 by default, also "
+    "for an empty value",
+    ENTRY | GATEWAY, 0, TYPE_U32_OR_EMPTY, FIELD (memory_mb), 16, 1000000 },
+  { "max-fds", "N",
+    "file descriptors of the process, which bound its connections; 4100 by default, also "
+    "for an empty value",
+    ENTRY | GATEWAY, 0, TYPE_U32_OR_EMPTY, FIELD (max_fds), 64, 1000000 },
   { "log-level", "LEVEL", "debug, info (default), warning or error", ALL_ROLES, 0,
     TYPE_LEVEL, FIELD (log_level), 0, 0 },
 };
@@ -257,7 +268,6 @@
   BurdockDaemonSettings *settings = parser->settings;
   void *field = (char *)settings + option->offset;
   char expected[96];
-
   switch (option->type) {
   case TYPE_NAME:
     if (copy_text (field, BURDOCK_NAME_BYTES, value))
@@ -279,6 +289,10 @@
       return 0;
     return report_invalid (parser->program, option->name, value,
                            "an IPv4 address IP:PORT");
+  case TYPE_U32_OR_EMPTY:
+    if (value[0] == '\0')
+      return 0;
+    __attribute__ ((fallthrough));
   case TYPE_U32:
     if (parse_u32 (option, field, value))
       return 0;
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -25,6 +25,9 @@
  * @drain_limit_ms: gateways: time within which an upstream that leaves gets no more
  *   requests
  * @grace_s: gateways: time from SIGTERM until the process is killed, 0 if unknown
+ * @memory_mb: entries and gateways: memory of the instance in units of 1,000,000 bytes, 0
+ *   if unknown
+ * @max_fds: entries and gateways: file descriptors that the process may have, 0 if unknown
  * @tls_certificate: entries: PEM file, empty for plain HTTP
  * @tls_key: entries: PEM file of the private key
  * @operator_key: key that authenticates operators, if @has_operator_key
@@ -40,6 +43,8 @@
   double retry_allowance;
   double drain_limit_ms;
   double grace_s;
+  uint32_t memory_mb;
+  uint32_t max_fds;
   char tls_certificate[BURDOCK_URL_BYTES];
   char tls_key[BURDOCK_URL_BYTES];
   BurdockLogLevel log_level;
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -42,6 +42,7 @@
 /**
  * struct BurdockEntryTraffic - state of the traffic thread
  * @runtime: must be the first member, as in &BurdockEntryControl
+ * @memory: bound of what is held for callers
  * @snapshot: snapshot in use, with a reference of its own
  * @line: buffer for the line of a streamed answer that is being written
  * @next_usage_us: time of the next load report to the control thread
@@ -54,6 +55,7 @@
   BurdockEntry *entry;
   BurdockDispatcher *dispatcher;
   BurdockHttpServer *http;
+  BurdockMemoryBudget memory;
   BurdockSnapshot *snapshot;
   BurdockText line;
   uint64_t next_usage_us;
--- a/entry/main.c
+++ b/entry/main.c
@@ -4,6 +4,7 @@
 
 #include <apr_general.h>
 #include <curl/curl.h>
+#include <malloc.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -98,6 +99,7 @@
   static BurdockEntry entry;
   int status;
 
+  mallopt (M_MMAP_THRESHOLD, BURDOCK_MEMORY_MAP_BYTES);
   burdock_stop_block_signals ();
   if (sodium_init () < 0 || apr_initialize () != APR_SUCCESS ||
       curl_global_init (CURL_GLOBAL_DEFAULT) != CURLE_OK)
--- a/entry/traffic-thread.c
+++ b/entry/traffic-thread.c
@@ -18,6 +18,14 @@
 
 #define TLS_FILE_MAX_BYTES (1u << 20)
 
+/* Memory of a connection: buffers of libmicrohttpd, and what it and the entry need beside
+ * them. */
+#define CONNECTION_MEMORY_BYTES (12u << 10)
+#define CONNECTION_OVERHEAD_BYTES (8u << 10)
+
+/* The dispatcher keeps a copy of a body, and sends it in a frame. */
+#define BODY_COPIES 3
+
 static int
 receive_frame (void *ctx, BurdockAddress from, const uint8_t *frame,
                uint32_t length_bytes)
@@ -194,11 +202,20 @@
   char *certificate = secure ? read_file (settings->tls_certificate) : NULL;
   char *key = secure ? read_file (settings->tls_key) : NULL;
   BurdockHttpTls tls = { certificate, key };
+  BurdockHttpLimits limits = {
+    .connection_memory_bytes = CONNECTION_MEMORY_BYTES,
+    .connections = burdock_memory_connections_max (
+        settings->memory_mb, settings->max_fds,
+        CONNECTION_MEMORY_BYTES + CONNECTION_OVERHEAD_BYTES),
+    .body_copies = BODY_COPIES,
+    .budget = &traffic->memory,
+  };
 
   if (!secure || (certificate != NULL && key != NULL))
     traffic->http =
-        burdock_http_server_new (traffic->runtime.loop, &settings->library.http_address,
-                                 secure ? &tls : NULL, &handler);
+        burdock_http_server_new_limited (traffic->runtime.loop,
+                                         &settings->library.http_address,
+                                         secure ? &tls : NULL, &handler, &limits);
   free (certificate);
   free (key);
   return traffic->http != NULL ? 0 : -EADDRINUSE;
@@ -215,6 +232,7 @@
   if (status < 0)
     return status;
   traffic->entry = entry;
+  burdock_memory_budget_init (&traffic->memory, entry->settings.memory_mb);
   traffic->runtime.store =
       burdock_http_store_new (traffic->runtime.client, entry->settings.store_url,
                               store_done, traffic);
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -17,6 +17,8 @@
 /* Memory of all buffered answers together: an instance has 160 MB or more. */
 #define BUFFERED_ANSWERS_MAX_BYTES (32u << 20)
 
+#define BUFFER_STEP_BYTES (256u << 10)
+
 /* Output that waits for a caller that reads slowly before the gateway stops to read from
  * the upstream, and below which it reads on. An instance has 160 MB or more for a few
  * hundred requests. */
@@ -29,25 +31,46 @@
 /* The last eight shared parts of a prompt. */
 #define LOGGED_PROMPT_BYTES 140
 
+/* Makes the buffer of an answer large enough for @needed bytes. Doubles a small one; the
+ * pages of a larger one are moved and not copied, so it grows in steps. */
+static int
+grow_buffer (BurdockForward *forward, size_t needed)
+{
+  BurdockGatewayTraffic *traffic = &forward->gateway->traffic;
+  size_t size = needed * 2 <= BURDOCK_MEMORY_SMALL_BYTES
+                    ? needed * 2
+                    : (needed / BUFFER_STEP_BYTES + 1) * BUFFER_STEP_BYTES;
+  size_t added = size - forward->body_capacity_bytes;
+  char *grown;
+
+  if (traffic->buffered_bytes + added > BUFFERED_ANSWERS_MAX_BYTES ||
+      !burdock_memory_budget_resize (&traffic->memory, BURDOCK_MEMORY_ANSWERS,
+                                     forward->body_capacity_bytes, size))
+    return -EMSGSIZE;
+  grown = realloc (forward->body, size);
+  if (grown == NULL) {
+    burdock_memory_budget_resize (&traffic->memory, BURDOCK_MEMORY_ANSWERS, size,
+                                  forward->body_capacity_bytes);
+    return -ENOMEM;
+  }
+  traffic->buffered_bytes += added;
+  forward->body = grown;
+  forward->body_capacity_bytes = (uint32_t)size;
+  return 0;
+}
+
 static int
 buffer_body (BurdockForward *forward, const char *data, size_t length_bytes)
 {
-  size_t *buffered_bytes = &forward->gateway->traffic.buffered_bytes;
   size_t needed = forward->body_bytes + length_bytes;
 
   if (needed > BUFFERED_ANSWER_MAX_BYTES)
     return -EMSGSIZE;
   if (needed > forward->body_capacity_bytes) {
-    char *grown;
-
-    if (*buffered_bytes + needed * 2 > BUFFERED_ANSWERS_MAX_BYTES)
-      return -EMSGSIZE;
-    grown = realloc (forward->body, needed * 2);
-    if (grown == NULL)
-      return -ENOMEM;
-    *buffered_bytes += needed * 2 - forward->body_capacity_bytes;
-    forward->body = grown;
-    forward->body_capacity_bytes = (uint32_t)needed * 2;
+    int status = grow_buffer (forward, needed);
+
+    if (status < 0)
+      return status;
   }
   memcpy (forward->body + forward->body_bytes, data, length_bytes);
   forward->body_bytes = (uint32_t)needed;
@@ -429,6 +452,7 @@
                            .target = burdock_http_target (forward->http_request),
                            .body = body.data,
                            .body_bytes = body.length_bytes,
+                           .body_stays = true,
                            .at_most_once = true,
                            .max_idle_s = traffic->keep_alive_max_s,
                            .connect_timeout_ms =
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -36,6 +36,8 @@
   burdock_event_stream_clear (&forward->event_stream);
   burdock_route_table_unref (forward->table);
   traffic->buffered_bytes -= forward->body_capacity_bytes;
+  burdock_memory_budget_resize (&traffic->memory, BURDOCK_MEMORY_ANSWERS,
+                                forward->body_capacity_bytes, 0);
   free (forward->body);
   free (forward);
 }
@@ -134,8 +136,6 @@
 static void
 deliver_answer (BurdockForward *forward)
 {
-  BurdockBytes body = { (const uint8_t *)forward->body, forward->body_bytes };
-
   forward->gateway->traffic.counters.complete++;
   if (forward->answer_kind == BURDOCK_ANSWER_STREAM) {
     if (!forward->answer_started) {
@@ -148,8 +148,10 @@
   }
   burdock_exchange_copy_headers (forward->transfer, forward->http_request);
   set_outcome (forward, "passed", (uint32_t)forward->http_status);
-  burdock_http_respond_bytes (forward->http_request, (uint32_t)forward->http_status,
-                              body);
+  /* Its room is released with the request, as is the buffer. */
+  burdock_http_respond_buffer (forward->http_request, (uint32_t)forward->http_status,
+                               forward->body, forward->body_bytes);
+  forward->body = NULL;
 }
 
 static void
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -15,6 +15,7 @@
 #include "handover-policy.h"
 #include "http-server.h"
 #include "leaving-upstreams.h"
+#include "memory-budget.h"
 #include "part-quarantine.h"
 #include "row-decoder.h"
 #include "row-writer.h"
@@ -176,6 +177,7 @@
  * @table: route table in use, NULL before the first one
  * @forwards: list of requests that have not been closed
  * @next_handle: last handle given to a request
+ * @memory: bound of what is held for callers
  * @buffered_bytes: memory of the answers that are buffered until they are complete
  * @answer_times: times of whole answers, by route
  * @first_event_times: times to the first events of streams, by route
@@ -214,6 +216,7 @@
   BurdockForward *forwards;
   uint32_t forward_count;
   uint64_t next_handle;
+  BurdockMemoryBudget memory;
   size_t buffered_bytes;
   bool quarantine_loaded;
   bool upstreams_received;
--- a/gateway/main.c
+++ b/gateway/main.c
@@ -6,6 +6,7 @@
 #include <apr_general.h>
 #include <curl/curl.h>
 #include <inttypes.h>
+#include <malloc.h>
 #include <sodium.h>
 #include <stdlib.h>
 
@@ -90,6 +91,7 @@
   static BurdockGateway gateway;
   int status;
 
+  mallopt (M_MMAP_THRESHOLD, BURDOCK_MEMORY_MAP_BYTES);
   burdock_stop_block_signals ();
   if (sodium_init () < 0 || apr_initialize () != APR_SUCCESS ||
       curl_global_init (CURL_GLOBAL_DEFAULT) != CURLE_OK)
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -17,9 +17,16 @@
 #define CONNECTION_MEMORY_BYTES (24u << 10)
 #define BODY_MAX_BYTES (4u << 20)
 
-/* Limits the file descriptors of the process: it may have 4100, and needs some of them
- * for files and for connections to upstreams. */
+/* Connections of callers, at most. Shares of the connections that the process may have:
+ * callers get three quarters, the directory an eighth, the three others the rest. */
 #define CONNECTIONS_MAX 2500
+#define CALLER_SHARE 18
+#define DIRECTORY_SHARE 3
+#define LOCAL_SHARE 1
+#define ALL_SHARES (CALLER_SHARE + DIRECTORY_SHARE + 3 * LOCAL_SHARE)
+
+/* Memory that libmicrohttpd and the gateway need for a connection beside its buffers. */
+#define CONNECTION_OVERHEAD_BYTES (8u << 10)
 
 /* Interval of checks for disconnected callers, so that an upstream does not work on a
  * request for another 500 ms after its caller has disconnected. */
@@ -168,13 +175,21 @@
 
 static BurdockHttpServer *
 listen_on (BurdockGateway *gateway, BurdockAddress address,
-           const BurdockHttpHandler *handler)
+           const BurdockHttpHandler *handler, uint32_t share)
 {
+  const BurdockDaemonSettings *settings = &gateway->settings;
+  uint32_t connections = burdock_memory_connections_max (
+      settings->memory_mb, settings->max_fds,
+      CONNECTION_MEMORY_BYTES + CONNECTION_OVERHEAD_BYTES);
+  uint32_t own_connections = (connections * share + ALL_SHARES - 1) / ALL_SHARES;
   BurdockHttpLimits limits = { .body_bytes = BODY_MAX_BYTES,
                                .connection_memory_bytes = CONNECTION_MEMORY_BYTES,
-                               .connections = CONNECTIONS_MAX,
+                               .connections = own_connections < CONNECTIONS_MAX
+                                                  ? own_connections
+                                                  : CONNECTIONS_MAX,
                                .idle_s = CONNECTION_IDLE_S,
-                               .disconnect_check_ms = DISCONNECT_CHECK_MS };
+                               .disconnect_check_ms = DISCONNECT_CHECK_MS,
+                               .budget = &gateway->traffic.memory };
   BurdockHttpServer *server =
       burdock_http_server_new_limited (gateway->traffic.runtime.loop, &address, NULL,
                                        handler, &limits);
@@ -206,16 +221,19 @@
                                       .closed = ignore_closed };
 
   traffic->caller_server =
-      listen_on (gateway, gateway->settings.library.http_address, &caller_handler);
+      listen_on (gateway, gateway->settings.library.http_address, &caller_handler,
+               CALLER_SHARE);
   traffic->ready_server =
-      listen_on (gateway, gateway->settings.ready_address, &local_handler);
+      listen_on (gateway, gateway->settings.ready_address, &local_handler, LOCAL_SHARE);
   traffic->directory_server =
-      listen_on (gateway, gateway->settings.directory_address, &local_handler);
+      listen_on (gateway, gateway->settings.directory_address, &local_handler,
+               DIRECTORY_SHARE);
   if (gateway->settings.metrics_address.port != 0)
     traffic->metrics_server =
-        listen_on (gateway, gateway->settings.metrics_address, &local_handler);
+        listen_on (gateway, gateway->settings.metrics_address, &local_handler, LOCAL_SHARE);
   traffic->peer_server =
-      listen_on (gateway, gateway->settings.library.control_address, &peer_handler);
+      listen_on (gateway, gateway->settings.library.control_address, &peer_handler,
+               LOCAL_SHARE);
   traffic->datagrams =
       burdock_datagram_socket_new (traffic->runtime.loop,
                                    gateway->settings.library.control_address,
@@ -241,6 +259,7 @@
                                      .refuse = burdock_forward_refuse };
   int status = burdock_runtime_init (&traffic->runtime);
 
+  burdock_memory_budget_init (&traffic->memory, gateway->settings.memory_mb);
   if (status < 0)
     return status;
   traffic->store_share.gateway = gateway->id;
