End answers that nobody reads, and count TLS sessions

A client that read nothing of a large answer kept its room for 75 s, so that further large answers were refused. It now has 20 s, above the 15 s after which the platform closes idle connections. The connections of an entry with TLS count with 40 KiB more for their sessions.

--- a/daemon/http-response.c
+++ b/daemon/http-response.c
@@ -9,6 +9,10 @@
 
 #define STREAM_BLOCK_BYTES 4096
 
+/* A client that reads nothing of a large answer for this time loses it, and its room is
+ * free for others. The platform closes idle connections after 15 s. */
+#define LARGE_ANSWER_IDLE_S 20
+
 /* Least growth of a buffer, so that short parts do not each need a larger one. */
 #define GROWTH_BYTES 128
 
@@ -197,6 +201,11 @@
   request->response =
       MHD_create_response_from_buffer (body_bytes, body, MHD_RESPMEM_MUST_FREE);
   add_headers (request, NULL);
+  if (body_bytes > BURDOCK_MEMORY_SMALL_BYTES) {
+    request->limits_reading = true;
+    MHD_set_connection_option (request->connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                               (unsigned)LARGE_ANSWER_IDLE_S);
+  }
   burdock_http_resume (request);
 }
 
@@ -228,10 +237,9 @@
 append_output (BurdockHttpRequest *request, const char *data, uint32_t length_bytes)
 {
   uint32_t needed_bytes = request->output_bytes + length_bytes + 1;
-  uint64_t reserved_bytes = request->output_reserved_bytes;
 
   if (needed_bytes > request->output_capacity) {
-    reserved_bytes = needed_bytes + needed_bytes / 2 + GROWTH_BYTES;
+    uint64_t reserved_bytes = needed_bytes + needed_bytes / 2 + GROWTH_BYTES;
     if (!burdock_memory_budget_resize (request->server->limits.budget,
                                        BURDOCK_MEMORY_OUTPUT,
                                        request->output_reserved_bytes, reserved_bytes))
--- a/daemon/http-server-private.h
+++ b/daemon/http-server-private.h
@@ -54,6 +54,7 @@
  * @streaming: the response is streamed through @output
  * @ended: the response is complete; a part of it may still be unsent
  * @ends_with_connection: the peer sees the end of a stream by that of the connection only
+ * @limits_reading: the connection has a shorter timeout while its answer is read
  * @output: bytes of a streamed response, of which the first @output_sent_bytes were
  *   passed to libmicrohttpd
  * @output_reserved_bytes: room for @output in the memory budget
@@ -86,6 +87,7 @@
   bool dispatched;
   bool suspended;
   bool lingering;
+  bool limits_reading;
   bool aborted;
   bool closed;
   bool streaming;
--- a/daemon/http-server.c
+++ b/daemon/http-server.c
@@ -251,6 +251,8 @@
   if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK ||
       (request->streaming && request->ends_with_connection))
     burdock_http_end_connection (request);
+  else if (request->limits_reading)
+    visit_in_each_run (request, request->server->limits.idle_s);
   close_request (request, code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
   free_request (request);
   *data = NULL;
--- a/entry/traffic-thread.c
+++ b/entry/traffic-thread.c
@@ -23,6 +23,9 @@
 #define CONNECTION_MEMORY_BYTES (12u << 10)
 #define CONNECTION_OVERHEAD_BYTES (8u << 10)
 
+/* Buffers of a TLS session: a record of 16 KiB in each direction, and its keys. */
+#define TLS_CONNECTION_BYTES (40u << 10)
+
 /* The dispatcher keeps a copy of a body, and sends it in a frame. */
 #define BODY_COPIES 3
 
@@ -202,11 +205,12 @@
   char *certificate = secure ? read_file (settings->tls_certificate) : NULL;
   char *key = secure ? read_file (settings->tls_key) : NULL;
   BurdockHttpTls tls = { certificate, key };
+  uint32_t connection_bytes = CONNECTION_MEMORY_BYTES + CONNECTION_OVERHEAD_BYTES +
+                              (secure ? TLS_CONNECTION_BYTES : 0);
   BurdockHttpLimits limits = {
     .connection_memory_bytes = CONNECTION_MEMORY_BYTES,
     .connections = burdock_memory_connections_max (settings->memory_mb, settings->max_fds,
-                                                   CONNECTION_MEMORY_BYTES +
-                                                       CONNECTION_OVERHEAD_BYTES),
+                                                   connection_bytes),
     .body_copies = BODY_COPIES,
     .budget = &traffic->memory,
   };
