Keep the connections of an entry, and grow buffers less

Answers of 33 to 128 KiB reserved 256 KiB each, so that 128 of them at once reached the bound of 32 MiB: buffers double up to 256 KiB again.

--- a/daemon/http-overload.c
+++ b/daemon/http-overload.c
@@ -209,7 +209,7 @@
 
   if (needed_bytes <= request->announced_bytes + 1)
     return request->announced_bytes + 1;
-  if (size > BURDOCK_MEMORY_SMALL_BYTES)
+  if (size > BODY_STEP_BYTES)
     size = (needed_bytes / BODY_STEP_BYTES + 1) * BODY_STEP_BYTES;
   return size < most ? size : most;
 }
--- a/entry/traffic-thread.c
+++ b/entry/traffic-thread.c
@@ -196,6 +196,20 @@
   return NULL;
 }
 
+/* Connections that an entry may have; 0, for the default of the HTTP server, if neither
+ * limit is set: entries have had these without a setting. */
+static uint32_t
+connections_max (const BurdockDaemonSettings *settings, bool secure)
+{
+  uint32_t connection_bytes = CONNECTION_MEMORY_BYTES + CONNECTION_OVERHEAD_BYTES +
+                              (secure ? TLS_CONNECTION_BYTES : 0);
+
+  if (settings->memory_mb == 0 && settings->max_fds == 0)
+    return 0;
+  return burdock_memory_connections_max (settings->memory_mb, settings->max_fds,
+                                         connection_bytes);
+}
+
 static int
 listen_http (BurdockEntryTraffic *traffic)
 {
@@ -205,12 +219,9 @@
   char *certificate = secure ? read_file (settings->tls_certificate) : NULL;
   char *key = secure ? read_file (settings->tls_key) : NULL;
   BurdockHttpTls tls = { certificate, key };
-  uint32_t connection_bytes = CONNECTION_MEMORY_BYTES + CONNECTION_OVERHEAD_BYTES +
-                              (secure ? TLS_CONNECTION_BYTES : 0);
   BurdockHttpLimits limits = {
     .connection_memory_bytes = CONNECTION_MEMORY_BYTES,
-    .connections = burdock_memory_connections_max (settings->memory_mb, settings->max_fds,
-                                                   connection_bytes),
+    .connections = connections_max (settings, secure),
     .body_copies = BODY_COPIES,
     .budget = &traffic->memory,
   };
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -37,7 +37,7 @@
 grow_buffer (BurdockForward *forward, size_t needed)
 {
   BurdockGatewayTraffic *traffic = &forward->gateway->traffic;
-  size_t size = needed * 2 <= BURDOCK_MEMORY_SMALL_BYTES
+  size_t size = needed * 2 <= BUFFER_STEP_BYTES
                     ? needed * 2
                     : (needed / BUFFER_STEP_BYTES + 1) * BUFFER_STEP_BYTES;
   size_t added = size - forward->body_capacity_bytes;
