Evacuate failure domains that the operator names in the store

Until now an operator could take upstreams out of service one by one only. A row evacuate/ZONE in table op now stops new requests to the upstreams of a failure domain at all gateways: the control thread hands the rows to the traffic thread, the balancer leaves these upstreams and their slots out, and requests that were placed but not sent are placed elsewhere. Gateways tell each other, by a new datagram and in GET /state.

--- a/gateway/control.c
+++ b/gateway/control.c
@@ -1,6 +1,7 @@
 #include "gateway.h"
 
 #include "configuration.h"
+#include "gateway-evacuation.h"
 #include "handover.h"
 #include "log.h"
 #include "quarantine.h"
@@ -64,7 +65,9 @@
   BurdockGateway *gateway = ctx;
   char source[48];
 
-  if (strcmp (row->key, BURDOCK_PLATFORM_CONFIG_KEY) != 0 || row->value.data == NULL)
+  if (strcmp (row->key, BURDOCK_PLATFORM_CONFIG_KEY) != 0)
+    return burdock_gateway_evacuation_row (gateway, row);
+  if (row->value.data == NULL)
     return NULL;
   snprintf (source, sizeof source, "row version %" PRIu64, row->version);
   burdock_gateway_configuration_read (gateway, row->value, row->era, source);
@@ -72,8 +75,9 @@
 }
 
 static void
-ignore_begin (void *ctx, uint64_t era)
+config_begin (void *ctx, uint64_t era)
 {
+  burdock_gateway_evacuation_begin (ctx, era);
 }
 
 static void
@@ -81,6 +85,7 @@
 {
   BurdockGateway *gateway = ctx;
 
+  burdock_gateway_evacuation_end (gateway, listing);
   gateway->control.config_listed = true;
 }
 
@@ -305,6 +310,7 @@
   follow_era (gateway);
   next_us = earlier (next_us, burdock_gateway_configuration_check (gateway, now_us));
   next_us = earlier (next_us, check_upstream_lag (gateway, now_us));
+  next_us = earlier (next_us, burdock_gateway_evacuation_check (gateway, now_us));
   next_us = earlier (next_us, take_store_turn (gateway, now_us));
   next_us = earlier (next_us, burdock_table_watch_tick (control->config_watch, now_us));
   next_us = earlier (next_us, burdock_table_watch_tick (control->upstream_watch, now_us));
@@ -317,7 +323,7 @@
 {
   BurdockGatewayControl *control = &gateway->control;
   BurdockTableHandler config = { .ctx = gateway,
-                                 .begin = ignore_begin,
+                                 .begin = config_begin,
                                  .row = config_row,
                                  .end = config_end,
                                  .reachable = config_reachable };
@@ -374,6 +380,7 @@
   burdock_table_watch_free (control->quarantine_watch);
   burdock_row_writer_free (control->quarantine_writer);
   burdock_gateway_quarantine_clear (gateway);
+  burdock_gateway_evacuation_clear (gateway);
   burdock_upstream_registry_free (control->upstreams);
   burdock_runtime_clear (&control->runtime);
 }
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -152,19 +152,26 @@
                               body);
 }
 
+static void
+submit_again (BurdockForward *forward)
+{
+  uint64_t now_us = burdock_loop_now_us ();
+
+  forward->placement.admitted = true;
+  burdock_forward_set_times (forward, now_us);
+  forward->phase = BURDOCK_FORWARD_WAITING;
+  burdock_balancer_submit (forward->gateway->traffic.balancer, &forward->placement,
+                           now_us);
+}
+
 static void
 resubmit (BurdockForward *forward)
 {
-  BurdockGatewayTraffic *traffic = &forward->gateway->traffic;
   BurdockPlacement *placement = &forward->placement;
-  uint64_t now_us = burdock_loop_now_us ();
 
   if (placement->excluded_count < BURDOCK_EXCLUDED_MAX)
     placement->excluded[placement->excluded_count++] = forward->upstream.key;
-  placement->admitted = true;
-  burdock_forward_set_times (forward, now_us);
-  forward->phase = BURDOCK_FORWARD_WAITING;
-  burdock_balancer_submit (traffic->balancer, placement, now_us);
+  submit_again (forward);
 }
 
 static void
@@ -607,6 +614,41 @@
   refuse_until_tried_again (forward);
 }
 
+/* Whether an attempt has an upstream that is evacuated, which it has not reached yet. */
+static bool
+is_unsent_to_evacuated (const BurdockForward *forward)
+{
+  return forward->phase == BURDOCK_FORWARD_SENT && forward->transfer != NULL &&
+         !burdock_http_transfer_is_sent (forward->transfer) &&
+         burdock_balancer_is_evacuated (forward->gateway->traffic.balancer,
+                                        forward->upstream.failure_domain);
+}
+
+/* The attempt does not count: nothing of it was sent. */
+static void
+withdraw_unsent (BurdockForward *forward)
+{
+  burdock_log_subject (BURDOCK_LOG_INFO, "attempt withdrawn", forward->caller.request_id,
+                       forward->upstream.id, "the failure domain %s is evacuated",
+                       forward->upstream.failure_domain);
+  burdock_forward_cancel (forward, BURDOCK_UPSTREAM_ABANDONED);
+  forward->send_count--;
+  submit_again (forward);
+}
+
+void
+burdock_forward_withdraw_evacuated (BurdockGateway *gateway)
+{
+  BurdockForward *next;
+
+  for (BurdockForward *forward = gateway->traffic.forwards; forward != NULL;
+       forward = next) {
+    next = forward->next;
+    if (is_unsent_to_evacuated (forward))
+      withdraw_unsent (forward);
+  }
+}
+
 uint64_t
 burdock_forward_tick (BurdockGateway *gateway, uint64_t now_us)
 {
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "balancer.h"
 #include "config-stamp.h"
 #include "datagram.h"
+#include "evacuation.h"
 #include "handover-policy.h"
 #include "http-server.h"
 #include "leaving-upstreams.h"
@@ -135,6 +136,8 @@
  * @config_lag: how long another gateway has had a newer configuration
  * @upstream_lag: how long another gateway has read a later change of the upstreams
  * @upstream_lag_us: time in which this gateway normally reads such a change
+ * @evacuation_lag: how long another gateway has read a later evacuation
+ * @evacuation_answer: rows of the answer of the store that is being read, NULL for none
  * @store_turn: when this gateway repeats its calls to the store
  * @followed_era: era of the store for which this gateway has written its rows again
  * @config_listed: the table of the configuration was read at least once
@@ -157,6 +160,8 @@
   BurdockStoreLag config_lag;
   BurdockStoreLag upstream_lag;
   uint64_t upstream_lag_us;
+  BurdockStoreLag evacuation_lag;
+  struct BurdockGatewayEvacuationAnswer *evacuation_answer;
   BurdockStoreTurn store_turn;
   uint64_t followed_era;
   bool config_listed;
@@ -180,6 +185,8 @@
  * @answer_times: times of whole answers, by route
  * @first_event_times: times to the first events of streams, by route
  * @leaving_upstreams: starts of upstreams that have said that they leave
+ * @evacuation: failure domains that are evacuated
+ * @evacuation_changed: this set has changed since it was given to the balancer
  * @quarantine: prompt parts that crash upstreams
  * @quarantine_loaded: the stored quarantine was received from the control thread
  * @upstreams_received: a list of upstreams was received from the control thread
@@ -209,6 +216,8 @@
   BurdockAnswerTimes *answer_times;
   BurdockAnswerTimes *first_event_times;
   BurdockLeavingUpstreams *leaving_upstreams;
+  BurdockEvacuation *evacuation;
+  bool evacuation_changed;
   BurdockPartQuarantine *quarantine;
   BurdockRouteTable *table;
   BurdockForward *forwards;
@@ -256,6 +265,8 @@
  *   that another gateway has reported
  * @upstream_version: version of the last change of the upstreams that was read in the
  *   present era, from the control to the traffic thread
+ * @evacuation_era, @evacuation_version: the last change of an evacuation that this or
+ *   another gateway has read, from the traffic to the control thread
  * @gateway_count: number of gateways, this one included, from the traffic to the control
  *   thread; 0 before the first heartbeat
  * @published_upstreams: &BurdockUpstreamList from the control to the traffic thread
@@ -275,6 +286,8 @@
   _Atomic uint64_t peer_store_era;
   _Atomic uint64_t peer_upstream_version;
   _Atomic uint64_t upstream_version;
+  _Atomic uint64_t evacuation_era;
+  _Atomic uint64_t evacuation_version;
   _Atomic uint32_t gateway_count;
 } BurdockGateway;
 
@@ -368,6 +381,10 @@
  * if they have not run, otherwise a failure; a stream that has begun is broken off */
 void burdock_forward_give_up_all (BurdockGateway *gateway);
 
+/** burdock_forward_withdraw_evacuated() - takes the requests back that have an upstream
+ * in an evacuated failure domain and were not sent yet, and places them elsewhere */
+void burdock_forward_withdraw_evacuated (BurdockGateway *gateway);
+
 /** burdock_forward_tick() - ends requests that exceed their deadline and retries stalled
  * attempts; returns the time of the next call */
 uint64_t burdock_forward_tick (BurdockGateway *gateway, uint64_t now_us);
--- a/gateway/handover.c
+++ b/gateway/handover.c
@@ -1,6 +1,7 @@
 #include "handover.h"
 
 #include "configuration.h"
+#include "gateway-evacuation.h"
 #include "json-fields.h"
 #include "log.h"
 
@@ -15,15 +16,17 @@
 #define CALL_TIMEOUT_MS 500
 #define PORT_BITS 16
 
-/* {"storeEra":2,"configuration":"{…}","gone":[{"id":"i-1","bornMs":1764860000000}]} */
+/* {"storeEra":2,"configuration":"{…}","gone":[{"id":"i-1","bornMs":1764860000000}],
+ * "evacuation":[{"failureDomain":"z-1","era":2,"version":7,"evacuated":true}]} */
 static char *
 encode_state (const BurdockGatewayTraffic *traffic)
 {
   json_t *gone = json_array ();
   json_t *state =
-      json_pack ("{s:I,s:s%,s:o}", "storeEra", (json_int_t)traffic->table->era,
+      json_pack ("{s:I,s:s%,s:o,s:o}", "storeEra", (json_int_t)traffic->table->era,
                  "configuration", (const char *)traffic->table->text.data,
-                 (size_t)traffic->table->text.length_bytes, "gone", gone);
+                 (size_t)traffic->table->text.length_bytes, "gone", gone, "evacuation",
+                 burdock_gateway_evacuation_encode (traffic));
   char *text = NULL;
 
   for (uint32_t i = 0; i < traffic->gone_count && state != NULL; i++)
@@ -106,6 +109,7 @@
   if (text.data != NULL) {
     burdock_store_client_note_era (&gateway->control.store, era, "another gateway");
     burdock_gateway_configuration_read (gateway, text, era, "another gateway");
+    burdock_gateway_evacuation_take_over (gateway, json_object_get (state, "evacuation"));
     if (!gateway->control.handover_done)
       merge_gone (gateway, json_object_get (state, "gone"));
   }
--- a/gateway/local-endpoints.c
+++ b/gateway/local-endpoints.c
@@ -117,6 +117,8 @@
     { "burdock_store_era", gateway->control.store.era },
     { "burdock_upstreams_version", gateway->upstream_version },
     { "burdock_upstreams_leaving", stats.leaving },
+    { "burdock_evacuated_failure_domains",
+      burdock_evacuation_count (traffic->evacuation) },
     { "burdock_upstreams_answer_age_ms",
       answer_age_ms (gateway->control.upstream_watch) },
     { "burdock_configuration_answer_age_ms",
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -1,5 +1,6 @@
 #include "gateway.h"
 
+#include "gateway-evacuation.h"
 #include "leaving.h"
 #include "log.h"
 #include "quarantine.h"
@@ -224,6 +225,17 @@
   send_heartbeat (gateway, &from, 1, now_us);
   if (burdock_gateway_leaving_tell (gateway, now_us))
     send_message (gateway, BURDOCK_MSG_UPSTREAMS_LEAVING, &from, 1);
+  if (burdock_gateway_evacuation_tell (gateway))
+    send_message (gateway, BURDOCK_MSG_EVACUATION, &from, 1);
+}
+
+static void
+handle_evacuation (BurdockGateway *gateway, BurdockAddress from,
+                   const BurdockMessage *message)
+{
+  if (burdock_gateway_evacuation_merge (gateway, message) &&
+      burdock_gateway_evacuation_tell (gateway))
+    send_message (gateway, BURDOCK_MSG_EVACUATION, &from, 1);
 }
 
 static void
@@ -262,6 +274,8 @@
     handle_store_state (gateway, &message->store_state);
   else if (message->header.type == BURDOCK_MSG_UPSTREAMS_LEAVING)
     burdock_gateway_leaving_merge (gateway, &message->upstreams_leaving);
+  else if (message->header.type == BURDOCK_MSG_EVACUATION)
+    handle_evacuation (gateway, from, message);
   else if (message->header.type == BURDOCK_MSG_RANK_STATE)
     burdock_balancer_set_rank_state (gateway->traffic.balancer, &message->rank_state,
                                      burdock_loop_now_us ());
@@ -397,6 +411,7 @@
   burdock_gateway_quarantine_share (gateway, due, now_us);
   send_store_state (gateway, now_us);
   burdock_gateway_leaving_share (gateway, now_us);
+  burdock_gateway_evacuation_share (gateway, now_us);
   if (traffic->table != NULL)
     send_rosters (gateway, now_us);
   return traffic->next_heartbeat_us < traffic->next_roster_us ? traffic->next_heartbeat_us
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -1,5 +1,6 @@
 #include "gateway.h"
 
+#include "gateway-evacuation.h"
 #include "handover.h"
 #include "leaving.h"
 #include "log.h"
@@ -250,9 +251,10 @@
   traffic->answer_times = burdock_answer_times_new ();
   traffic->first_event_times = burdock_answer_times_new ();
   traffic->leaving_upstreams = burdock_leaving_upstreams_new (gateway->id);
-  if (traffic->balancer == NULL || traffic->answer_times == NULL ||
-      traffic->first_event_times == NULL || traffic->leaving_upstreams == NULL ||
-      burdock_gateway_quarantine_init (gateway) < 0)
+  burdock_gateway_evacuation_init (gateway);
+  if (traffic->balancer == NULL || traffic->evacuation == NULL ||
+      traffic->answer_times == NULL || traffic->first_event_times == NULL ||
+      traffic->leaving_upstreams == NULL || burdock_gateway_quarantine_init (gateway) < 0)
     return -ENOMEM;
   burdock_loop_add_hook (traffic->runtime.loop, traffic_hook, gateway);
   return listen_on_all (gateway);
@@ -277,6 +279,7 @@
   burdock_answer_times_free (traffic->answer_times);
   burdock_answer_times_free (traffic->first_event_times);
   burdock_leaving_upstreams_free (traffic->leaving_upstreams);
+  burdock_evacuation_free (traffic->evacuation);
   burdock_part_quarantine_free (traffic->quarantine);
   burdock_route_table_unref (traffic->table);
   free (traffic->gone);
--- a/libburdock/balancer-private.h
+++ b/libburdock/balancer-private.h
@@ -3,6 +3,7 @@
  *
  * balancer.c tracks the state of upstreams, groups and other gateways; balancer-queue.c
  * queues, refuses and places requests; balancer-select.c selects their upstreams;
+ * balancer-evacuation.c keeps the evacuated failure domains;
  * balancer-limit.c adjusts how many requests a group runs; balancer-rates.c keeps the
  * rate limits of upstreams.
  */
@@ -75,6 +76,7 @@
   Group *group;
   uint32_t rank;
   bool listed;
+  bool evacuated; /* its failure domain is; it does not count in its group */
   uint32_t own_outstanding;
   uint32_t peer_outstanding; /* reported by other gateways */
   double failure_rate;
@@ -118,6 +120,8 @@
   double demand_per_s;
   uint32_t rate_offset;           /* node at which the next report of rates starts */
   uint64_t heartbeat_interval_us; /* of the gateway heard last, 0 before the first one */
+  uint32_t evacuated_count;
+  char evacuated[BURDOCK_EVACUATION_ITEMS_MAX][BURDOCK_NAME_BYTES];
   BurdockBalancerStats stats;
 };
 
@@ -182,6 +186,10 @@
 /** burdock_balancer_place_freed() - a request of this gateway at @node has ended */
 void burdock_balancer_place_freed (Node *node);
 
+/** burdock_balancer_count_outstanding() - counts the requests that free places of the
+ * pools when they end */
+void burdock_balancer_count_outstanding (BurdockBalancer *balancer);
+
 /** burdock_balancer_tick_queue() - expires queued requests, refills the retry budgets */
 void burdock_balancer_tick_queue (BurdockBalancer *balancer);
 
--- a/libburdock/balancer-queue.c
+++ b/libburdock/balancer-queue.c
@@ -121,6 +121,8 @@
 {
   Pool *pool = node->pool;
 
+  if (node->evacuated)
+    return;
   if (node->group != NULL)
     node->group->credit += 1;
   if (pool->own_outstanding > 0)
@@ -385,14 +387,17 @@
     pool->waiting_since_us = balancer->now_us;
 }
 
-static void
-count_outstanding (BurdockBalancer *balancer)
+/* The places of an evacuated upstream take no other request when they become free. */
+void
+burdock_balancer_count_outstanding (BurdockBalancer *balancer)
 {
   for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next)
     pool->own_outstanding = pool->outstanding = 0;
   for (uint32_t i = 0; i < balancer->node_count; i++) {
     const Node *node = balancer->nodes[i];
 
+    if (node->evacuated)
+      continue;
     node->pool->own_outstanding += node->own_outstanding;
     node->pool->outstanding += outstanding (node);
   }
@@ -486,7 +491,7 @@
 void
 burdock_balancer_tick_queue (BurdockBalancer *balancer)
 {
-  count_outstanding (balancer);
+  burdock_balancer_count_outstanding (balancer);
   if (balancer->last_tick_us != 0) {
     uint64_t elapsed_us = balancer->now_us - balancer->last_tick_us;
 
--- a/libburdock/balancer-select.c
+++ b/libburdock/balancer-select.c
@@ -68,7 +68,7 @@
 static bool
 is_usable (const Node *node, const Pool *pool)
 {
-  return node->listed && node->pool == pool && !node->info.leaving;
+  return node->listed && node->pool == pool && !node->info.leaving && !node->evacuated;
 }
 
 static bool
--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -154,7 +154,7 @@
 void
 burdock_balancer_subtract_from_group (Node *node)
 {
-  if (node->group == NULL)
+  if (node->group == NULL || node->evacuated)
     return;
   node->group->outstanding -= outstanding (node);
   if (node->listed)
@@ -164,7 +164,7 @@
 void
 burdock_balancer_add_to_group (Node *node)
 {
-  if (node->group == NULL)
+  if (node->group == NULL || node->evacuated)
     return;
   node->group->outstanding += outstanding (node);
   if (node->listed)
@@ -262,6 +262,8 @@
     node->info = upstreams[i];
     node->pool = burdock_balancer_pool (balancer, upstreams[i].pool);
     node->listed = true;
+    node->evacuated =
+        burdock_balancer_is_evacuated (balancer, upstreams[i].failure_domain);
     burdock_balancer_add_to_group (node);
   }
   remove_unused_nodes (balancer);
--- a/libburdock/balancer.h
+++ b/libburdock/balancer.h
@@ -190,6 +190,25 @@
 void burdock_balancer_record_refusal (BurdockBalancer *balancer, uint64_t upstream,
                                       uint64_t now_us);
 
+/**
+ * burdock_balancer_set_evacuated() - replaces the set of evacuated failure domains
+ * @items: also those that are not evacuated; at most BURDOCK_EVACUATION_ITEMS_MAX
+ *
+ * From now on, their upstreams get nothing new, and neither their slots nor the requests
+ * that still run there count.
+ */
+void burdock_balancer_set_evacuated (BurdockBalancer *balancer,
+                                     const BurdockEvacuationItem *items, uint32_t count,
+                                     uint64_t now_us);
+
+/** burdock_balancer_is_evacuated() - whether a failure domain is evacuated */
+bool burdock_balancer_is_evacuated (const BurdockBalancer *balancer,
+                                    const char *failure_domain);
+
+/** burdock_balancer_domain_count() - number of listed upstreams in a failure domain */
+uint32_t burdock_balancer_domain_count (const BurdockBalancer *balancer,
+                                        const char *failure_domain);
+
 /** burdock_balancer_address() - address of a listed upstream; false if it is not listed
  */
 bool burdock_balancer_address (const BurdockBalancer *balancer, uint64_t upstream,
--- a/libburdock/message-fields.c
+++ b/libburdock/message-fields.c
@@ -255,6 +255,20 @@
               BURDOCK_LEAVING_ITEMS_MAX, leaving_item_table),
 };
 
+static const BurdockField evacuation_item_fields[] = {
+  FIELD (BURDOCK_FIELD_NAME, BurdockEvacuationItem, failure_domain),
+  FIELD (BURDOCK_FIELD_U64, BurdockEvacuationItem, era),
+  FIELD (BURDOCK_FIELD_U64, BurdockEvacuationItem, version),
+  FIELD (BURDOCK_FIELD_BOOL, BurdockEvacuationItem, evacuated),
+};
+static const BurdockFieldTable evacuation_item_table =
+    FIELD_TABLE (BurdockEvacuationItem, evacuation_item_fields);
+
+static const BurdockField evacuation_fields[] = {
+  LIST_FIELD (BurdockEvacuationMessage, items, item_count, BURDOCK_EVACUATION_ITEMS_MAX,
+              evacuation_item_table),
+};
+
 static const BurdockField store_state_fields[] = {
   FIELD (BURDOCK_FIELD_U64, BurdockStoreStateMessage, era),
   FIELD (BURDOCK_FIELD_U64, BurdockStoreStateMessage, upstream_version),
@@ -385,6 +399,8 @@
   [BURDOCK_MSG_UPSTREAMS_LEAVING] = { "UPSTREAMS_LEAVING",
                                       FIELD_TABLE (BurdockUpstreamsLeavingMessage,
                                                    upstreams_leaving_fields) },
+  [BURDOCK_MSG_EVACUATION] = { "EVACUATION", FIELD_TABLE (BurdockEvacuationMessage,
+                                                          evacuation_fields) },
 };
 
 const BurdockMessageSchema *
--- a/libburdock/message.h
+++ b/libburdock/message.h
@@ -34,6 +34,7 @@
 #define BURDOCK_PART_ITEMS_MAX 32
 #define BURDOCK_RATE_ITEMS_MAX 32
 #define BURDOCK_LEAVING_ITEMS_MAX 32
+#define BURDOCK_EVACUATION_ITEMS_MAX 64
 
 typedef enum {
   BURDOCK_MSG_ATTEMPT = 1,
@@ -68,6 +69,7 @@
   BURDOCK_MSG_UPSTREAM_RATES,
   BURDOCK_MSG_STORE_STATE,
   BURDOCK_MSG_UPSTREAMS_LEAVING,
+  BURDOCK_MSG_EVACUATION,
   BURDOCK_MSG_TYPE_COUNT,
 } BurdockMessageType;
 
@@ -483,6 +485,27 @@
   BurdockLeavingItem items[BURDOCK_LEAVING_ITEMS_MAX];
 } BurdockUpstreamsLeavingMessage;
 
+/**
+ * struct BurdockEvacuationItem - whether the operator evacuates a failure domain
+ * @era: era of the store in which this was read, 0 if the store names none
+ * @version: version of the table at the last change of the row, or at which it did not
+ *   exist
+ * @evacuated: the row exists; the upstreams of the failure domain take nothing new
+ */
+typedef struct {
+  char failure_domain[BURDOCK_NAME_BYTES];
+  uint64_t era;
+  uint64_t version;
+  bool evacuated;
+} BurdockEvacuationItem;
+
+/** struct BurdockEvacuationMessage - evacuations of failure domains, from one gateway to
+ * the others */
+typedef struct {
+  uint32_t item_count;
+  BurdockEvacuationItem items[BURDOCK_EVACUATION_ITEMS_MAX];
+} BurdockEvacuationMessage;
+
 /** struct BurdockRosterRank - model runner (engine process) of a rank, at @address */
 typedef struct {
   BurdockAddress address;
@@ -612,6 +635,7 @@
     BurdockUpstreamRatesMessage upstream_rates;
     BurdockStoreStateMessage store_state;
     BurdockUpstreamsLeavingMessage upstreams_leaving;
+    BurdockEvacuationMessage evacuation;
   };
 } BurdockMessage;
 
