Play evacuations of failure domains against real gateways

Guards against gateways that send to an evacuated failure domain: with one gateway cut off from the store, with odd rows, with all failure domains evacuated, when a gateway starts and when the store returns from a copy. The callers of the scenario open a connection for each request, as those that stay with one gateway never come back to one that was started again.

--- a/Makefile
+++ b/Makefile
@@ -50,6 +50,7 @@
 	python3 tests/soak/scenarios.py endless-streams --build $(BUILD) --seed $(SEED) --seconds 30 --callers 4
 	python3 tests/soak/scenarios.py faulty-answers --build $(BUILD) --seed $(SEED) --seconds 15 --callers 24
 	python3 tests/soak/scenarios.py malformed-answers --build $(BUILD) --seed $(SEED) --seconds 15 --callers 24
+	python3 tests/soak/scenarios.py evacuation --build $(BUILD) --seed $(SEED) --callers 24
 	python3 tests/soak/scenarios.py silent-poll-all --build $(BUILD) --seed $(SEED) --seconds 12
 	python3 tests/soak/scenarios.py paused-stream --build $(BUILD) --seed $(SEED)
 	python3 tests/soak/scenarios.py equal-callers --build $(BUILD) --seed $(SEED) --seconds 40
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -8,6 +8,7 @@
 limit: most upstreams name a limit of requests a second, and a gateway is started meanwhile.
 endless-streams: bodies of streams without end, read quickly and slowly.
 equal-callers: calls whose callers have more or less time, more than upstreams can end.
+evacuation: failure domains are evacuated and used again; one gateway cannot reach the store.
 malformed-answers: answers whose heads are no heads of HTTP/1.1.
 faulty-answers: refusals written twice, heads cut, errors where a stream is to be resumed.
 late-row: a row from before the notice of an upstream that leaves is written after it.
@@ -33,6 +34,7 @@
 import soak
 from endless import EndlessStreamsScenario, SlowReadersScenario
 from equal import EqualCallersScenario
+from evacuation import EvacuationScenario
 from faulty import FaultyAnswersScenario
 from leaving import (LateRowScenario, LeavingAnswersScenario, PausedStreamScenario,
                      RetryAfterScenario)
@@ -401,6 +403,7 @@
 
 
 SCENARIOS = {"endless-streams": EndlessBodiesScenario, "equal-callers": EqualCallersScenario,
+             "evacuation": EvacuationScenario,
              "faulty-answers": FaultyAnswersScenario, "late-row": LateRowScenario,
              "leaving-answers": LeavingAnswersScenario,
              "limit": LimitScenario, "malformed-answers": MalformedAnswersScenario,
--- a/tests/soak/standin.py
+++ b/tests/soak/standin.py
@@ -320,6 +320,7 @@
                                                                     group, rank)
         self.slots, self.running, self.sequence = slots, 0, 0
         self.state, self.error_rate, self.hung = "available", 0.0, False
+        self.zone = "z"
         # Time in s that a plain request takes, at least and at most; longest pause between two
         # events of a stream, which PAUSE_RATE of the events have.
         self.work_s, self.pause_s = (0.03, 0.03), 0.0
@@ -341,7 +342,7 @@
         self.born_ms = int(time.time() * 1000)
 
     def store_row(self):
-        return {"service": self.service, "address": f"{self.ip}:9000", "zone": "z",
+        return {"service": self.service, "address": f"{self.ip}:9000", "zone": self.zone,
                 "version": "v1", "slots": self.slots, "state": self.state,
                 "coldLeftMs": 0, "sequence": 1, "born": self.born_ms}
 
