--- a/fuzz/fuzz-rows.c
+++ b/fuzz/fuzz-rows.c
@@ -2,7 +2,8 @@
  * DOC: fuzz-rows.c - decodes arbitrary bytes as a row or header of the platform
  *
  * The first byte selects what the bytes are: the configuration, the row of an upstream, a
- * row about the quarantine, or the list of the parts of a prompt. A decoder either
+ * row about the quarantine, the list of the parts of a prompt, or the key and value of a
+ * row that evacuates a failure domain. A decoder either
  * rejects them or returns values within the bounds that the rest of the program relies
  * on.
  */
@@ -82,8 +83,23 @@
   free (list);
 }
 
+static void
+decode_evacuation (BurdockBytes text)
+{
+  char *key = strndup ((const char *)text.data, text.length_bytes);
+  char failure_domain[BURDOCK_NAME_BYTES];
+
+  if (burdock_platform_decode_evacuation_key (key, failure_domain) == 0 &&
+      (failure_domain[0] == '\0' ||
+       memchr (failure_domain, '\0', sizeof failure_domain) == NULL))
+    abort ();
+  burdock_platform_is_evacuation (text);
+  free (key);
+}
+
 static void (*const decoders[]) (BurdockBytes text) = { decode_routes, decode_upstream,
-                                                        decode_quarantine, parse_prompt };
+                                                        decode_quarantine, parse_prompt,
+                                                        decode_evacuation };
 
 static GLogWriterOutput
 discard_log (GLogLevelFlags level, const GLogField *fields, gsize count, gpointer ctx)
--- a/tests/test-message.c
+++ b/tests/test-message.c
@@ -80,6 +80,57 @@
   CU_ASSERT_EQUAL (burdock_message_encode (&in, NULL, &frame, &length_bytes), -EINVAL);
 }
 
+/* Guards against a statement about a failure domain that another gateway reads in another
+ * way, and against more of them than there is room for. */
+static void
+evacuations_are_sent_as_they_are (void)
+{
+  BurdockMessage in = { .header = { .type = BURDOCK_MSG_EVACUATION } };
+  BurdockEvacuationMessage *evacuation = &in.evacuation;
+  BurdockMessage out;
+  BurdockError error;
+  uint8_t *frame;
+  uint32_t length_bytes;
+
+  evacuation->item_count = BURDOCK_EVACUATION_ITEMS_MAX;
+  evacuation->items[0] = (BurdockEvacuationItem){ "z-1", 2, UINT64_MAX, true };
+  evacuation->items[1] = (BurdockEvacuationItem){ "z-2", 0, 7, false };
+  CU_ASSERT_EQUAL (burdock_message_encode (&in, NULL, &frame, &length_bytes), 0);
+  CU_ASSERT_EQUAL (burdock_message_decode (frame, length_bytes, NULL, &out, &error), 0);
+  CU_ASSERT_EQUAL (out.evacuation.item_count, BURDOCK_EVACUATION_ITEMS_MAX);
+  for (uint32_t i = 0; i < 2; i++) {
+    const BurdockEvacuationItem *item = &out.evacuation.items[i];
+
+    CU_ASSERT_STRING_EQUAL (item->failure_domain, evacuation->items[i].failure_domain);
+    CU_ASSERT_EQUAL (item->era, evacuation->items[i].era);
+    CU_ASSERT_EQUAL (item->version, evacuation->items[i].version);
+    CU_ASSERT_EQUAL (item->evacuated, evacuation->items[i].evacuated);
+  }
+  free (frame);
+  evacuation->item_count++;
+  CU_ASSERT_EQUAL (burdock_message_encode (&in, NULL, &frame, &length_bytes), -EINVAL);
+}
+
+/* Processes of different versions run together while they are replaced. Guards against a
+ * message of a later version that is taken for another one. */
+static void
+messages_of_later_versions_are_refused (void)
+{
+  BurdockMessage in = { .header = { .type = BURDOCK_MSG_EVACUATION } };
+  BurdockMessage out;
+  BurdockError error;
+  uint8_t *frame;
+  uint32_t length_bytes;
+
+  CU_ASSERT_EQUAL (burdock_message_encode (&in, NULL, &frame, &length_bytes), 0);
+  /* After the length, the head of the array and the version of the format. */
+  CU_ASSERT_EQUAL (frame[BURDOCK_LENGTH_PREFIX_BYTES + 2], BURDOCK_MSG_EVACUATION);
+  frame[BURDOCK_LENGTH_PREFIX_BYTES + 2] = BURDOCK_MSG_TYPE_COUNT;
+  CU_ASSERT_EQUAL (burdock_message_decode (frame, length_bytes, NULL, &out, &error),
+                   -ENOSYS);
+  free (frame);
+}
+
 typedef struct {
   const char *name;
   BurdockFrameKeys sender;
@@ -164,6 +215,9 @@
   { "a short frame makes the decoder allocate gigabytes",
     array_counts_beyond_the_frame_are_refused },
   { "a field is lost or altered by encoding and decoding", round_trip_keeps_every_field },
+  { "a statement about a failure domain is altered", evacuations_are_sent_as_they_are },
+  { "a message of a later version is taken for another one",
+    messages_of_later_versions_are_refused },
   { "a list loses items or exceeds its bound", nested_lists_keep_order_and_bounds },
   { "a frame without a valid MAC is accepted",
     mac_accepts_current_and_previous_key_only },
--- a/tests/test-platform-decode.c
+++ b/tests/test-platform-decode.c
@@ -491,6 +491,64 @@
   CU_ASSERT_NOT_EQUAL (parts.ids[0], other.ids[0]);
 }
 
+typedef struct {
+  const char *key;
+  int status;
+  const char *failure_domain;
+} EvacuationKeyCase;
+
+static const EvacuationKeyCase evacuation_key_cases[] = {
+  { "evacuate/z-1", 0, "z-1" },
+  { "evacuate/a/b", 0, "a/b" },
+  { "evacuate/", -EINVAL, NULL },
+  { "evacuate/0123456789012345678901234567890123456789012345678901234567890123", -EINVAL,
+    NULL },
+  { "evacuate", -ENOENT, NULL },
+  { "evacuated/z-1", -ENOENT, NULL },
+  { "Evacuate/z-1", -ENOENT, NULL },
+  { "config", -ENOENT, NULL },
+  { "", -ENOENT, NULL },
+};
+
+typedef struct {
+  const char *value; /* NULL for a value that is no base64 */
+  bool evacuates;
+} EvacuationValueCase;
+
+static const EvacuationValueCase evacuation_value_cases[] = {
+  { "{}", true },      { "{\"since\":5}", true },
+  { " {} ", true },    { NULL, false },
+  { "", false },       { "[]", false },
+  { "null", false },   { "true", false },
+  { "\"{}\"", false }, { "{", false },
+  { "{}{}", false },
+};
+
+/* Guards against an evacuation by a row that is about something else, that names no
+ * failure domain, or that cannot be read. */
+static void
+rows_of_evacuations_are_decoded (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (evacuation_key_cases); i++) {
+    const EvacuationKeyCase *row = &evacuation_key_cases[i];
+    char failure_domain[BURDOCK_NAME_BYTES];
+    int status = burdock_platform_decode_evacuation_key (row->key, failure_domain);
+
+    if (status != row->status ||
+        (status == 0 && strcmp (failure_domain, row->failure_domain) != 0))
+      CU_FAIL (row->key);
+  }
+  for (size_t i = 0; i < G_N_ELEMENTS (evacuation_value_cases); i++) {
+    const EvacuationValueCase *row = &evacuation_value_cases[i];
+    BurdockBytes value = { 0 };
+
+    if (row->value != NULL)
+      value = bytes_of (row->value);
+    if (burdock_platform_is_evacuation (value) != row->evacuates)
+      CU_FAIL (row->value);
+  }
+}
+
 static const Test tests[] = {
   { "a request begins after its caller has left a stream",
     patience_follows_from_the_route },
@@ -502,6 +560,8 @@
   { "a sound route is lost beside odd ones, or those fill the log",
     sound_routes_beside_odd_ones_are_used },
   { "a number out of range is used", odd_numbers_of_a_route_count_as_missing },
+  { "a failure domain is evacuated by a row that does not say so",
+    rows_of_evacuations_are_decoded },
   { "a part is quarantined by a row that is not about it", only_sound_evidence_is_read },
   { "evidence is altered in the store", evidence_is_stored_as_it_is },
   { "a shared part of a prompt is not recognized", shared_parts_of_a_prompt_are_parsed },
