Tighten the tests of estimates and lost messages of evacuations

Mutations of the code showed that neither the end of requests at evacuated upstreams nor repeated messages were covered. Both mutations now fail.

--- a/tests/test-balancer-evacuation.c
+++ b/tests/test-balancer-evacuation.c
@@ -193,45 +193,53 @@
   burdock_balancer_free (fixture.balancer);
 }
 
-/* Ten of 40 requests end every 100 ms. Once one of two failure domains is evacuated, only
- * the places of the other become free for what waits. Guards against an estimate that
- * counts places that take nothing: callers would wait and be refused late. */
-static void
-places_that_take_nothing_are_not_expected (void)
+/* 20 of 40 requests end every 200 ms. Returns how many of 200 more requests may wait
+ * after a change: the evacuation of @domain, if there is one, and the end of what runs in
+ * x. */
+static uint32_t
+count_waiting (const char *domain, bool ended)
 {
-  static const char *const one[DOMAINS_MAX] = { "x" };
-  uint32_t waiting[2];
-
-  for (uint32_t evacuated = 0; evacuated < 2; evacuated++) {
-    Fixture fixture;
-
-    set_up_upstreams (&fixture, false);
-    for (uint32_t i = 0; i < UPSTREAMS * SLOTS; i++)
-      submit (&fixture, 0);
-    for (uint32_t round = 0; round < 10; round++) {
-      advance_time (&fixture, 200 * US_PER_MS);
-      for (uint64_t key = 1; key <= UPSTREAMS; key++) {
-        for (uint32_t k = 0; k < 5; k++)
-          burdock_balancer_finish (fixture.balancer, key, BURDOCK_UPSTREAM_OK,
-                                   fixture.now_us);
-      }
-      for (uint32_t k = 0; k < 20; k++)
-        submit (&fixture, 0);
-    }
-    if (evacuated == 1)
-      evacuate (&fixture, one);
-    waiting[evacuated] = 0;
-    for (uint32_t i = 0; i < 200; i++) {
-      uint64_t handle = submit (&fixture, 0);
+  const char *const domains[DOMAINS_MAX] = { domain };
+  uint32_t waiting = 0;
+  Fixture fixture;
 
-      waiting[evacuated] += !fixture.refused[handle];
+  set_up_upstreams (&fixture, false);
+  for (uint32_t i = 0; i < UPSTREAMS * SLOTS; i++)
+    submit (&fixture, 0);
+  for (uint32_t round = 0; round < 10; round++) {
+    advance_time (&fixture, 200 * US_PER_MS);
+    for (uint64_t key = 1; key <= UPSTREAMS; key++) {
+      for (uint32_t k = 0; k < SLOTS / 2; k++)
+        burdock_balancer_finish (fixture.balancer, key, BURDOCK_UPSTREAM_OK,
+                                 fixture.now_us);
     }
-    burdock_balancer_free (fixture.balancer);
+    for (uint32_t k = 0; k < UPSTREAMS * SLOTS / 2; k++)
+      submit (&fixture, 0);
   }
+  if (domain != NULL)
+    evacuate (&fixture, domains);
+  for (uint32_t k = 0; ended && k < 2 * SLOTS; k++)
+    burdock_balancer_finish (fixture.balancer, k % 2 + 1, BURDOCK_UPSTREAM_OK,
+                             fixture.now_us);
+  for (uint32_t i = 0; i < 200; i++)
+    waiting += !fixture.refused[submit (&fixture, 0)];
+  burdock_balancer_free (fixture.balancer);
+  return waiting;
+}
+
+/* Guards against an estimate that counts places that take nothing: callers would wait and
+ * be refused late. */
+static void
+places_that_take_nothing_are_not_expected (void)
+{
+  uint32_t all = count_waiting (NULL, false);
+  uint32_t half = count_waiting ("x", false);
+
   /* Of 100 requests a second, about half may wait for the places of one failure domain.
    */
-  CU_ASSERT_TRUE (waiting[0] > 60);
-  CU_ASSERT_TRUE (waiting[1] > 0 && waiting[1] < waiting[0] * 0.6);
+  CU_ASSERT_TRUE (all > 60);
+  CU_ASSERT_TRUE (half > 0 && half < all * 0.6);
+  CU_ASSERT_EQUAL (count_waiting ("x", true), half);
 }
 
 static const Test tests[] = {
--- a/tests/test-evacuation.c
+++ b/tests/test-evacuation.c
@@ -294,6 +294,7 @@
   uint32_t gateways;
   uint32_t readers;  /* gateways that read the row in the store at 0 s */
   double lost;       /* share of the messages that are lost */
+  double deaf_s;     /* the last gateway receives nothing for this time */
   double told_max_s; /* until the last gateway knows */
   double per_s_max;  /* messages that a gateway receives a second, from 5 s on */
 } ShareCase;
@@ -301,10 +302,10 @@
 /* The times come from the bound of the operator, 5 s, and the target of 1 s where enough
  * gateways reach the store. */
 static const ShareCase share_cases[] = {
-  { 2, 1, 0, 0.1, 4 },     { 3, 1, 0, 0.1, 4 },     { 9, 8, 0, 0.5, 4 },
-  { 9, 8, 0.3, 1, 4 },     { 32, 31, 0, 0.5, 4 },   { 32, 16, 0.3, 1, 4 },
-  { 99, 98, 0.3, 1, 4 },   { 330, 329, 0, 0.5, 4 }, { 330, 329, 0.3, 1, 4 },
-  { 330, 165, 0.3, 2, 4 },
+  { 2, 1, 0, 0, 0.1, 4 },     { 2, 1, 0, 0.3, 0.5, 4 },   { 3, 1, 0, 0, 0.1, 4 },
+  { 9, 8, 0, 0.3, 0.5, 4 },   { 9, 8, 0.3, 0, 1, 4 },     { 32, 31, 0, 0, 0.5, 4 },
+  { 32, 16, 0.3, 0, 1, 4 },   { 99, 98, 0.3, 0, 1, 4 },   { 330, 329, 0, 0, 0.5, 4 },
+  { 330, 329, 0.3, 0, 1, 4 }, { 330, 165, 0.3, 0, 2, 4 }, { 330, 329, 0.3, 10, 12, 4 },
 };
 
 /* Guards against a gateway cut off from the store that is not told in time, and against
@@ -328,7 +329,7 @@
         if (!burdock_evacuation_is_share_due (sets[k], row->gateways, now_us))
           continue;
         late += now_us > 6 * US_PER_S;
-        if (told_us == 0 &&
+        if (told_us == 0 && (double)now_us >= (1 + row->deaf_s) * US_PER_S &&
             burdock_hash_unit (burdock_hash_pair (now_us, k)) >= row->lost)
           told_us = now_us;
       }
