Ignore rows of a partition; check what was not sent and /state

Listings ask the store for the rows without a partition, but its changes name none, so a row evacuate/ZONE of another partition would have counted. The scenario now has an upstream to which connections are not established, and asks a gateway for its state.

--- a/tests/soak/evacuation.py
+++ b/tests/soak/evacuation.py
@@ -1,17 +1,23 @@
 """Failure domains are evacuated and used again, with gateways that cannot reach the store, that
 start meanwhile, and with a store that returns from a copy."""
 import asyncio
+import json
+import os
 import signal
+import socket
 import time
 
 from soak import Soak
-from standin import Runner, attempt_id, gateway_of
+from standin import Runner, attempt_id, gateway_of, read_body, read_head
 
 # After the store has confirmed a row, upstreams of the failure domain get nothing later than
 # EFFECT_S, and once it is removed they get requests of each gateway again within USE_S. A gateway
 # that starts serves within START_S.
 EFFECT_S, USE_S, START_S = 1.0, 4.0, 8.0
 HOLD_S, REFUSAL_S, SERVED_MIN = 3.0, 0.3, 0.9
+# Of an upstream to which connections are not established: time until its evacuation, which is
+# less than the 0.7 s of an attempt to connect.
+UNCONNECTED_S = 0.4
 ZONES = ("z-a", "z-b")
 
 
@@ -102,6 +108,50 @@
         self.proxies[0].set_mode("pass")
         await asyncio.sleep(1)
 
+    async def play_unsent(self):
+        """Requests that were placed at an upstream and not sent to it yet are sent elsewhere."""
+        with socket.socket() as server, socket.socket() as filler, socket.socket() as other:
+            # With a full queue of connections, further ones are not established.
+            server.bind((f"{self.net}.3.9", 9000))
+            server.listen(0)
+            for client in (filler, other):
+                client.setblocking(False)
+                client.connect_ex((f"{self.net}.3.9", 9000))
+            row = {**self.plain_runners[0].store_row(), "zone": "z-c",
+                   "address": f"{self.net}.3.9:9000"}
+            offsets = [os.path.getsize(self.log_path(k)) for k in range(self.options.gateways)]
+            await self.store.put("servers", "i-unconnected", row)
+            await asyncio.sleep(UNCONNECTED_S)
+            before = self.counts()
+            await self.evacuate("z-c")
+            await asyncio.sleep(1)
+            self.expect_served(before, "requests that were not sent")
+            await self.store.remove("servers", "i-unconnected")
+            await self.release("z-c")
+        withdrawn = 0
+        for k, offset in enumerate(offsets):
+            with open(self.log_path(k), encoding="utf-8") as log:
+                log.seek(offset)
+                withdrawn += sum('step="attempt withdrawn"' in line for line in log)
+        print(f"requests that were not sent: {withdrawn} sent elsewhere")
+        if withdrawn == 0:
+            self.check.add_violation("UNSENT", "no request was taken back")
+
+    def log_path(self, k):
+        return os.path.join(self.logs, f"gateway-{k}.log")
+
+    async def expect_state(self, zone):
+        """A gateway hands over what is evacuated to another one that asks, from its address."""
+        reader, writer = await asyncio.open_connection(self.gateway_ip(1), 7000,
+                                                       local_addr=(self.gateway_ip(0), 0))
+        writer.write(b"GET /state HTTP/1.1\r\nHost: h\r\n\r\n")
+        head = await read_head(reader)
+        state = json.loads(await read_body(reader, head[1]))
+        writer.close()
+        evacuated = [item["failureDomain"] for item in state["evacuation"] if item["evacuated"]]
+        if evacuated != [zone]:
+            self.check.add_violation("STATE", f"{evacuated} is handed over instead of {zone}")
+
     async def play_all(self):
         """The second failure domain is evacuated while the first one is; the rows are odd for a
         time, which neither ends nor begins an evacuation."""
@@ -142,6 +192,7 @@
         since = time.monotonic() - EFFECT_S
         await asyncio.sleep(START_S)
         self.expect_nothing("z-a", since, "a gateway that has started")
+        await self.expect_state("z-a")
 
     async def play_restored(self):
         """The store returns from a copy without the row: its content counts."""
@@ -163,6 +214,7 @@
                    for _ in range(self.options.callers)]
         await asyncio.sleep(2)
         await self.play_without_store()
+        await self.play_unsent()
         await self.play_all()
         cut = sum(n for key, n in self.outcome_counts.items()
                   if key.endswith((" cut", " timeout", " 502", " 504")))
--- a/tests/test-platform-client.c
+++ b/tests/test-platform-client.c
@@ -169,6 +169,13 @@
       "{\"key\":\"y\",\"deleted\":true,\"schemaVersion\":6}],\"schemaVersion\":6}" },
     2,
     "+[x=a ]x=b -y= ;" },
+  { "rows of a partition",
+    { "200 {\"rows\":[{\"key\":\"x\",\"data\":\"YQ==\",\"part\":\"\"}],"
+      "\"hasMore\":false,\"schemaVersion\":5}",
+      "200 {\"rows\":[{\"key\":\"x\",\"data\":\"Yg==\",\"part\":\"p\"},"
+      "{\"key\":\"y\",\"data\":\"Yg==\",\"part\":\"\"}],\"schemaVersion\":6}" },
+    2,
+    "+[x=a ]y=b ;" },
   { "listing of two pages",
     { "200 {\"rows\":[{\"key\":\"x\",\"data\":\"YQ==\"}],\"hasMore\":true,"
       "\"schemaVersion\":5}",
