Do not take an ignored row of an evacuation for a removed one

With more than 64 evacuated failure domains, or too many rows in an answer, a gateway knew the version of the table but not all rows of it, and would have told others that the ignored ones had ended. It no longer concludes that until a listing fits.

--- a/gateway/gateway-evacuation.c
+++ b/gateway/gateway-evacuation.c
@@ -21,6 +21,7 @@
   BurdockGateway *gateway;
   BurdockEvacuationSource source;
   BurdockEvacuationAnswer answer;
+  bool incomplete; /* there were too many rows */
   uint32_t capacity;
   BurdockEvacuationRow *rows;
 };
@@ -146,8 +147,10 @@
     return "the key names no failure domain, the row is ignored";
   if (control->evacuation_answer == NULL)
     control->evacuation_answer = new_answer (gateway, BURDOCK_EVACUATION_STORE);
-  if (control->evacuation_answer->answer.count == ROWS_MAX)
+  if (control->evacuation_answer->answer.count == ROWS_MAX) {
+    control->evacuation_answer->incomplete = true;
     return "there are too many rows about evacuations, it is ignored";
+  }
   control->evacuation_answer->answer.era = row->era;
   added = add_row (control->evacuation_answer);
   added->item = (BurdockEvacuationItem){ .era = row->era,
@@ -167,7 +170,7 @@
   if (answer == NULL)
     return;
   control->evacuation_answer = NULL;
-  answer->answer.listing = listing;
+  answer->answer.listing = listing && !answer->incomplete;
   answer->answer.version = burdock_table_watch_version (control->config_watch);
   post_answer (answer);
 }
--- a/libburdock/evacuation.c
+++ b/libburdock/evacuation.c
@@ -30,7 +30,7 @@
   BurdockEvacuationHandler handler;
   uint64_t listed_era; /* the rows up to this version are known */
   uint64_t listed_version;
-  bool listed; /* a listing was read */
+  bool listed; /* a listing was read, and all rows since are kept */
   uint32_t count;
   BurdockEvacuationItem items[BURDOCK_EVACUATION_ITEMS_MAX];
   Mark marks[BURDOCK_EVACUATION_ITEMS_MAX];
@@ -191,7 +191,10 @@
     mark_listed (set, answer->rows[i].item.failure_domain);
   if (answer->listing)
     end_unlisted (set, answer, now_us);
-  if (answer->listing || set->listed) {
+  /* A row that was ignored is not absent. */
+  if (ignored > 0) {
+    set->listed = false;
+  } else if (answer->listing || set->listed) {
     set->listed = true;
     set->listed_era = answer->era;
     set->listed_version = answer->version;
--- a/tests/soak/evacuation.py
+++ b/tests/soak/evacuation.py
@@ -12,8 +12,9 @@
 
 # After the store has confirmed a row, upstreams of the failure domain get nothing later than
 # EFFECT_S, and once it is removed they get requests of each gateway again within USE_S. A gateway
-# that starts serves within START_S.
-EFFECT_S, USE_S, START_S = 1.0, 4.0, 8.0
+# that starts serves within START_S. If no gateway gets an answer to its open call, they repeat
+# their calls in turn; then the operator's bound holds.
+EFFECT_S, USE_S, START_S, BOUND_S = 1.0, 4.0, 8.0, 5.0
 HOLD_S, REFUSAL_S, SERVED_MIN = 3.0, 0.3, 0.9
 # Of an upstream to which connections are not established: time until its evacuation, which is
 # less than the 0.7 s of an attempt to connect.
@@ -63,10 +64,10 @@
         await self.store.remove("op", f"evacuate/{zone}")
         return time.monotonic()
 
-    def expect_nothing(self, zone, since, text):
+    def expect_nothing(self, zone, since, text, bound=EFFECT_S):
         now = time.monotonic()
         for runner in self.in_zone(zone):
-            late = [t - since for t, _ in runner.by_gateway if since + EFFECT_S < t < now]
+            late = [t - since for t, _ in runner.by_gateway if since + bound < t < now]
             if late:
                 self.check.add_violation("EVACUATED", f"{text}: {runner.id} in {zone} got "
                                          f"{len(late)} requests, the last after {late[-1]:.2f} s")
@@ -137,6 +138,15 @@
         if withdrawn == 0:
             self.check.add_violation("UNSENT", "no request was taken back")
 
+    async def play_silent(self):
+        """No gateway gets an answer to the calls that it has open."""
+        for proxy in self.proxies:
+            proxy.silence_open()
+        since = await self.evacuate("z-b")
+        await asyncio.sleep(BOUND_S + 1)
+        self.expect_nothing("z-b", since, "open calls are silent", BOUND_S)
+        await self.expect_use("z-b", await self.release("z-b"), "open calls were silent")
+
     def log_path(self, k):
         return os.path.join(self.logs, f"gateway-{k}.log")
 
@@ -215,6 +225,7 @@
         await asyncio.sleep(2)
         await self.play_without_store()
         await self.play_unsent()
+        await self.play_silent()
         await self.play_all()
         cut = sum(n for key, n in self.outcome_counts.items()
                   if key.endswith((" cut", " timeout", " 502", " 504")))
--- a/tests/test-evacuation.c
+++ b/tests/test-evacuation.c
@@ -248,6 +248,35 @@
 {
 }
 
+/* Guards against a row that was ignored for lack of room and is taken for removed later,
+ * which other gateways would then be told. */
+static void
+an_ignored_row_is_not_absent (void)
+{
+  BurdockEvacuationHandler handler = { .changed = ignore_change };
+  BurdockEvacuation *set = burdock_evacuation_new (1, &handler);
+  BurdockEvacuationRow rows[BURDOCK_EVACUATION_ITEMS_MAX + 1] = { 0 };
+  BurdockEvacuationAnswer answer = {
+    .listing = true, .era = 1, .version = 9, .count = TEST_COUNT (rows), .rows = rows
+  };
+  BurdockEvacuationItem last;
+  char name[16];
+
+  for (uint32_t i = 0; i < TEST_COUNT (rows); i++) {
+    snprintf (name, sizeof name, "z-%u", i);
+    rows[i].item = item_of (name, 1, 5, true);
+  }
+  last = rows[TEST_COUNT (rows) - 1].item;
+  CU_ASSERT_EQUAL (burdock_evacuation_read (set, &answer, US_PER_S), 1);
+  answer = (BurdockEvacuationAnswer){ .era = 1, .version = 10, .count = 1, .rows = rows };
+  rows[0].item.evacuated = false;
+  rows[0].item.version = 10;
+  CU_ASSERT_EQUAL (burdock_evacuation_read (set, &answer, US_PER_S), 0);
+  CU_ASSERT_FALSE (burdock_evacuation_merge (set, &last, 1, US_PER_S));
+  CU_ASSERT_EQUAL (burdock_evacuation_count (set), BURDOCK_EVACUATION_ITEMS_MAX);
+  burdock_evacuation_free (set);
+}
+
 static uint32_t
 read_row (BurdockEvacuation *set, uint32_t number, uint64_t version, bool evacuated)
 {
@@ -385,6 +414,7 @@
     the_newest_statement_counts },
   { "two gateways disagree after their messages", gateways_agree_after_their_messages },
   { "the set grows without bound, or is full of rows that are gone", the_set_is_bounded },
+  { "an evacuation ends for lack of room", an_ignored_row_is_not_absent },
   { "a gateway without the store is told too late", the_last_gateway_is_told },
   { "gateways send messages about nothing", nothing_is_sent_without_an_evacuation },
 };
