Keep all gateways under the bound of cold upstreams

Cause: an upstream that has just started handles only coldPerS requests per second and crashes well above that. Gateways sent it as many as to any other, and took its first slow answers for a stall.

Change: libburdock/cold-start keeps until when an upstream is cold, from its row, its answers and its start, and gives each gateway a fixed, equal part of a rate below the bound. Waiting requests take the permits into account. A cold upstream is not ejected for stalls. The directory names a silent gateway for at most 6.5 s, also with more than 280 gateways.

--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -41,6 +41,7 @@
   TYPE_ADDRESS,
   TYPE_U32,
   TYPE_REAL,
+  TYPE_REAL_OR_NONE, /* 0 if the value is empty */
   TYPE_SEEDS,
   TYPE_LEVEL,
 } Type;
@@ -119,6 +120,13 @@
   { "drain-limit-ms", "MS",
     "time within which an upstream that leaves gets no more requests, 2000 by default",
     GATEWAY, 0, TYPE_REAL, FIELD (drain_limit_ms), 100, 3600000 },
+  { "cold-overage", "RATIO",
+    "requests of all gateways together to a cold upstream in a second, as a multiple of "
+    "its coldPerS; empty for no bound",
+    GATEWAY, 0, TYPE_REAL_OR_NONE, FIELD (cold_overage), 0, 1000 },
+  { "cold-allowance", "N",
+    "further requests of all gateways together to a cold upstream in a second", GATEWAY,
+    0, TYPE_REAL_OR_NONE, FIELD (cold_allowance), 0, 1000000 },
   { "grace-s", "S",
     "time from SIGTERM until the process is killed; sets --stop-limit-ms to 0.6 s less, "
     "or to half of it",
@@ -285,6 +293,12 @@
     snprintf (expected, sizeof expected, "a whole number from %u to %u", option->minimum,
               option->maximum);
     return report_invalid (parser->program, option->name, value, expected);
+  case TYPE_REAL_OR_NONE:
+    if (value[0] == '\0') {
+      memset (field, 0, sizeof (double));
+      return 0;
+    }
+    /* fall through */
   case TYPE_REAL:
     if (parse_real (option, field, value))
       return 0;
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -24,6 +24,8 @@
  * @retry_allowance: gateways: further retries allowed to all gateways together in 10 s
  * @drain_limit_ms: gateways: time within which an upstream that leaves gets no more
  *   requests
+ * @cold_overage: gateways: all of them together may send a cold upstream this multiple of
+ *   the rate that it takes, plus @cold_allowance requests, in any second; 0 for no bound
  * @grace_s: gateways: time from SIGTERM until the process is killed, 0 if unknown
  * @tls_certificate: entries: PEM file, empty for plain HTTP
  * @tls_key: entries: PEM file of the private key
@@ -39,6 +41,8 @@
   double retry_ratio;
   double retry_allowance;
   double drain_limit_ms;
+  double cold_overage;
+  double cold_allowance;
   double grace_s;
   char tls_certificate[BURDOCK_URL_BYTES];
   char tls_key[BURDOCK_URL_BYTES];
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -1,6 +1,7 @@
 /* One attempt: sends a request to an upstream and handles its answer. */
 #include "forward.h"
 
+#include "cold.h"
 #include "leaving.h"
 #include "log.h"
 
@@ -110,11 +111,20 @@
   if (forward->answer_kind == BURDOCK_ANSWER_MISDIRECTED)
     return 0;
   record_limit (forward, transfer);
+  burdock_gateway_cold_record_answer (forward->gateway, forward->upstream.key, transfer);
   if (burdock_exchange_is_leaving (transfer))
     burdock_gateway_leaving_note (forward->gateway, &forward->upstream);
   return 0;
 }
 
+/* The times of a cold upstream say nothing about those of others. */
+static bool
+is_slow (const BurdockForward *forward, uint64_t now_us)
+{
+  return burdock_balancer_is_slow (forward->gateway->traffic.balancer,
+                                   forward->upstream.key, now_us);
+}
+
 static void
 record_first_event (BurdockForward *forward, uint64_t now_us)
 {
@@ -123,9 +133,10 @@
   uint32_t bucket = 0;
 
   forward->first_event_us = now_us;
-  burdock_answer_times_record (forward->gateway->traffic.first_event_times,
-                               forward->route->name, forward->upstream.key,
-                               now_us - forward->sent_us, now_us);
+  if (!is_slow (forward, now_us))
+    burdock_answer_times_record (forward->gateway->traffic.first_event_times,
+                                 forward->route->name, forward->upstream.key,
+                                 now_us - forward->sent_us, now_us);
   while (bucket < BURDOCK_HISTOGRAM_BUCKETS - 1 && elapsed_ms >> bucket > 0)
     bucket++;
   counters->first_event_ms[bucket]++;
@@ -337,6 +348,8 @@
 {
   uint64_t now_us = burdock_loop_now_us ();
 
+  if (is_slow (forward, now_us))
+    return;
   burdock_answer_times_record (forward->gateway->traffic.answer_times,
                                forward->route->name, forward->upstream.key,
                                now_us - forward->sent_us, now_us);
@@ -353,7 +366,7 @@
 static void
 record_stream (const BurdockForward *forward)
 {
-  if (forward->attempt_event_count > 1)
+  if (forward->attempt_event_count > 1 && !is_slow (forward, burdock_loop_now_us ()))
     burdock_balancer_record_stream (forward->gateway->traffic.balancer,
                                     forward->upstream.key, forward->longest_gap_us,
                                     forward->route->pause_ms);
--- a/gateway/control.c
+++ b/gateway/control.c
@@ -154,6 +154,8 @@
     burdock_upstream_registry_reject (registry, row->key, now_us);
     return "the entry is invalid and ignored";
   } else {
+    upstream.row_version = row->version;
+    upstream.read_us = now_us;
     burdock_upstream_registry_put (registry, &upstream, row->version, now_us);
   }
   return NULL;
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -577,7 +577,8 @@
 {
   for (const BurdockForward *forward = traffic->forwards; forward != NULL;
        forward = forward->next) {
-    if (forward->route->kind != BURDOCK_ROUTE_STREAM && is_late (forward, now_us))
+    if (forward->route->kind != BURDOCK_ROUTE_STREAM && is_late (forward, now_us) &&
+        !burdock_balancer_is_slow (traffic->balancer, forward->upstream.key, now_us))
       burdock_answer_times_note_wait (traffic->answer_times, forward->route->name,
                                       forward->upstream.key, now_us);
   }
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -171,6 +171,18 @@
   uint32_t outdated_rows;
 } BurdockGatewayControl;
 
+/**
+ * struct BurdockGatewayColdLog - bounds the log of upstreams that become cold or warm
+ * @from_us: start of the present second
+ * @lines: lines in it
+ * @left_out: changes without a line in it
+ */
+typedef struct {
+  uint64_t from_us;
+  uint32_t lines;
+  uint32_t left_out;
+} BurdockGatewayColdLog;
+
 /**
  * struct BurdockGatewayTraffic - state of the traffic thread
  * @table: route table in use, NULL before the first one
@@ -196,6 +208,7 @@
  * @peer_offset: index at which the next list of peers starts, so that all peers are
  *   listed in turn
  * @outgoing: buffer for the message being sent
+ * @cold_log: which changes of cold upstreams are logged
  */
 typedef struct {
   BurdockRuntime runtime;
@@ -233,6 +246,7 @@
   uint64_t heartbeats_sent;
   uint32_t peer_offset;
   BurdockMessage outgoing;
+  BurdockGatewayColdLog cold_log;
   uint32_t agent_count;
   BurdockAgentPeer agents[BURDOCK_LOAD_ITEMS_MAX];
   BurdockGatewayCounters counters;
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -26,6 +26,10 @@
 #define PEER_TIMEOUT_MIN_US UINT64_C (1000000)
 #define PEER_INTERVALS_MAX 4
 
+/* The directory may name a gateway for 7 s after it was killed, which is less than
+ * PEER_INTERVALS_MAX intervals of more than 280 gateways. */
+#define PEER_TIMEOUT_MAX_US UINT64_C (6500000)
+
 /* A peer without a heartbeat for this time is removed and gets no more heartbeats. */
 #define PEER_REMOVE_US UINT64_C (10000000)
 
@@ -75,6 +79,8 @@
 
   if (timeout_us < PEER_TIMEOUT_MIN_US)
     timeout_us = PEER_TIMEOUT_MIN_US;
+  if (timeout_us > PEER_TIMEOUT_MAX_US)
+    timeout_us = PEER_TIMEOUT_MAX_US;
   return peer->last_heartbeat_us != 0 && now_us - peer->last_heartbeat_us < timeout_us;
 }
 
--- a/gateway/traffic.c
+++ b/gateway/traffic.c
@@ -1,5 +1,6 @@
 #include "gateway.h"
 
+#include "cold.h"
 #include "handover.h"
 #include "leaving.h"
 #include "log.h"
@@ -38,6 +39,7 @@
     return;
   burdock_route_table_unref (traffic->table);
   traffic->table = table;
+  burdock_gateway_cold_apply (gateway);
   burdock_log (BURDOCK_LOG_INFO, "configuration in force", "-", "version %" PRIu64,
                table->version);
 }
@@ -235,10 +237,13 @@
     .seed = gateway->incarnation,
     .retry_ratio = gateway->settings.retry_ratio,
     .retry_allowance = gateway->settings.retry_allowance,
+    .cold_overage = gateway->settings.cold_overage,
+    .cold_allowance = gateway->settings.cold_allowance,
   };
   BurdockBalancerHandler handler = { .ctx = gateway,
                                      .place = burdock_forward_place,
-                                     .refuse = burdock_forward_refuse };
+                                     .refuse = burdock_forward_refuse,
+                                     .cold_changed = burdock_gateway_cold_changed };
   int status = burdock_runtime_init (&traffic->runtime);
 
   if (status < 0)
--- a/libburdock/balancer-private.h
+++ b/libburdock/balancer-private.h
@@ -4,7 +4,7 @@
  * balancer.c tracks the state of upstreams, groups and other gateways; balancer-queue.c
  * queues, refuses and places requests; balancer-select.c selects their upstreams;
  * balancer-limit.c adjusts how many requests a group runs; balancer-rates.c keeps the
- * rate limits of upstreams.
+ * rate limits of upstreams; balancer-cold.c knows which upstreams are cold.
  */
 #ifndef BURDOCK_BALANCER_PRIVATE_H
 #define BURDOCK_BALANCER_PRIVATE_H
@@ -66,6 +66,7 @@
   double ended;              /* requests of this gateway lately, older ones count less */
   double running_us;         /* time for which its requests kept their places meanwhile */
   double retries_left;
+  BurdockColdLimit cold; /* of its cold upstreams */
 } Pool;
 
 /* An upstream, its load and its health. */
@@ -83,6 +84,7 @@
   BurdockRateShare rate;
   uint32_t rate_reports_left; /* reports of a new statement of the upstream */
   uint64_t unreachable_us;    /* when it last refused a connection */
+  BurdockColdStart cold;
   Liveness liveness;
 } Node;
 
@@ -118,6 +120,8 @@
   double demand_per_s;
   uint32_t rate_offset;           /* node at which the next report of rates starts */
   uint64_t heartbeat_interval_us; /* of the gateway heard last, 0 before the first one */
+  BurdockColdFleet cold_fleet;
+  uint64_t newest_born_ms; /* latest start of all upstreams in the lists before */
   BurdockBalancerStats stats;
 };
 
@@ -176,6 +180,56 @@
  * with each tick */
 void burdock_balancer_adjust_limits (BurdockBalancer *balancer);
 
+/** burdock_balancer_bounds_cold() - whether the rate of cold upstreams is bounded */
+bool burdock_balancer_bounds_cold (const BurdockBalancer *balancer);
+
+/**
+ * burdock_balancer_apply_cold_row() - applies the listed row of @node
+ * @added: the node was not known before
+ */
+void burdock_balancer_apply_cold_row (BurdockBalancer *balancer, Node *node, bool added);
+
+/** burdock_balancer_note_starts() - notes the latest start in a list that was applied */
+void burdock_balancer_note_starts (BurdockBalancer *balancer);
+
+/** burdock_balancer_is_cold(), burdock_balancer_count_cold() - state of the upstreams */
+bool burdock_balancer_is_cold (const BurdockBalancer *balancer, const Node *node);
+uint32_t burdock_balancer_count_cold (const BurdockBalancer *balancer);
+
+/** burdock_balancer_node_is_slow() - see burdock_balancer_is_slow() */
+bool burdock_balancer_node_is_slow (const BurdockBalancer *balancer, const Node *node,
+                                    uint64_t now_us);
+
+/** burdock_balancer_cold_allows() - whether @node is warm or has a permit */
+bool burdock_balancer_cold_allows (const BurdockBalancer *balancer, const Node *node);
+
+/** burdock_balancer_cold_load() - load that the cold time of @node adds */
+double burdock_balancer_cold_load (const BurdockBalancer *balancer, const Node *node);
+
+/** burdock_balancer_cold_opens_us(), burdock_balancer_cold_until_us() - time of the next
+ * permit, and of the end of the cold time */
+uint64_t burdock_balancer_cold_opens_us (const BurdockBalancer *balancer,
+                                         const Node *node);
+uint64_t burdock_balancer_cold_until_us (const BurdockBalancer *balancer,
+                                         const Node *node);
+
+/** burdock_balancer_tick_cold() - issues permits; called with each tick */
+void burdock_balancer_tick_cold (BurdockBalancer *balancer);
+
+/**
+ * burdock_balancer_permits() - permits for the cold upstreams that could take @placement
+ * @warm_us: receives when the first upstream takes requests without a permit, UINT64_MAX
+ *   if none will
+ * Returns their number per second.
+ */
+double burdock_balancer_permits (const BurdockBalancer *balancer, const Pool *pool,
+                                 const BurdockPlacement *placement, uint64_t *warm_us);
+
+/** burdock_balancer_lacks_permit() - whether only permits keep @placement from an
+ * upstream */
+bool burdock_balancer_lacks_permit (const BurdockBalancer *balancer, const Pool *pool,
+                                    const BurdockPlacement *placement);
+
 /** burdock_balancer_dispatch() - places queued requests while upstreams are eligible */
 void burdock_balancer_dispatch (BurdockBalancer *balancer);
 
--- a/libburdock/balancer-queue.c
+++ b/libburdock/balancer-queue.c
@@ -110,6 +110,7 @@
   node->own_outstanding++;
   pool->own_outstanding++;
   burdock_rate_share_sent (&node->rate);
+  burdock_cold_start_sent (&node->cold);
   burdock_balancer_add_to_group (node);
   balancer->stats.placed++;
   balancer->stats.outstanding_own++;
@@ -178,6 +179,12 @@
   return pool->ended >= TURNOVER_ENDED_MIN ? pool->running_us / pool->ended : 0;
 }
 
+static uint64_t
+later (uint64_t a_us, uint64_t b_us)
+{
+  return a_us > b_us ? a_us : b_us;
+}
+
 /* The requests of this gateway free their places for it; one that has few of them gets
  * its part of the places that all free. */
 static double
@@ -219,6 +226,34 @@
   }
 }
 
+/* Takes the permits of cold upstreams into account. Until an upstream takes requests
+ * without one, waiting requests start at the rate of the permits; afterwards at the pace
+ * of the others. */
+static void
+count_permits (const BurdockBalancer *balancer, const Pool *pool,
+               const BurdockPlacement *placement, BurdockQueueView *view)
+{
+  uint64_t warm_us;
+  double per_s;
+  double until_warm_s;
+
+  if (!burdock_balancer_bounds_cold (balancer) || !(pool->cold.per_s > 0) ||
+      view->opens_us == UINT64_MAX)
+    return;
+  per_s = burdock_balancer_permits (balancer, pool, placement, &warm_us);
+  if (warm_us <= view->now_us) {
+    if (view->starts_per_s > 0)
+      view->starts_per_s += per_s;
+    return;
+  }
+  until_warm_s = (double)(warm_us - later (view->now_us, view->opens_us)) / 1e6;
+  if (per_s * until_warm_s < view->ahead + 1) {
+    view->opens_us = warm_us;
+    return;
+  }
+  view->starts_per_s = per_s;
+}
+
 /* Notes whether an arriving request finds a free place. */
 static void
 note_arrival (const BurdockBalancer *balancer, Pool *pool, bool sent)
@@ -266,10 +301,24 @@
   again.excluded_count = 0;
   view = view_pool (balancer, pool, &again);
   count_waiting (pool, &again, &view);
+  count_permits (balancer, pool, &again, &view);
   return delay_with_spread_ms (balancer, pool,
                                burdock_queue_retry_after_us (&placement->times, &view));
 }
 
+static void
+count_held_back (BurdockBalancer *balancer, const Pool *pool,
+                 const BurdockPlacement *placement, BurdockQueueAction action)
+{
+  if (action == BURDOCK_QUEUE_SEND ||
+      !burdock_balancer_lacks_permit (balancer, pool, placement))
+    return;
+  if (action == BURDOCK_QUEUE_REFUSE)
+    balancer->stats.cold_refused++;
+  else
+    balancer->stats.cold_waits++;
+}
+
 static void
 count_submitted (BurdockBalancer *balancer, Pool *pool, const BurdockPlacement *placement)
 {
@@ -296,8 +345,10 @@
   view.has_room = node != NULL;
   view.is_admitted = placement->admitted;
   count_waiting (pool, placement, &view);
+  count_permits (balancer, pool, placement, &view);
   decision = burdock_queue_decide (&placement->times, &view);
   note_arrival (balancer, pool, decision.action == BURDOCK_QUEUE_SEND);
+  count_held_back (balancer, pool, placement, decision.action);
   if (decision.action == BURDOCK_QUEUE_REFUSE) {
     refuse_request (balancer, pool, placement->handle, &decision);
   } else if (node != NULL && decision.action == BURDOCK_QUEUE_SEND) {
@@ -363,6 +414,7 @@
 
     view.is_admitted = true;
     view.ahead = view.waiting = ahead;
+    count_permits (balancer, pool, placement, &view);
     decision = burdock_queue_decide (&placement->times, &view);
     if (decision.action == BURDOCK_QUEUE_REFUSE) {
       refuse_request (balancer, pool, remove_queued (balancer, pool, at).handle,
@@ -487,6 +539,7 @@
 burdock_balancer_tick_queue (BurdockBalancer *balancer)
 {
   count_outstanding (balancer);
+  burdock_balancer_tick_cold (balancer);
   if (balancer->last_tick_us != 0) {
     uint64_t elapsed_us = balancer->now_us - balancer->last_tick_us;
 
--- a/libburdock/balancer-select.c
+++ b/libburdock/balancer-select.c
@@ -62,7 +62,7 @@
     load += REMOTE_DOMAIN_PENALTY;
   if (node->group != NULL && node->group->slots > 0)
     load += GROUP_LOAD_WEIGHT * node->group->outstanding / node->group->slots;
-  return load;
+  return load + burdock_balancer_cold_load (balancer, node);
 }
 
 static bool
@@ -80,8 +80,8 @@
 }
 
 static bool
-is_eligible (const BurdockBalancer *balancer, const Node *node, const Pool *pool,
-             const BurdockPlacement *placement, bool waited)
+is_eligible_if_warm (const BurdockBalancer *balancer, const Node *node, const Pool *pool,
+                     const BurdockPlacement *placement, bool waited)
 {
   return is_usable (node, pool) && node->ejected_until_us <= balancer->now_us &&
          node->paused_until_us <= balancer->now_us && !is_silent (balancer, node) &&
@@ -92,6 +92,30 @@
          group_has_capacity (balancer, node->group, waited);
 }
 
+static bool
+is_eligible (const BurdockBalancer *balancer, const Node *node, const Pool *pool,
+             const BurdockPlacement *placement, bool waited)
+{
+  return is_eligible_if_warm (balancer, node, pool, placement, waited) &&
+         burdock_balancer_cold_allows (balancer, node);
+}
+
+bool
+burdock_balancer_lacks_permit (const BurdockBalancer *balancer, const Pool *pool,
+                               const BurdockPlacement *placement)
+{
+  if (!burdock_balancer_bounds_cold (balancer))
+    return false;
+  for (uint32_t i = 0; i < balancer->node_count; i++) {
+    const Node *node = balancer->nodes[i];
+
+    if (is_eligible_if_warm (balancer, node, pool, placement, false) &&
+        !burdock_balancer_cold_allows (balancer, node))
+      return true;
+  }
+  return false;
+}
+
 /* Fills @sample with eligible nodes by reservoir sampling, each equally likely, and
  * returns their number. Scanning from a random start would favour the nodes that follow a
  * long run of full ones. */
@@ -163,7 +187,7 @@
 
 /* Time at which an upstream is expected to take requests, if it has a free place. */
 static uint64_t
-node_opens_us (const BurdockBalancer *balancer, const Node *node)
+warm_node_opens_us (const BurdockBalancer *balancer, const Node *node)
 {
   uint64_t opens_us = latest_of (node->ejected_until_us, node->paused_until_us);
 
@@ -174,6 +198,36 @@
   return latest_of (opens_us, group_opens_us (balancer, node->group));
 }
 
+static uint64_t
+node_opens_us (const BurdockBalancer *balancer, const Node *node)
+{
+  return latest_of (warm_node_opens_us (balancer, node),
+                    burdock_balancer_cold_opens_us (balancer, node));
+}
+
+double
+burdock_balancer_permits (const BurdockBalancer *balancer, const Pool *pool,
+                          const BurdockPlacement *placement, uint64_t *warm_us)
+{
+  double per_s = 0;
+
+  *warm_us = UINT64_MAX;
+  for (uint32_t i = 0; i < balancer->node_count; i++) {
+    const Node *node = balancer->nodes[i];
+    uint64_t opens_us;
+
+    if (!is_usable (node, pool) || is_excluded (placement, node->info.key))
+      continue;
+    if (burdock_balancer_is_cold (balancer, node) && node->cold.period_us > 0)
+      per_s += 1e6 / (double)node->cold.period_us;
+    opens_us = latest_of (warm_node_opens_us (balancer, node),
+                          burdock_balancer_cold_until_us (balancer, node));
+    if (opens_us < *warm_us)
+      *warm_us = opens_us;
+  }
+  return per_s;
+}
+
 uint64_t
 burdock_balancer_opens_us (const BurdockBalancer *balancer, const Pool *pool,
                            const BurdockPlacement *placement)
--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -253,8 +253,9 @@
   }
   for (uint32_t i = 0; i < count; i++) {
     Node *node = burdock_balancer_node (balancer, upstreams[i].key);
+    bool added = node == NULL;
 
-    if (node == NULL)
+    if (added)
       node = add_node (balancer, &upstreams[i]);
     burdock_balancer_subtract_from_group (node);
     if (node->info.born_ms != upstreams[i].born_ms)
@@ -262,8 +263,10 @@
     node->info = upstreams[i];
     node->pool = burdock_balancer_pool (balancer, upstreams[i].pool);
     node->listed = true;
+    burdock_balancer_apply_cold_row (balancer, node, added);
     burdock_balancer_add_to_group (node);
   }
+  burdock_balancer_note_starts (balancer);
   remove_unused_nodes (balancer);
   recount_peer_load (balancer);
   balancer->stats.upstreams = count;
@@ -552,7 +555,12 @@
   burdock_balancer_add_to_group (node);
   burdock_balancer_place_freed (node);
   balancer->stats.outstanding_own--;
-  update_health (node, outcome, now_us);
+  if (outcome == BURDOCK_UPSTREAM_REPLACED)
+    burdock_cold_start_handed_back (&node->cold, now_us);
+  /* A cold upstream answers slowly, which is no fault. */
+  if (outcome != BURDOCK_UPSTREAM_STALLED ||
+      !burdock_balancer_node_is_slow (balancer, node, now_us))
+    update_health (node, outcome, now_us);
   burdock_balancer_dispatch (balancer);
 }
 
@@ -565,7 +573,8 @@
   if (node == NULL)
     return;
   record_activity (node, now_us);
-  if (node->group == NULL || target_ms == 0 || gap_us == 0)
+  if (node->group == NULL || target_ms == 0 || gap_us == 0 ||
+      burdock_balancer_node_is_slow (balancer, node, now_us))
     return;
   node->group->gap_count++;
   node->group->relative_gap_sum += (double)gap_us / (target_ms * US_PER_MS);
@@ -590,7 +599,8 @@
 {
   Node *node = burdock_balancer_node (balancer, upstream);
 
-  if (node == NULL || silent_us < SILENCE_MIN_US)
+  if (node == NULL || silent_us < SILENCE_MIN_US ||
+      burdock_balancer_node_is_slow (balancer, node, now_us))
     return false;
   if (node->group != NULL &&
       now_us >= node->group->liveness.last_activity_us + SILENCE_MIN_US) {
@@ -623,5 +633,6 @@
     stats.outstanding_all += outstanding (node);
     stats.leaving += node->listed && node->info.leaving;
   }
+  stats.cold = burdock_balancer_count_cold (balancer);
   return stats;
 }
--- a/libburdock/balancer.h
+++ b/libburdock/balancer.h
@@ -14,6 +14,7 @@
 #define BURDOCK_BALANCER_H
 
 #include "burdock.h"
+#include "cold-start.h"
 #include "message.h"
 #include "queue-policy.h"
 
@@ -30,6 +31,10 @@
  * @born_ms: time of day at which it started, 0 if it is not known
  * @leaving: takes no new requests
  * @slots: maximum number of concurrent requests
+ * @has_cold_left: its row states @cold_left_ms
+ * @cold_left_ms: time for which it was still cold when its row was read
+ * @row_version: version of its row
+ * @read_us: when its row was read
  */
 typedef struct {
   char id[BURDOCK_NAME_BYTES];
@@ -40,6 +45,10 @@
   BurdockAddress address;
   bool leaving;
   uint32_t slots;
+  bool has_cold_left;
+  uint32_t cold_left_ms;
+  uint64_t row_version;
+  uint64_t read_us;
 } BurdockUpstream;
 
 /**
@@ -66,12 +75,16 @@
  *   burdock_balancer_finish()
  * @refuse: the request was not placed; @retry_after_ms is the delay to suggest to the
  *   caller before it retries
+ * @cold_changed: @upstream has become cold for another @left_ms, with @per_s requests per
+ *   second of this gateway, or warm if @left_ms is 0; may be NULL
  */
 typedef struct {
   void *ctx;
   void (*place) (void *ctx, uint64_t handle, const BurdockUpstream *upstream);
   void (*refuse) (void *ctx, uint64_t handle, BurdockReason reason,
                   uint32_t retry_after_ms);
+  void (*cold_changed) (void *ctx, const BurdockUpstream *upstream, uint32_t left_ms,
+                        double per_s);
 } BurdockBalancerHandler;
 
 /**
@@ -81,14 +94,25 @@
  * @retry_ratio: retries that all gateways together may send for each request of a pool
  * @retry_allowance: retries that all gateways together may send in addition within the
  *   retry window of 10 s
+ * @cold_overage: all gateways together may send a cold upstream this multiple of the rate
+ *   that it takes, plus @cold_allowance requests, in any second; 0 for no such bound, and
+ *   no upstream is treated as cold
  */
 typedef struct {
   uint64_t seed;
   char failure_domain[BURDOCK_NAME_BYTES];
   double retry_ratio;
   double retry_allowance;
+  double cold_overage;
+  double cold_allowance;
 } BurdockBalancerSettings;
 
+/** struct BurdockColdPool - what the cold upstreams of a pool take */
+typedef struct {
+  const char *pool;
+  BurdockColdLimit limit;
+} BurdockColdPool;
+
 /** enum BurdockUpstreamOutcome - how a request at an upstream ended */
 typedef enum {
   BURDOCK_UPSTREAM_OK = 1,
@@ -105,21 +129,27 @@
  * @waiting: requests in the queues
  * @upstreams: upstreams in the current list
  * @leaving: upstreams in the current list that take no new requests
+ * @cold: upstreams in the current list that are cold
  * @outstanding_own: requests that this gateway has at upstreams
  * @outstanding_all: requests that all known gateways have at upstreams
  * @retries: retries granted by burdock_balancer_take_retry()
  * @retries_denied: retries denied because the budget was empty
+ * @cold_waits: requests that had to wait although a cold upstream had a free place
+ * @cold_refused: requests that were refused although a cold upstream had one
  */
 typedef struct {
   uint32_t waiting;
   uint32_t upstreams;
   uint32_t leaving;
+  uint32_t cold;
   uint32_t outstanding_own;
   uint32_t outstanding_all;
   uint64_t placed;
   uint64_t refused;
   uint64_t retries;
   uint64_t retries_denied;
+  uint64_t cold_waits;
+  uint64_t cold_refused;
 } BurdockBalancerStats;
 
 /**
@@ -138,6 +168,21 @@
                                      const BurdockUpstream *upstreams, uint32_t count,
                                      uint64_t now_us);
 
+/** burdock_balancer_set_cold_pools() - replaces what the cold upstreams of all pools take;
+ * pools that are not listed have no limit */
+void burdock_balancer_set_cold_pools (BurdockBalancer *balancer,
+                                      const BurdockColdPool *items, uint32_t count);
+
+/** burdock_balancer_record_cold() - @upstream says in an answer that it is cold for
+ * another @left_ms, 0 if it is warm */
+void burdock_balancer_record_cold (BurdockBalancer *balancer, uint64_t upstream,
+                                   uint32_t left_ms, uint64_t now_us);
+
+/** burdock_balancer_is_slow() - whether slow answers of @upstream are to be expected, as
+ * it is cold or was until just now */
+bool burdock_balancer_is_slow (const BurdockBalancer *balancer, uint64_t upstream,
+                               uint64_t now_us);
+
 /**
  * burdock_balancer_set_peer_load() - replaces the load reported by another gateway
  * @peer: id of the gateway whose heartbeat was received
--- a/libburdock/route-table.h
+++ b/libburdock/route-table.h
@@ -36,9 +36,16 @@
   uint32_t expert_copy_us;
 } BurdockEngineShape;
 
+/**
+ * struct BurdockPool - upstreams that serve the same requests
+ * @cold_start_ms: time for which an upstream is cold after its start, 0 if it never is
+ * @cold_per_s: requests per second that a cold upstream takes, 0 for no limit
+ */
 typedef struct {
   const char *name;
   BurdockEngineShape shape;
+  uint32_t cold_start_ms;
+  double cold_per_s;
 } BurdockPool;
 
 /**
