--- a/libburdock/balancer-queue.c
+++ b/libburdock/balancer-queue.c
@@ -36,6 +36,9 @@
 /* With fewer requests that have ended the turnover is not known. */
 #define TURNOVER_ENDED_MIN 4
 
+/* A waiting request that finds a permit starts with the next tick. */
+#define FIRST_START_S 0.05
+
 /* A gateway without requests keeps a small part of the rate limits of upstreams. */
 #define DEMAND_MIN_PER_S 0.2
 
@@ -236,6 +239,7 @@
   uint64_t warm_us;
   double per_s;
   double until_warm_s;
+  double wait_s;
 
   if (!burdock_balancer_bounds_cold (balancer) || !(pool->cold.per_s > 0) ||
       view->opens_us == UINT64_MAX)
@@ -251,7 +255,11 @@
     view->opens_us = warm_us;
     return;
   }
-  view->starts_per_s = per_s;
+  /* The first one starts with the permit at @opens_us, the others one after the other. */
+  wait_s = view->ahead / per_s;
+  if (wait_s < FIRST_START_S)
+    wait_s = FIRST_START_S;
+  view->starts_per_s = (view->ahead + 1) / wait_s;
 }
 
 /* Notes whether an arriving request finds a free place. */
