--- a/libburdock/balancer-cold.c
+++ b/libburdock/balancer-cold.c
@@ -100,8 +100,9 @@
 double
 burdock_balancer_cold_load (const BurdockBalancer *balancer, const Node *node)
 {
-  return COLD_PENALTY * burdock_cold_start_remaining (
-                            &node->cold, limit_of (balancer, node), balancer->now_us);
+  return COLD_PENALTY * burdock_cold_start_remaining (&node->cold,
+                                                      limit_of (balancer, node),
+                                                      balancer->now_us);
 }
 
 uint64_t
@@ -139,9 +140,9 @@
     return;
   if (until_us > balancer->now_us)
     rate_per_s = own_rate_per_s (balancer, limit);
-  if (burdock_cold_start_advance (
-          &node->cold, limit, rate_per_s, balancer->now_us,
-          burdock_balancer_random (balancer) / BURDOCK_BALANCER_RANDOM_RANGE) &&
+  if (burdock_cold_start_advance (&node->cold, limit, rate_per_s, balancer->now_us,
+                                  burdock_balancer_random (balancer) /
+                                      BURDOCK_BALANCER_RANDOM_RANGE) &&
       handler->cold_changed != NULL)
     handler->cold_changed (
         handler->ctx, &node->info,
--- a/libburdock/balancer.h
+++ b/libburdock/balancer.h
@@ -168,8 +168,8 @@
                                      const BurdockUpstream *upstreams, uint32_t count,
                                      uint64_t now_us);
 
-/** burdock_balancer_set_cold_pools() - replaces what the cold upstreams of all pools take;
- * pools that are not listed have no limit */
+/** burdock_balancer_set_cold_pools() - replaces what the cold upstreams of all pools
+ * take; pools that are not listed have no limit */
 void burdock_balancer_set_cold_pools (BurdockBalancer *balancer,
                                       const BurdockColdPool *items, uint32_t count);
 
--- a/libburdock/cold-start.c
+++ b/libburdock/cold-start.c
@@ -44,8 +44,7 @@
   if (!(per_s > 0) || !(bound >= 1))
     return 0;
   /* The largest mean m with m + BOUND_DEVIATIONS * sqrt (m) <= bound. */
-  root =
-      (sqrt (BOUND_DEVIATIONS * BOUND_DEVIATIONS + 4 * bound) - BOUND_DEVIATIONS) / 2;
+  root = (sqrt (BOUND_DEVIATIONS * BOUND_DEVIATIONS + 4 * bound) - BOUND_DEVIATIONS) / 2;
   rate = root * root / ARRIVAL_WINDOW_S;
   return rate < per_s ? rate : per_s;
 }
@@ -90,14 +89,15 @@
 burdock_cold_start_apply_row (BurdockColdStart *cold, const BurdockColdRow *row,
                               bool started_lately)
 {
-  bool restarted =
-      cold->row_known ? row->born_ms != cold->born_ms : started_lately;
+  bool restarted = cold->row_known ? cold->born_ms != 0 && row->born_ms > cold->born_ms
+                                   : started_lately;
   uint64_t until_us = row->read_us + bounded_us (row->left_ms);
 
   if (cold->row_known && row->version == cold->version && !restarted)
     return;
   cold->row_known = true;
-  cold->born_ms = row->born_ms;
+  if (row->born_ms > cold->born_ms)
+    cold->born_ms = row->born_ms;
   cold->version = row->version;
   if (restarted)
     cold->stated_us = cold->restarted_us = 0;
--- a/libburdock/cold-start.h
+++ b/libburdock/cold-start.h
@@ -1,5 +1,6 @@
 /**
- * DOC: cold-start.h - until when an upstream is cold, and when this gateway may send to it
+ * DOC: cold-start.h - until when an upstream is cold, and when this gateway may send to
+ * it
  *
  * An upstream that has just started handles only a low rate of requests for a time and
  * crashes well above it. All gateways together, also those that are cut off from each
--- a/tests/support/balancer-fixture.h
+++ b/tests/support/balancer-fixture.h
@@ -68,7 +68,8 @@
                                        .retry_ratio = 0.2,
                                        .retry_allowance = 90 };
   BurdockBalancerHandler handler = { .ctx = fixture,
-                                     .place = record_placement, .refuse = record_refusal };
+                                     .place = record_placement,
+                                     .refuse = record_refusal };
 
   memset (fixture, 0, sizeof *fixture);
   fixture->now_us = US_PER_S;
--- a/tests/support/overload-play.c
+++ b/tests/support/overload-play.c
@@ -374,7 +374,9 @@
                                          .failure_domain = "a",
                                          .retry_ratio = 0.2,
                                          .retry_allowance = 90 };
-    BurdockBalancerHandler handler = { .ctx = gateway, .place = place_request, .refuse = refuse_request };
+    BurdockBalancerHandler handler = { .ctx = gateway,
+                                       .place = place_request,
+                                       .refuse = refuse_request };
 
     *gateway = (Gateway){ play, i, burdock_balancer_new (&settings, &handler) };
     burdock_balancer_set_upstreams (gateway->balancer, upstreams, load->upstreams,
--- a/tests/test-answers.c
+++ b/tests/test-answers.c
@@ -17,6 +17,8 @@
   bool first; /* on its connection */
   bool leaving;
   uint32_t pause_ms;
+  bool has_cold_left;
+  uint32_t cold_left_ms;
 } Fixture;
 
 static void
@@ -235,7 +237,59 @@
   }
 }
 
+typedef struct {
+  const char *name;
+  const char *answer;
+  bool stated;
+  uint32_t left_ms;
+} ColdCase;
+
+#define COLD(value)                                                                      \
+  "HTTP/1.1 200 OK\r\n" ID SIGNED "Burdockwind-Cold-Start-Ms: " value "\r\n" EMPTY
+
+static const ColdCase cold_cases[] = {
+  { "cold", COLD ("2500"), true, 2500 },
+  { "warm", COLD ("0"), true, 0 },
+  { "a fraction", COLD ("1.5e3"), true, 1500 },
+  { "beyond 32 bits", COLD ("1e12"), true, UINT32_MAX },
+  { "a negative time", COLD ("-1"), false, 0 },
+  { "no number", COLD ("nan"), false, 0 },
+  { "a unit", COLD ("3s"), false, 0 },
+  { "nothing is said", "HTTP/1.1 200 OK\r\n" ID SIGNED EMPTY, false, 0 },
+  { "a refusal",
+    "HTTP/1.1 503 x\r\nBurdockwind-Not-Executed: 1\r\n" ID
+    "burdockwind-cold-start-ms: 700\r\n" EMPTY,
+    true, 700 },
+};
+
+static int
+cold_head (void *ctx, BurdockHttpTransfer *transfer, int32_t http_status)
+{
+  Fixture *fixture = ctx;
+
+  fixture->has_cold_left =
+      burdock_exchange_read_cold_left (transfer, &fixture->cold_left_ms);
+  return 0;
+}
+
+static void
+the_cold_time_of_an_upstream_is_read_from_its_answer (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (cold_cases); i++) {
+    Fixture fixture;
+
+    open_fixture (&fixture, &cold_cases[i].answer, 1);
+    read_head (&fixture, cold_head);
+    if (fixture.has_cold_left != cold_cases[i].stated ||
+        fixture.cold_left_ms != cold_cases[i].left_ms)
+      CU_FAIL (cold_cases[i].name);
+    close_fixture (&fixture);
+  }
+}
+
 static const Test tests[] = {
+  { "the time for which an upstream is cold is ignored or misread",
+    the_cold_time_of_an_upstream_is_read_from_its_answer },
   { "an upstream that says that it leaves gets requests, or one that stays gets none",
     the_notice_of_an_upstream_is_read_from_its_answer },
   { "the time in which an upstream wants no requests is ignored or misread",
--- a/tests/test-balancer.c
+++ b/tests/test-balancer.c
@@ -562,7 +562,9 @@
   for (uint32_t gateway = 0; gateway < 40; gateway++) {
     BurdockBalancerSettings settings = { .seed = gateway, .failure_domain = "a" };
     Fixture fixture = { .now_us = US_PER_S };
-    BurdockBalancerHandler handler = { .ctx = &fixture, .place = record_placement, .refuse = record_refusal };
+    BurdockBalancerHandler handler = { .ctx = &fixture,
+                                       .place = record_placement,
+                                       .refuse = record_refusal };
 
     fixture.balancer = burdock_balancer_new (&settings, &handler);
     burdock_balancer_set_upstreams (fixture.balancer, items, 20, fixture.now_us);
--- a/tests/test-cold-start.c
+++ b/tests/test-cold-start.c
@@ -44,13 +44,21 @@
   { "it starts again, its row states a time",
     { { ROW, 100, 5, 1, 0 }, { ROW, 900, 6, 2, 1000 } },
     1900 },
+  { "an older row is read after the store was restored",
+    { { ROW_WITHOUT_TIME, 100, 5, 1, 0 }, { ROW_WITHOUT_TIME, 900, 4, 7, 0 } },
+    0 },
+  { "its start becomes known",
+    { { ROW_WITHOUT_TIME, 100, 0, 1, 0 }, { ROW_WITHOUT_TIME, 900, 5, 2, 0 } },
+    0 },
   { "its row is renewed without a restart",
     { { ROW_WITHOUT_TIME, 100, 5, 1, 0 }, { ROW_WITHOUT_TIME, 900, 5, 2, 0 } },
     0 },
   { "an answer is more exact than the row",
     { { ROW, 100, 5, 1, 3000 }, { ANSWER, 900, 0, 0, 400 } },
     1300 },
-  { "an answer ends the cold time", { { ROW, 100, 5, 1, 3000 }, { ANSWER, 900, 0, 0, 0 } }, 0 },
+  { "an answer ends the cold time",
+    { { ROW, 100, 5, 1, 3000 }, { ANSWER, 900, 0, 0, 0 } },
+    0 },
   { "an answer ends the cold time of a start",
     { { FIRST_START, 100, 5, 1, 0 }, { ANSWER, 900, 0, 0, 0 } },
     0 },
@@ -113,8 +121,8 @@
 } RateCase;
 
 static const RateCase rate_cases[] = {
-  { 26, 1.5, 5 }, { 26, 1, 0 },  { 26, 10, 0 },  { 2, 1.5, 5 },      { 0.5, 1.5, 0 },
-  { 0, 1.5, 5 },  { 26, 0, 5 },  { 1, 1, 0 },    { 1000, 1.2, 10 },  { 1e300, 1.5, 5 },
+  { 26, 1.5, 5 }, { 26, 1, 0 }, { 26, 10, 0 }, { 2, 1.5, 5 },     { 0.5, 1.5, 0 },
+  { 0, 1.5, 5 },  { 26, 0, 5 }, { 1, 1, 0 },   { 1000, 1.2, 10 }, { 1e300, 1.5, 5 },
 };
 
 /* Guards against a rate whose mean leaves no room below the bound, and against requests
@@ -379,6 +387,61 @@
   burdock_balancer_free (fixture.balancer);
 }
 
+#define ZONE_UPSTREAMS 4
+#define ZONE_SLOTS 5
+
+/* Guards against a failure domain whose upstreams are all cold after an evacuation, state
+ * it by their rows without a restart, and get what the others have no place for. */
+static void
+a_cold_zone_gets_no_more_than_its_permits (void)
+{
+  BurdockUpstream items[2 * ZONE_UPSTREAMS];
+  uint32_t in_cold_time = 0;
+  uint32_t max;
+  Fixture fixture;
+
+  for (uint32_t i = 0; i < 2 * ZONE_UPSTREAMS; i++) {
+    items[i] = upstream (i + 1, i < ZONE_UPSTREAMS ? "a" : "b", ZONE_SLOTS);
+    items[i].born_ms = 100;
+    items[i].row_version = 1;
+  }
+  set_up_cold (&fixture, items, 2 * ZONE_UPSTREAMS, OVERAGE, PER_S);
+  hear_others (&fixture, 8, 4 * US_PER_S);
+  CU_ASSERT_EQUAL (burdock_balancer_stats (fixture.balancer).cold, 0);
+  for (uint32_t i = ZONE_UPSTREAMS; i < 2 * ZONE_UPSTREAMS; i++) {
+    items[i].has_cold_left = true;
+    items[i].cold_left_ms = 3000;
+    items[i].row_version = 2;
+    items[i].read_us = fixture.now_us;
+  }
+  burdock_balancer_set_upstreams (fixture.balancer, items, 2 * ZONE_UPSTREAMS,
+                                  fixture.now_us);
+  CU_ASSERT_EQUAL (burdock_balancer_stats (fixture.balancer).cold, ZONE_UPSTREAMS);
+  /* 40 requests a second for 2.8 s, none of which ends: the warm upstreams are full soon.
+   */
+  for (uint32_t i = 0; i < 14; i++) {
+    for (uint32_t k = 0; k < 8; k++)
+      submit (&fixture, 0);
+    hear_others (&fixture, 8, 4 * TICK_US);
+  }
+  CU_ASSERT_EQUAL (burdock_balancer_stats (fixture.balancer).cold, ZONE_UPSTREAMS);
+  for (uint32_t i = 1; i <= fixture.next_handle; i++)
+    in_cold_time += fixture.placed_at[i] > ZONE_UPSTREAMS;
+  /* This gateway has a ninth of the rate of each upstream, for 3 s. */
+  max = (uint32_t)(ZONE_UPSTREAMS *
+                   (burdock_cold_rate_per_s (PER_S, OVERAGE, ALLOWANCE) / 9 * 3.25 + 1));
+  CU_ASSERT_TRUE (in_cold_time > 0);
+  CU_ASSERT_TRUE (in_cold_time <= max);
+  CU_ASSERT_EQUAL (burdock_balancer_stats (fixture.balancer).placed - in_cold_time,
+                   ZONE_UPSTREAMS * ZONE_SLOTS);
+  hear_others (&fixture, 8, US_PER_S);
+  CU_ASSERT_EQUAL (burdock_balancer_stats (fixture.balancer).cold, 0);
+  /* What waits starts when they are warm. */
+  CU_ASSERT_EQUAL (burdock_balancer_stats (fixture.balancer).placed,
+                   2 * ZONE_UPSTREAMS * ZONE_SLOTS);
+  burdock_balancer_free (fixture.balancer);
+}
+
 #define GATEWAYS_MAX 99
 #define PLAY_UPSTREAMS 2
 #define ARRIVALS_MAX 65536
@@ -392,12 +455,12 @@
 
 typedef enum {
   NETWORK_HEALTHY,
-  NETWORK_DELAYED,     /* heartbeats come up to 1 s late */
-  NETWORK_LOSSY,       /* three of ten heartbeats are lost */
-  NETWORK_DOMAINS,     /* from 20 s to 40 s, three failure domains are cut off */
-  NETWORK_CUT,         /* from 20 s to 40 s, each gateway is cut off from all others */
-  NETWORK_NONE,        /* no gateway ever hears of another one */
-  NETWORK_RESTART,     /* all gateways start again at 20 s */
+  NETWORK_DELAYED, /* heartbeats come up to 1 s late */
+  NETWORK_LOSSY,   /* three of ten heartbeats are lost */
+  NETWORK_DOMAINS, /* from 20 s to 40 s, three failure domains are cut off */
+  NETWORK_CUT,     /* from 20 s to 40 s, each gateway is cut off from all others */
+  NETWORK_NONE,    /* no gateway ever hears of another one */
+  NETWORK_RESTART, /* all gateways start again at 20 s */
 } Network;
 
 typedef struct {
@@ -726,6 +789,8 @@
     only_a_later_start_counts_as_a_start },
   { "a cold upstream gets as much as a warm one",
     the_share_of_an_upstream_rises_as_it_warms_up },
+  { "a cold failure domain gets what the others have no place for",
+    a_cold_zone_gets_no_more_than_its_permits },
   { "cold upstreams get more than the bound in a second",
     all_gateways_together_keep_the_bound },
 };
--- a/tests/test-group-limit.c
+++ b/tests/test-group-limit.c
@@ -173,7 +173,9 @@
   static Play play;
   BurdockUpstream items[RANKS];
   BurdockBalancerSettings settings = { .failure_domain = "a" };
-  BurdockBalancerHandler handler = { .ctx = &play, .place = place_stream, .refuse = ignore_refusal };
+  BurdockBalancerHandler handler = { .ctx = &play,
+                                     .place = place_stream,
+                                     .refuse = ignore_refusal };
   double kept;
   double running;
 
--- a/tests/test-platform-decode.c
+++ b/tests/test-platform-decode.c
@@ -195,6 +195,127 @@
   burdock_route_table_unref (table);
 }
 
+typedef struct {
+  const char *fields;
+  uint32_t start_ms;
+  double per_s;
+} ColdPoolCase;
+
+static const ColdPoolCase cold_pool_cases[] = {
+  { "", 0, 0 },
+  { ",\"coldStartS\":3.0,\"coldPerS\":26.0", 3000, 26 },
+  { ",\"coldStartS\":0,\"coldPerS\":0", 0, 0 },
+  { ",\"coldStartS\":0.25,\"coldPerS\":1.5", 250, 1.5 },
+  { ",\"coldStartS\":-3,\"coldPerS\":-26", 0, 0 },
+  { ",\"coldStartS\":\"3\",\"coldPerS\":null", 0, 0 },
+  { ",\"coldStartS\":1e300,\"coldPerS\":26", UINT32_MAX, 26 },
+};
+
+/* Guards against a cold upstream that gets the full load, and against a limit where none
+ * is configured. */
+static void
+limits_of_cold_upstreams_are_decoded (void)
+{
+  for (size_t i = 0; i < TEST_COUNT (cold_pool_cases); i++) {
+    BurdockRouteTable *table = NULL;
+    BurdockError error;
+    BurdockPool *pool;
+    char text[256];
+
+    snprintf (text, sizeof text,
+              "{\"version\":7,\"routes\":[],\"services\":[{\"name\":\"s\"%s}]}",
+              cold_pool_cases[i].fields);
+    CU_ASSERT_EQUAL_FATAL (burdock_platform_decode_routes (bytes_of (text), &table,
+                                                           &error),
+                           0);
+    pool = burdock_route_table_add_pool (table, "s");
+    CU_ASSERT_EQUAL (pool->cold_start_ms, cold_pool_cases[i].start_ms);
+    CU_ASSERT_EQUAL (pool->cold_per_s, cold_pool_cases[i].per_s);
+    burdock_route_table_unref (table);
+  }
+}
+
+typedef struct {
+  const char *field;
+  bool stated;
+  uint32_t left_ms;
+} ColdRowCase;
+
+static const ColdRowCase cold_row_cases[] = {
+  { "", false, 0 },
+  { ",\"coldLeftMs\":2500", true, 2500 },
+  { ",\"coldLeftMs\":2.5e3", true, 2500 },
+  { ",\"coldLeftMs\":0", true, 0 },
+  { ",\"coldLeftMs\":-1", true, 0 },
+  { ",\"coldLeftMs\":1e300", true, UINT32_MAX },
+  { ",\"coldLeftMs\":\"2500\"", false, 0 },
+  { ",\"coldLeftMs\":null", false, 0 },
+};
+
+/* Guards against a row whose cold time is lost, and against an odd one that makes the row
+ * invalid, so that its upstream is lost. */
+static void
+cold_times_of_rows_are_decoded (void)
+{
+  for (size_t i = 0; i < TEST_COUNT (cold_row_cases); i++) {
+    BurdockUpstream upstream;
+    char text[256];
+
+    snprintf (text, sizeof text,
+              "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+              "\"slots\":12,\"state\":\"available\"%s}",
+              cold_row_cases[i].field);
+    CU_ASSERT_EQUAL (burdock_platform_decode_upstream ("i-1", bytes_of (text), &upstream),
+                     0);
+    CU_ASSERT_EQUAL (upstream.has_cold_left, cold_row_cases[i].stated);
+    CU_ASSERT_EQUAL (upstream.cold_left_ms, cold_row_cases[i].left_ms);
+  }
+}
+
+#define ROUTE_IN_REGIONS                                                                 \
+  "{\"version\":7,\"routes\":[{\"host\":\"h\",\"prefix\":\"/a/\","                       \
+  "\"service\":\"s\",\"routeType\":\"idempotent\",\"maxAttempts\":2%s}],"                \
+  "\"services\":[{\"name\":\"s\"},{\"name\":\"t\"}]}"
+
+static const char *const region_fields[] = {
+  "",
+  ",\"allowedRegions\":[]",
+  ",\"allowedRegions\":[\"west\"]",
+  ",\"allowedRegions\":[\"west\",\"east\",\"s\",\"t\",\"*\"]",
+  ",\"allowedRegions\":[{\"service\":\"t\"}]",
+  ",\"allowedRegions\":\"t\"",
+  ",\"allowedRegions\":null",
+  ",\"allowedRegions\":{\"host\":\"*\",\"prefix\":\"/\"}",
+};
+
+/* Guards against a configuration that is rejected as it names the regions of a route, and
+ * against requests that go to another pool or are matched by another path for them. */
+static void
+regions_of_a_route_change_nothing (void)
+{
+  for (size_t i = 0; i < TEST_COUNT (region_fields); i++) {
+    BurdockRouteTable *table = NULL;
+    BurdockError error;
+    const BurdockRoute *route;
+    char text[512];
+
+    snprintf (text, sizeof text, ROUTE_IN_REGIONS, region_fields[i]);
+    CU_ASSERT_EQUAL_FATAL (burdock_platform_decode_routes (bytes_of (text), &table,
+                                                           &error),
+                           0);
+    CU_ASSERT_EQUAL (apr_hash_count (table->routes), 1);
+    route = burdock_route_table_find (table, "h", "/a/x");
+    CU_ASSERT_PTR_NOT_NULL_FATAL (route);
+    CU_ASSERT_EQUAL (route->attempts_max, 2);
+    CU_ASSERT_FALSE (route->open_access);
+    CU_ASSERT_EQUAL (route->target_count, 1);
+    CU_ASSERT_STRING_EQUAL (route->targets[0].pool->name, "s");
+    CU_ASSERT_PTR_NULL (burdock_route_table_find (table, "h", "/b/x"));
+    CU_ASSERT_PTR_NULL (burdock_route_table_find (table, "west", "/a/x"));
+    burdock_route_table_unref (table);
+  }
+}
+
 #define ROUTE(host, prefix, service)                                                     \
   "{\"host\":\"" host "\",\"prefix\":\"" prefix "\",\"service\":\"" service              \
   "\",\"routeType\":\"idempotent\"}"
@@ -494,6 +615,10 @@
 static const Test tests[] = {
   { "a request begins after its caller has left a stream",
     patience_follows_from_the_route },
+  { "the limits of cold upstreams are lost or invented",
+    limits_of_cold_upstreams_are_decoded },
+  { "the cold time of a row is lost, or its row", cold_times_of_rows_are_decoded },
+  { "the regions of a route break or widen it", regions_of_a_route_change_nothing },
   { "an invalid row is used as an upstream", invalid_upstream_rows_are_rejected },
   { "an upstream has an address that cannot be connected to",
     addresses_can_be_connected_to },
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -181,6 +181,52 @@
   }
 }
 
+typedef struct {
+  const char *overage;
+  const char *allowance;
+  double expected[2];
+  int status;
+} ColdCase;
+
+static const ColdCase cold_cases[] = {
+  { "--cold-overage=1.5", "--cold-allowance=5", { 1.5, 5 }, 0 },
+  { "--cold-overage=", "--cold-allowance=", { 0, 0 }, 0 },
+  { "--cold-overage=1.5", "--cold-allowance=", { 1.5, 0 }, 0 },
+  { "--cold-overage=0", "--cold-allowance=5.0", { 0, 5 }, 0 },
+  { "--cold-overage=x", "--cold-allowance=5", { 0, 0 }, -EINVAL },
+  { "--cold-overage=1.5", "--cold-allowance=-1", { 0, 0 }, -EINVAL },
+  { "--cold-overage= ", "--cold-allowance=5", { 0, 0 }, -EINVAL },
+};
+
+/* Guards against a gateway that does not start where the platform has no bound of cold
+ * upstreams, and against a bound that is lost. */
+static void
+the_bound_of_cold_upstreams_may_be_empty (void)
+{
+  for (uint32_t i = 0; i < TEST_COUNT (cold_cases); i++) {
+    const ColdCase *row = &cold_cases[i];
+    const char *arguments[] = { "test",
+                                "--name=g",
+                                "--failure-domain=a",
+                                "--control=1.1.1.1:1",
+                                "--http=1.1.1.1:2",
+                                "--ready=1.1.1.1:3",
+                                "--directory=1.1.1.1:4",
+                                "--store=http://1.1.1.1:5",
+                                row->overage,
+                                row->allowance };
+    BurdockDaemonSettings settings;
+    int status = burdock_settings_parse (&settings, BURDOCK_ROLE_GATEWAY, "test",
+                                         (int)TEST_COUNT (arguments), (char **)arguments);
+
+    CU_ASSERT_EQUAL (status, row->status);
+    if (status < 0)
+      continue;
+    CU_ASSERT_EQUAL (settings.cold_overage, row->expected[0]);
+    CU_ASSERT_EQUAL (settings.cold_allowance, row->expected[1]);
+  }
+}
+
 typedef struct {
   const char *grace_s;
   uint32_t stop_limit_ms;
@@ -227,6 +273,8 @@
 }
 
 static const Test tests[] = {
+  { "an empty bound of cold upstreams is rejected, or one is lost",
+    the_bound_of_cold_upstreams_may_be_empty },
   { "a planned stop takes longer than the grace time",
     a_stop_ends_within_the_grace_time },
   { "a number in an unusual notation is rejected or altered",
