Learn how slow cold upstreams are

Cause: each answer of a warm upstream states a cold time of 0, which was taken for its end, so that no upstream was ever regular for the times of answers. And at an overload no cold answer was in time, so that their length was never learnt.

Change: a stated 0 ends the cold time only if there was one; a request that got no answer in time counts with the time that it had.

--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -135,7 +135,8 @@
   forward->first_event_us = now_us;
   if (is_slow (forward, now_us))
     burdock_balancer_record_cold_time (forward->gateway->traffic.balancer,
-                                       forward->upstream.key, now_us - forward->sent_us,
+                                       forward->upstream.key, true,
+                                       now_us - forward->sent_us,
                                        forward->placement.times.first_part_us);
   else
     burdock_answer_times_record (forward->gateway->traffic.first_event_times,
@@ -355,7 +356,8 @@
   if (is_slow (forward, now_us)) {
     if (forward->route->kind != BURDOCK_ROUTE_STREAM)
       burdock_balancer_record_cold_time (forward->gateway->traffic.balancer,
-                                         forward->upstream.key, now_us - forward->sent_us,
+                                         forward->upstream.key, true,
+                                         now_us - forward->sent_us,
                                          forward->placement.times.work_us);
     return;
   }
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -442,6 +442,7 @@
 time_out (BurdockForward *forward)
 {
   BurdockGatewayTraffic *traffic = &forward->gateway->traffic;
+  uint64_t now_us = burdock_loop_now_us ();
 
   burdock_log_subject (BURDOCK_LOG_INFO, "request timed out", forward->caller.request_id,
                        forward->send_count > 0 ? forward->upstream.id : "-",
@@ -454,6 +455,11 @@
                             BURDOCK_REASON_DEADLINE, BURDOCK_RETRY_AFTER_DEFAULT_MS);
     return;
   }
+  if (burdock_balancer_is_slow (traffic->balancer, forward->upstream.key, now_us) &&
+      forward->phase == BURDOCK_FORWARD_SENT && !forward->answer_started)
+    burdock_balancer_record_cold_time (traffic->balancer, forward->upstream.key, false,
+                                       now_us - forward->sent_us,
+                                       forward->placement.times.first_part_us);
   if (forward->answer_started)
     abort_forward (forward);
   else
--- a/libburdock/balancer-cold.c
+++ b/libburdock/balancer-cold.c
@@ -99,7 +99,8 @@
 
 void
 burdock_balancer_record_cold_time (BurdockBalancer *balancer, uint64_t upstream,
-                                   uint64_t elapsed_us, uint64_t expected_us)
+                                   bool answered, uint64_t elapsed_us,
+                                   uint64_t expected_us)
 {
   const Node *node = burdock_balancer_node (balancer, upstream);
   double slowness;
@@ -111,7 +112,11 @@
     slowness = 1;
   if (slowness > SLOWNESS_MAX)
     slowness = SLOWNESS_MAX;
-  if (node->pool->cold_slowness > 0)
+  /* Only the requests that begin early are answered in time; without the others, the
+   * slowness would never be learnt at an overload. */
+  if (!answered && slowness <= node->pool->cold_slowness)
+    return;
+  if (answered && node->pool->cold_slowness > 0)
     slowness = node->pool->cold_slowness +
                (slowness - node->pool->cold_slowness) * SLOWNESS_GAIN;
   node->pool->cold_slowness = slowness;
--- a/libburdock/balancer.h
+++ b/libburdock/balancer.h
@@ -180,12 +180,14 @@
 
 /**
  * burdock_balancer_record_cold_time() - an upstream that is cold, or was until just now,
- * has given an answer or its first part
+ * has given an answer or its first part, or has lost its caller before
+ * @answered: it was given; otherwise it would have taken @elapsed_us or longer
  * @elapsed_us: time from the start of the attempt
  * @expected_us: time that the request was expected to take, 0 if it is not known
  */
 void burdock_balancer_record_cold_time (BurdockBalancer *balancer, uint64_t upstream,
-                                        uint64_t elapsed_us, uint64_t expected_us);
+                                        bool answered, uint64_t elapsed_us,
+                                        uint64_t expected_us);
 
 /** burdock_balancer_is_slow() - whether slow answers of @upstream are to be expected, as
  * it is cold or was until just now */
--- a/libburdock/cold-start.c
+++ b/libburdock/cold-start.c
@@ -111,8 +111,12 @@
 burdock_cold_start_apply_answer (BurdockColdStart *cold, uint64_t left_ms,
                                  uint64_t now_us)
 {
+  bool was_cold = cold->restarted_us != 0 || cold->stated_us > now_us;
+
   cold->restarted_us = 0;
-  cold->stated_us = now_us + bounded_us (left_ms);
+  /* A warm upstream that says so again has not just become warm. */
+  if (left_ms > 0 || was_cold)
+    cold->stated_us = now_us + bounded_us (left_ms);
 }
 
 uint64_t
