--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -24,6 +24,8 @@
  * @retry_allowance: gateways: further retries allowed to all gateways together in 10 s
  * @drain_limit_ms: gateways: time within which an upstream that leaves gets no more
  *   requests
+ * @cold_overage: gateways: all of them together may send a cold upstream this multiple of
+ *   the rate that it takes, plus @cold_allowance requests, in any second; 0 for no bound
  * @grace_s: gateways: time from SIGTERM until the process is killed, 0 if unknown
  * @memory_mb: entries and gateways: memory of the instance in units of 1,000,000 bytes, 0
  *   if unknown
@@ -43,6 +45,8 @@
   double retry_ratio;
   double retry_allowance;
   double drain_limit_ms;
+  double cold_overage;
+  double cold_allowance;
   double grace_s;
   uint32_t memory_mb;
   uint32_t max_fds;
