Pace less urgent requests and keep room for urgent ones

Cause: each gateway sees the load of the others as of the last heartbeat and sends new requests without credit, so that a burst of priority 2 takes every slot and urgent requests wait behind it.

Change: libburdock/priority-share counts the credit of each priority of a pool. A less urgent request needs credit: for each freed slot, and for this gateway's part of the slots below a limit that leaves room for the spread of urgent arrivals. A floor sends some of a priority like the most urgent ones. A request that gives way does not wait past its latency objective. The play of overloads has bursts of one priority, and bench-priorities compares.

--- a/bench/bench.c
+++ b/bench/bench.c
@@ -22,7 +22,7 @@
 static const BenchTopic topics[] = {
   { bench_members, true },   { bench_state, true },   { bench_drain, true },
   { bench_routing, false },  { bench_maps, false },   { bench_limits, false },
-  { bench_overload, false }, { bench_resume, false },
+  { bench_overload, false }, { bench_resume, false }, { bench_priorities, true },
 };
 
 void
--- a/bench/bench.h
+++ b/bench/bench.h
@@ -32,6 +32,7 @@
 void bench_drain (void);
 void bench_limits (void);
 void bench_overload (void);
+void bench_priorities (void);
 void bench_resume (void);
 void bench_routing (void);
 
--- a/gateway/intake.c
+++ b/gateway/intake.c
@@ -87,6 +87,9 @@
         at_most (burdock_answer_times_typical_us (traffic->first_event_times, route->name,
                                                   now_us),
                  work_max_us);
+  times->objective_us = 0;
+  if (!forward->answer_started && route->objective_ms * US_PER_MS > times->first_part_us)
+    times->objective_us = forward->received_us + route->objective_ms * US_PER_MS;
   /* How much is left of a stream that goes on is not known. */
   if (forward->answer_started)
     times->work_us = times->first_part_us;
--- a/libburdock/balancer-private.h
+++ b/libburdock/balancer-private.h
@@ -51,20 +51,20 @@
 
 typedef struct QueuedRequest {
   struct QueuedRequest *next;
-  BurdockPlacement placement;
+  BurdockPlacement placement; /* with the priority whose room it takes */
   uint64_t latest_start_us;
 } QueuedRequest;
 
 typedef struct Pool {
   struct Pool *next;
   char name[BURDOCK_NAME_BYTES];
-  QueuedRequest *queue;      /* in the order in which they start */
-  uint64_t waiting_since_us; /* since when requests have to wait, 0 if they don't */
-  uint32_t sent_at_once;     /* the last requests in a row that did not wait */
-  uint32_t own_outstanding;  /* requests of this gateway at its upstreams */
-  uint32_t outstanding;      /* of all gateways, at the last tick */
-  double ended;              /* requests of this gateway lately, older ones count less */
-  double running_us;         /* time for which its requests kept their places meanwhile */
+  QueuedRequest *queue; /* in the order in which they start */
+  BurdockPriorityShare priorities;
+  uint32_t own_outstanding; /* requests of this gateway at its upstreams */
+  uint32_t outstanding;     /* of all gateways, at the last tick */
+  double usable_slots;      /* that all gateways may use, at the last tick */
+  double ended;             /* requests of this gateway lately, older ones count less */
+  double running_us;        /* time for which its requests kept their places meanwhile */
   double retries_left;
 } Pool;
 
@@ -167,6 +167,10 @@
 Node *burdock_balancer_select (BurdockBalancer *balancer, const Pool *pool,
                                const BurdockPlacement *placement, bool waited);
 
+/** burdock_balancer_usable_slots() - slots of the pool of @node that all gateways may use
+ * at it, by the limit of its group */
+double burdock_balancer_usable_slots (const BurdockBalancer *balancer, const Node *node);
+
 /** burdock_balancer_opens_us() - time at which an upstream is expected to take requests,
  * not after the present time if one does; UINT64_MAX if there is none */
 uint64_t burdock_balancer_opens_us (const BurdockBalancer *balancer, const Pool *pool,
@@ -182,6 +186,9 @@
 /** burdock_balancer_place_freed() - a request of this gateway at @node has ended */
 void burdock_balancer_place_freed (Node *node);
 
+/** burdock_balancer_start_sharing() - shares the slots of pools that had none before */
+void burdock_balancer_start_sharing (BurdockBalancer *balancer);
+
 /** burdock_balancer_tick_queue() - expires queued requests, refills the retry budgets */
 void burdock_balancer_tick_queue (BurdockBalancer *balancer);
 
--- a/libburdock/balancer-queue.c
+++ b/libburdock/balancer-queue.c
@@ -102,7 +102,8 @@
 }
 
 static void
-place_request (BurdockBalancer *balancer, Pool *pool, Node *node, uint64_t handle)
+place_request (BurdockBalancer *balancer, Pool *pool, Node *node,
+               const BurdockPlacement *placement)
 {
   const BurdockBalancerHandler *handler = &balancer->handler;
 
@@ -110,10 +111,11 @@
   node->own_outstanding++;
   pool->own_outstanding++;
   burdock_rate_share_sent (&node->rate);
+  burdock_priority_share_sent (&pool->priorities, placement->priority);
   burdock_balancer_add_to_group (node);
   balancer->stats.placed++;
   balancer->stats.outstanding_own++;
-  handler->place (handler->ctx, handle, &node->info);
+  handler->place (handler->ctx, placement->handle, &node->info);
 }
 
 void
@@ -126,20 +128,35 @@
   if (pool->own_outstanding > 0)
     pool->own_outstanding--;
   pool->ended += 1;
+  burdock_priority_share_freed (&pool->priorities);
+}
+
+/* A request that has lost its upstream was counted when it was first sent. */
+static bool
+has_room (const Pool *pool, const BurdockPlacement *placement)
+{
+  return placement->admitted ||
+         burdock_priority_share_has_room (&pool->priorities, placement->priority);
 }
 
 /* Places the first waiting request that an upstream can take. Returns false if there is
- * none. A request that may not go to some upstreams does not keep the others waiting. */
+ * none. A request that may not go to some upstreams does not keep the others waiting. If
+ * there is no room for a priority, there is none for the less urgent ones. */
 static bool
 place_queued (BurdockBalancer *balancer, Pool *pool)
 {
   for (QueuedRequest **at = &pool->queue; *at != NULL; at = &(*at)->next) {
-    Node *node = burdock_balancer_select (balancer, pool, &(*at)->placement, true);
+    Node *node;
 
+    if (!has_room (pool, &(*at)->placement))
+      return false;
+    node = burdock_balancer_select (balancer, pool, &(*at)->placement, true);
     if (node != NULL) {
+      BurdockPlacement placement = remove_queued (balancer, pool, at);
+
       if (node->group != NULL && node->group->credit >= 1)
         node->group->credit -= 1;
-      place_request (balancer, pool, node, remove_queued (balancer, pool, at).handle);
+      place_request (balancer, pool, node, &placement);
       return true;
     }
     if ((*at)->placement.excluded_count == 0)
@@ -190,18 +207,35 @@
   return time_us > 0 ? freed * 1e6 / time_us : 0;
 }
 
+static double
+starts_of_priority_per_s (const BurdockBalancer *balancer, const Pool *pool,
+                          uint32_t priority)
+{
+  double per_s = starts_per_s (balancer, pool);
+  double limit_per_s;
+
+  if (per_s <= 0 || !burdock_priority_share_is_limited (&pool->priorities, priority))
+    return per_s;
+  limit_per_s = burdock_priority_share_starts_per_s (&pool->priorities, priority);
+  return per_s < limit_per_s ? per_s : limit_per_s;
+}
+
 static BurdockQueueView
-view_pool (const BurdockBalancer *balancer, const Pool *pool,
-           const BurdockPlacement *placement)
+view_pool (const BurdockBalancer *balancer, Pool *pool, const BurdockPlacement *placement)
 {
-  return (BurdockQueueView){ .now_us = balancer->now_us,
-                             .opens_us =
-                                 burdock_balancer_opens_us (balancer, pool, placement),
-                             .starts_per_s = starts_per_s (balancer, pool),
-                             .waiting_since_us = pool->waiting_since_us,
-                             .turnover_us = (uint64_t)turnover_us (pool),
-                             .update_us =
-                                 burdock_balancer_report_interval_us (balancer) };
+  const BurdockPriorityLevel *level =
+      burdock_priority_share_level (&pool->priorities, placement->priority);
+
+  return (BurdockQueueView){
+    .now_us = balancer->now_us,
+    .opens_us = burdock_balancer_opens_us (balancer, pool, placement),
+    .gives_way =
+        burdock_priority_share_is_limited (&pool->priorities, placement->priority),
+    .starts_per_s = starts_of_priority_per_s (balancer, pool, placement->priority),
+    .waiting_since_us = level->waiting_since_us,
+    .turnover_us = (uint64_t)turnover_us (pool),
+    .update_us = burdock_balancer_report_interval_us (balancer)
+  };
 }
 
 /* Counts the waiting requests before a new one. */
@@ -221,13 +255,13 @@
 
 /* Notes whether an arriving request finds a free place. */
 static void
-note_arrival (const BurdockBalancer *balancer, Pool *pool, bool sent)
+note_arrival (const BurdockBalancer *balancer, BurdockPriorityLevel *level, bool sent)
 {
-  pool->sent_at_once = sent ? pool->sent_at_once + 1 : 0;
-  if (!sent && pool->waiting_since_us == 0)
-    pool->waiting_since_us = balancer->now_us;
-  if (pool->sent_at_once >= SENT_AT_ONCE_MIN)
-    pool->waiting_since_us = 0;
+  level->sent_at_once = sent ? level->sent_at_once + 1 : 0;
+  if (!sent && level->waiting_since_us == 0)
+    level->waiting_since_us = balancer->now_us;
+  if (level->sent_at_once >= SENT_AT_ONCE_MIN)
+    level->waiting_since_us = 0;
 }
 
 /* Callers that are refused together come back one after the other. */
@@ -243,15 +277,31 @@
                     1000);
 }
 
+/* Callers of a limited priority are told to return one by one, at the rate at which it
+ * may start requests. */
+static uint32_t
+return_delay_ms (BurdockBalancer *balancer, Pool *pool, uint32_t priority,
+                 uint64_t delay_us)
+{
+  uint64_t return_us;
+
+  if (!burdock_priority_share_is_limited (&pool->priorities, priority))
+    return delay_with_spread_ms (balancer, pool, delay_us);
+  return_us = burdock_priority_share_promise (&pool->priorities, priority,
+                                              balancer->now_us + delay_us);
+  return (uint32_t)((return_us - balancer->now_us) / 1000);
+}
+
 static void
-refuse_request (BurdockBalancer *balancer, const Pool *pool, uint64_t handle,
+refuse_request (BurdockBalancer *balancer, Pool *pool, const BurdockPlacement *placement,
                 const BurdockQueueDecision *decision)
 {
   const BurdockBalancerHandler *handler = &balancer->handler;
 
   balancer->stats.refused++;
-  handler->refuse (handler->ctx, handle, decision->reason,
-                   delay_with_spread_ms (balancer, pool, decision->retry_after_us));
+  handler->refuse (handler->ctx, placement->handle, decision->reason,
+                   return_delay_ms (balancer, pool, placement->priority,
+                                    decision->retry_after_us));
 }
 
 uint32_t
@@ -266,8 +316,8 @@
   again.excluded_count = 0;
   view = view_pool (balancer, pool, &again);
   count_waiting (pool, &again, &view);
-  return delay_with_spread_ms (balancer, pool,
-                               burdock_queue_retry_after_us (&placement->times, &view));
+  return return_delay_ms (balancer, pool, placement->priority,
+                          burdock_queue_retry_after_us (&placement->times, &view));
 }
 
 static void
@@ -276,6 +326,9 @@
   if (placement->excluded_count > 0)
     return;
   balancer->submitted++;
+  if (!placement->admitted)
+    burdock_priority_share_arrived (&pool->priorities, placement->priority,
+                                    balancer->now_us);
   if (pool->retries_left < retry_allowance (balancer))
     pool->retries_left += balancer->settings.retry_ratio * RETRY_BUDGET_RATIO;
 }
@@ -285,25 +338,32 @@
                          uint64_t now_us)
 {
   Pool *pool = burdock_balancer_pool (balancer, placement->pool);
+  BurdockPlacement item = *placement;
   BurdockQueueView view;
   BurdockQueueDecision decision;
-  Node *node;
+  Node *node = NULL;
 
   balancer->now_us = now_us;
   count_submitted (balancer, pool, placement);
-  node = burdock_balancer_select (balancer, pool, placement, false);
-  view = view_pool (balancer, pool, placement);
+  if (!has_room (pool, &item) &&
+      burdock_priority_share_take_floor (&pool->priorities, item.priority))
+    item.priority = 0;
+  if (has_room (pool, &item))
+    node = burdock_balancer_select (balancer, pool, &item, false);
+  view = view_pool (balancer, pool, &item);
   view.has_room = node != NULL;
-  view.is_admitted = placement->admitted;
-  count_waiting (pool, placement, &view);
-  decision = burdock_queue_decide (&placement->times, &view);
-  note_arrival (balancer, pool, decision.action == BURDOCK_QUEUE_SEND);
+  view.is_admitted = item.admitted;
+  count_waiting (pool, &item, &view);
+  decision = burdock_queue_decide (&item.times, &view);
+  note_arrival (balancer, burdock_priority_share_level (&pool->priorities, item.priority),
+                decision.action == BURDOCK_QUEUE_SEND);
   if (decision.action == BURDOCK_QUEUE_REFUSE) {
-    refuse_request (balancer, pool, placement->handle, &decision);
+    item.priority = placement->priority;
+    refuse_request (balancer, pool, &item, &decision);
   } else if (node != NULL && decision.action == BURDOCK_QUEUE_SEND) {
-    place_request (balancer, pool, node, placement->handle);
+    place_request (balancer, pool, node, &item);
   } else {
-    insert_queued (balancer, pool, placement);
+    insert_queued (balancer, pool, &item);
     burdock_balancer_dispatch (balancer);
   }
 }
@@ -319,7 +379,8 @@
     return false;
   if (elsewhere.excluded_count < BURDOCK_EXCLUDED_MAX)
     elsewhere.excluded[elsewhere.excluded_count++] = upstream;
-  return burdock_balancer_select (balancer, pool, &elsewhere, false) != NULL;
+  return has_room (pool, placement) &&
+         burdock_balancer_select (balancer, pool, &elsewhere, false) != NULL;
 }
 
 void
@@ -365,8 +426,9 @@
     view.ahead = view.waiting = ahead;
     decision = burdock_queue_decide (&placement->times, &view);
     if (decision.action == BURDOCK_QUEUE_REFUSE) {
-      refuse_request (balancer, pool, remove_queued (balancer, pool, at).handle,
-                      &decision);
+      BurdockPlacement removed = remove_queued (balancer, pool, at);
+
+      refuse_request (balancer, pool, &removed, &decision);
       continue;
     }
     ahead++;
@@ -380,21 +442,29 @@
 {
   BurdockPlacement any = { 0 };
 
-  if (pool->waiting_since_us != 0 &&
-      burdock_balancer_opens_us (balancer, pool, &any) > balancer->now_us)
-    pool->waiting_since_us = balancer->now_us;
+  if (burdock_balancer_opens_us (balancer, pool, &any) <= balancer->now_us)
+    return;
+  for (uint32_t i = 0; i < BURDOCK_PRIORITY_LEVELS; i++) {
+    BurdockPriorityLevel *level = &pool->priorities.levels[i];
+
+    if (level->waiting_since_us != 0)
+      level->waiting_since_us = balancer->now_us;
+  }
 }
 
 static void
 count_outstanding (BurdockBalancer *balancer)
 {
-  for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next)
+  for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next) {
     pool->own_outstanding = pool->outstanding = 0;
+    pool->usable_slots = 0;
+  }
   for (uint32_t i = 0; i < balancer->node_count; i++) {
     const Node *node = balancer->nodes[i];
 
     node->pool->own_outstanding += node->own_outstanding;
     node->pool->outstanding += outstanding (node);
+    node->pool->usable_slots += burdock_balancer_usable_slots (balancer, node);
   }
 }
 
@@ -405,6 +475,28 @@
     pool->running_us += (double)pool->own_outstanding * (double)elapsed_us;
 }
 
+static void
+share_room (const BurdockBalancer *balancer, Pool *pool, uint64_t elapsed_us)
+{
+  BurdockPoolRoom room = { .now_us = balancer->now_us,
+                           .elapsed_us = elapsed_us,
+                           .slots = pool->usable_slots,
+                           .in_use = pool->outstanding,
+                           .gateways = apr_hash_count (balancer->peers) + 1,
+                           .update_us = burdock_balancer_report_interval_us (balancer) };
+
+  burdock_priority_share_advance (&pool->priorities, &room);
+}
+
+void
+burdock_balancer_start_sharing (BurdockBalancer *balancer)
+{
+  count_outstanding (balancer);
+  for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next)
+    if (!pool->priorities.started)
+      share_room (balancer, pool, TICK_US);
+}
+
 static void
 end_rate_interval (BurdockBalancer *balancer)
 {
@@ -491,6 +583,8 @@
     uint64_t elapsed_us = balancer->now_us - balancer->last_tick_us;
 
     update_turnover (balancer, elapsed_us);
+    for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next)
+      share_room (balancer, pool, elapsed_us);
     refill_credit (balancer, elapsed_us);
     refill_rate_credit (balancer, elapsed_us);
   }
--- a/libburdock/balancer-select.c
+++ b/libburdock/balancer-select.c
@@ -40,6 +40,18 @@
   return group->open && group->outstanding < group->slots * group->utilization_limit;
 }
 
+double
+burdock_balancer_usable_slots (const BurdockBalancer *balancer, const Node *node)
+{
+  const Group *group = node->group;
+
+  if (!node->listed || node->info.leaving)
+    return 0;
+  if (group == NULL || balancer->now_us - group->last_report_us > AGENT_REPORT_TIMEOUT_US)
+    return node->info.slots;
+  return group->open ? node->info.slots * group->utilization_limit : 0;
+}
+
 static bool
 is_excluded (const BurdockPlacement *placement, uint64_t key)
 {
--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -105,6 +105,7 @@
   if (pool == NULL)
     abort ();
   snprintf (pool->name, sizeof pool->name, "%s", name);
+  pool->priorities.rule = balancer->settings.priority_rule;
   pool->next = balancer->pools;
   balancer->pools = pool;
   return pool;
@@ -267,6 +268,7 @@
   remove_unused_nodes (balancer);
   recount_peer_load (balancer);
   balancer->stats.upstreams = count;
+  burdock_balancer_start_sharing (balancer);
   burdock_balancer_dispatch (balancer);
 }
 
--- a/libburdock/balancer.h
+++ b/libburdock/balancer.h
@@ -15,6 +15,7 @@
 
 #include "burdock.h"
 #include "message.h"
+#include "priority-share.h"
 #include "queue-policy.h"
 
 typedef struct BurdockBalancer BurdockBalancer;
@@ -81,12 +82,14 @@
  * @retry_ratio: retries that all gateways together may send for each request of a pool
  * @retry_allowance: retries that all gateways together may send in addition within the
  *   retry window of 10 s
+ * @priority_rule: the others are baselines of the comparison in bench/
  */
 typedef struct {
   uint64_t seed;
   char failure_domain[BURDOCK_NAME_BYTES];
   double retry_ratio;
   double retry_allowance;
+  BurdockPriorityRule priority_rule;
 } BurdockBalancerSettings;
 
 /** enum BurdockUpstreamOutcome - how a request at an upstream ended */
--- a/libburdock/queue-policy.c
+++ b/libburdock/queue-policy.c
@@ -34,6 +34,17 @@
                   time_before (times->first_part_deadline_us, times->first_part_us));
 }
 
+/* Latest start of a request while it waits. */
+static uint64_t
+latest_wait_us (const BurdockRequestTimes *times, const BurdockQueueView *view)
+{
+  uint64_t latest_us = burdock_queue_latest_start_us (times);
+
+  if (!view->gives_way || times->objective_us == 0)
+    return latest_us;
+  return earlier (latest_us, time_before (times->objective_us, times->first_part_us));
+}
+
 /* Time until @count waiting requests have started. */
 static uint64_t
 start_time_us (const BurdockQueueView *view, uint32_t count)
@@ -104,7 +115,7 @@
 BurdockQueueDecision
 burdock_queue_decide (const BurdockRequestTimes *times, const BurdockQueueView *view)
 {
-  uint64_t latest_us = burdock_queue_latest_start_us (times);
+  uint64_t latest_us = latest_wait_us (times, view);
 
   if (times->deadline_us <= view->now_us)
     return refuse (times, view);
--- a/libburdock/queue-policy.h
+++ b/libburdock/queue-policy.h
@@ -11,6 +11,9 @@
  * waited without a break for as long as a running one keeps its place, the queue is kept
  * just long enough to refill the places. Whether a request finds it full does not depend
  * on the time that its caller has.
+ *
+ * A request that gives way to more urgent ones waits no longer than its latency objective
+ * allows: those that start later are late, and make the requests behind them late too.
  */
 #ifndef BURDOCK_QUEUE_POLICY_H
 #define BURDOCK_QUEUE_POLICY_H
@@ -24,12 +27,15 @@
  *   come; @deadline_us if it leaves no earlier
  * @first_part_us: expected time from the start to the first part, 0 if it is not known
  * @work_us: expected time from the start to the end, 0 if it is not known
+ * @objective_us: time at which the first part is due by the latency objective, 0 for none
+ *   or if it could not be met from the start
  */
 typedef struct {
   uint64_t deadline_us;
   uint64_t first_part_deadline_us;
   uint64_t first_part_us;
   uint64_t work_us;
+  uint64_t objective_us;
 } BurdockRequestTimes;
 
 /**
@@ -37,6 +43,7 @@
  * @has_room: an upstream can start the request now
  * @is_admitted: the request was sent or queued before, and is not measured against the
  *   length of the queue again
+ * @gives_way: more urgent requests use the pool, and the request gets what they leave
  * @opens_us: time at which an upstream is expected to take requests, not after @now_us if
  *   one does; UINT64_MAX if none is known that may
  * @ahead: waiting requests that start before it
@@ -50,6 +57,7 @@
   uint64_t now_us;
   bool has_room;
   bool is_admitted;
+  bool gives_way;
   uint64_t opens_us;
   uint32_t ahead;
   uint32_t waiting;
--- a/tests/support/overload-play.c
+++ b/tests/support/overload-play.c
@@ -25,7 +25,7 @@
 
 #define GATEWAYS_MAX 330
 #define UPSTREAMS_MAX 192
-#define REQUESTS_MAX 4096
+#define REQUESTS_MAX 16384
 #define AT_ONCE_US (200 * US_PER_MS)
 
 typedef enum {
@@ -77,6 +77,10 @@
   uint32_t kind_answered[OVERLOAD_KINDS_MAX];
   uint32_t kind_at_once[OVERLOAD_KINDS_MAX];
   uint64_t kind_first_us[OVERLOAD_KINDS_MAX];
+  uint32_t kind_in_time[OVERLOAD_KINDS_MAX];
+  uint32_t kind_refused[OVERLOAD_KINDS_MAX];
+  uint32_t kind_returned[OVERLOAD_KINDS_MAX];
+  uint32_t kind_refused_again[OVERLOAD_KINDS_MAX];
 };
 
 static BurdockUpstream
@@ -116,9 +120,13 @@
 
   if (leaves_us (play, request) < times.deadline_us)
     times.first_part_deadline_us = leaves_us (play, request);
+  if (load->kinds[request->kind].objective_ms > 0)
+    times.objective_us =
+        request->received_us + load->kinds[request->kind].objective_ms * US_PER_MS;
   return (BurdockPlacement){ .handle = handle,
                              .pool = "pool",
-                             .priority = load->kinds[request->kind].priority,
+                             .priority =
+                                 load->in_order ? 0 : load->kinds[request->kind].priority,
                              .times = times };
 }
 
@@ -156,12 +164,18 @@
   uint64_t delay_us = retry_after_ms * US_PER_MS;
 
   request->phase = REQUEST_NONE;
+  if (request->counted && request->returns > 0)
+    play->kind_refused_again[request->kind]++;
   if (request->returns < play->load->returns) {
+    if (request->counted && request->returns == 0)
+      play->kind_returned[request->kind]++;
     request->returns++;
     request->phase = REQUEST_RETURNING;
     request->return_us = play->now_us + (delay_us < left_us / 3 ? delay_us : left_us / 3);
     return;
   }
+  if (request->counted)
+    play->kind_refused[request->kind]++;
   if (request->counted && play->now_us <= request->received_us + AT_ONCE_US)
     play->kind_at_once[request->kind]++;
 }
@@ -180,17 +194,55 @@
                            play->now_us);
 }
 
+static bool
+is_burst (const Play *play)
+{
+  return play->now_us >= play->load->burst_from_ms * US_PER_MS &&
+         play->now_us < play->load->burst_until_ms * US_PER_MS;
+}
+
+/* Requests of a kind now, as part of those of all kinds outside of a burst. */
+static double
+weight (const Play *play, uint32_t kind)
+{
+  const OverloadCallers *callers = &play->load->kinds[kind];
+
+  return is_burst (play) && callers->burst_factor > 0
+             ? callers->share * callers->burst_factor
+             : callers->share;
+}
+
+static double
+total_weight (const Play *play)
+{
+  double sum = 0;
+
+  if (!is_burst (play))
+    return 1;
+  for (uint32_t k = 0; k < play->load->kind_count; k++)
+    sum += weight (play, k);
+  return sum;
+}
+
 static uint32_t
 draw_kind (Play *play)
 {
-  double at = random_unit (&play->random);
+  double at = random_unit (&play->random) * total_weight (play);
   uint32_t kind = 0;
 
-  while (kind + 1 < play->load->kind_count && at >= play->load->kinds[kind].share)
-    at -= play->load->kinds[kind++].share;
+  while (kind + 1 < play->load->kind_count && at >= weight (play, kind))
+    at -= weight (play, kind++);
   return kind;
 }
 
+static bool
+is_counted (const Play *play)
+{
+  if (play->load->burst_until_ms > 0)
+    return is_burst (play);
+  return play->now_us >= COUNT_FROM_US && play->now_us < COUNT_UNTIL_US;
+}
+
 static void
 receive (Play *play)
 {
@@ -201,9 +253,7 @@
     request++;
   if (request == &play->requests[play->used])
     play->used++;
-  *request = (Request){ .kind = draw_kind (play),
-                        .counted = play->now_us >= COUNT_FROM_US &&
-                                   play->now_us < COUNT_UNTIL_US };
+  *request = (Request){ .kind = draw_kind (play), .counted = is_counted (play) };
   request->end_us = play->now_us + load->kinds[request->kind].left_ms * US_PER_MS;
   request->work_us = (uint64_t)((0.5 + random_unit (&play->random)) *
                                 (double)(load->work_ms * US_PER_MS));
@@ -225,6 +275,10 @@
 end_request (Play *play, Request *request)
 {
   if (request->counted) {
+    uint64_t objective_us = play->load->kinds[request->kind].objective_ms * US_PER_MS;
+
+    play->kind_in_time[request->kind] +=
+        first_event_us (play, request) <= request->received_us + objective_us;
     play->useful_us += request->work_us;
     play->kind_answered[request->kind]++;
     play->kind_first_us[request->kind] +=
@@ -373,7 +427,8 @@
     BurdockBalancerSettings settings = { .seed = play->random + i,
                                          .failure_domain = "a",
                                          .retry_ratio = 0.2,
-                                         .retry_allowance = 90 };
+                                         .retry_allowance = 90,
+                                         .priority_rule = load->rule };
     BurdockBalancerHandler handler = { gateway, place_request, refuse_request };
 
     *gateway = (Gateway){ play, i, burdock_balancer_new (&settings, &handler) };
@@ -411,6 +466,13 @@
       kind->answered = (double)play->kind_answered[k] / kind->callers;
       kind->refused_at_once = (double)play->kind_at_once[k] / kind->callers;
     }
+    if (kind->callers > 0) {
+      kind->in_time = (double)play->kind_in_time[k] / kind->callers;
+      kind->refused = (double)play->kind_refused[k] / kind->callers;
+      kind->returned = (double)play->kind_returned[k] / kind->callers;
+    }
+    if (play->kind_returned[k] > 0)
+      kind->refused_again = (double)play->kind_refused_again[k] / play->kind_returned[k];
     if (play->kind_answered[k] > 0)
       kind->first_ms =
           (double)play->kind_first_us[k] / play->kind_answered[k] / US_PER_MS;
@@ -439,7 +501,8 @@
     advance (play);
     while (next_arrival_us <= (double)play->now_us) {
       receive (play);
-      next_arrival_us += random_exponential (&play->random) * US_PER_S / load->per_s;
+      next_arrival_us += random_exponential (&play->random) * US_PER_S /
+                         (load->per_s * total_weight (play));
     }
   }
   result = total (play);
--- a/tests/support/overload-play.h
+++ b/tests/support/overload-play.h
@@ -8,6 +8,8 @@
 #ifndef OVERLOAD_PLAY_H
 #define OVERLOAD_PLAY_H
 
+#include "priority-share.h"
+
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -20,12 +22,16 @@
  * @patience_ms: a caller of a stream leaves if the first event takes longer; 0 if it
  *   stays until the end of its time
  * @priority: of the route, 0 is the most urgent
+ * @objective_ms: latency objective for the first event, 0 for none
+ * @burst_factor: multiplies their requests during the burst of the load, 0 for 1
  */
 typedef struct {
   double share;
   uint32_t left_ms;
   uint32_t patience_ms;
   uint32_t priority;
+  uint32_t objective_ms;
+  double burst_factor;
 } OverloadCallers;
 
 /**
@@ -39,6 +45,10 @@
  * @closed_ms, @period_ms: the group is closed for @closed_ms of each period
  * @returns: how often a refused caller comes back, after the delay that it was told
  * @possible_per_s: requests that the upstreams can end in a second, 0 if it is not known
+ * @burst_from_ms, @burst_until_ms: time of the burst; only callers who come in it are
+ *   counted if there is one
+ * @rule: what priorities decide
+ * @in_order: gateways do not know the priorities
  */
 typedef struct {
   const char *name;
@@ -52,6 +62,10 @@
   uint32_t closed_ms;
   uint32_t period_ms;
   uint32_t returns;
+  uint32_t burst_from_ms;
+  uint32_t burst_until_ms;
+  BurdockPriorityRule rule;
+  bool in_order;
   bool streams;
   uint32_t kind_count;
   OverloadCallers kinds[OVERLOAD_KINDS_MAX];
@@ -62,12 +76,21 @@
  * @answered: got their whole answer in their time
  * @refused_at_once: refused for good within 0.2 s of their last request
  * @first_ms: mean time from the request that was answered to its first event
+ * @in_time: got the first event within their objective, counted from the request that
+ *   was answered
+ * @refused: refused for good
+ * @returned: came back after a refusal
+ * @refused_again: as part of @returned, were refused when they came back
  */
 typedef struct {
   uint32_t callers;
   double answered;
   double refused_at_once;
   double first_ms;
+  double in_time;
+  double refused;
+  double returned;
+  double refused_again;
 } OverloadResult;
 
 /**
