Use the stated work of a request, and count by priority

Cause: the numbers of tokens that callers state were not read, so that all requests of a route were expected to take the same time; and metrics and logs did not show what priorities decide.

Requests sent at once, sent after a wait and refused are counted by priority; log lines show the priority, and the reason "priority" if more urgent requests needed the room.

--- a/bench/bench-priorities.c
+++ b/bench/bench-priorities.c
@@ -78,6 +78,7 @@
     .first_ms = 60,
     .work_ms = WORK_MS,
     .returns = 1,
+    .work_is_stated = true,
     .rule = rule->rule,
     .in_order = rule->in_order,
     .streams = true,
@@ -125,6 +126,15 @@
               got.kinds[k].in_time, got.kinds[k].answered - got.kinds[k].in_time,
               got.kinds[k].refused, got.kinds[k].refused_again);
     printf ("\n");
+    if (row->burst_total > 0 && row->burst == 2 &&
+        rule->rule == BURDOCK_PRIORITY_SHARES) {
+      char name[96];
+
+      for (uint32_t k = 0; k < 2; k++) {
+        snprintf (name, sizeof name, "%s_in_time_of_priority_%u", row->name, k);
+        bench_at_least (name, got.kinds[k].in_time, "share", 0.95);
+      }
+    }
   }
 }
 
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -388,7 +388,8 @@
       " delivered %d sent %u ran %u "
       "reason %s first_ms %u total_ms %u placed_ms %u events %u pause_ms %u "
       "digest %016" PRIx64 " stop_ms %" PRId64 " slow_caller_ms %u "
-      "allowed_ms %u first_part_ms %u work_ms %u retry_after_ms %u",
+      "allowed_ms %u first_part_ms %u work_ms %u retry_after_ms %u "
+      "priority %u own_work_ms %u",
       forward->outcome, forward->final_status, forward->route->name, forward->pool->name,
       (uint32_t)forward->table->version, forward->upstream_version, delivered,
       forward->send_count, forward->run_count, burdock_reason_name (forward->reason),
@@ -401,7 +402,9 @@
       (uint32_t)(burdock_forward_paused_us (forward, now_us) / US_PER_MS),
       (uint32_t)(allowed_us (forward) / US_PER_MS),
       (uint32_t)(forward->placement.times.first_part_us / US_PER_MS),
-      (uint32_t)(forward->placement.times.work_us / US_PER_MS), forward->retry_after_ms);
+      (uint32_t)(forward->placement.times.work_us / US_PER_MS), forward->retry_after_ms,
+      forward->placement.priority,
+      (uint32_t)(forward->placement.times.own_work_us / US_PER_MS));
 }
 
 /* A request whose answer is not delivered has lost its caller, unless the process ends.
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "row-decoder.h"
 #include "row-writer.h"
 #include "route-table.h"
+#include "request-work.h"
 #include "runtime.h"
 #include "settings.h"
 #include "slot.h"
@@ -179,6 +180,7 @@
  * @buffered_bytes: memory of the answers that are buffered until they are complete
  * @answer_times: times of whole answers, by route
  * @first_event_times: times to the first events of streams, by route
+ * @request_work: tokens of the requests, by route
  * @leaving_upstreams: starts of upstreams that have said that they leave
  * @quarantine: prompt parts that crash upstreams
  * @quarantine_loaded: the stored quarantine was received from the control thread
@@ -208,6 +210,7 @@
   BurdockBalancer *balancer;
   BurdockAnswerTimes *answer_times;
   BurdockAnswerTimes *first_event_times;
+  BurdockRequestWork request_work;
   BurdockLeavingUpstreams *leaving_upstreams;
   BurdockPartQuarantine *quarantine;
   BurdockRouteTable *table;
--- a/gateway/intake.c
+++ b/gateway/intake.c
@@ -62,6 +62,22 @@
   return time_us < limit_us ? time_us : limit_us;
 }
 
+/* Expected time of a request by its tokens; 0 if the time of its route is not known. The
+ * time to the first event of a stream hardly depends on the answer. */
+static uint64_t
+own_work_us (const BurdockForward *forward, uint64_t limit_us)
+{
+  const BurdockRequestTimes *times = &forward->placement.times;
+  bool is_stream = forward->route->kind == BURDOCK_ROUTE_STREAM;
+  uint64_t first_us = is_stream ? at_most (times->first_part_us, times->work_us) : 0;
+  double ratio =
+      burdock_request_work_ratio (&forward->gateway->traffic.request_work,
+                                  forward->route->name, &forward->caller.tokens);
+
+  return at_most (first_us + (uint64_t)(ratio * (double)(times->work_us - first_us)),
+                  limit_us);
+}
+
 void
 burdock_forward_set_times (BurdockForward *forward, uint64_t now_us)
 {
@@ -87,12 +103,15 @@
         at_most (burdock_answer_times_typical_us (traffic->first_event_times, route->name,
                                                   now_us),
                  work_max_us);
+  times->own_work_us = own_work_us (forward, work_max_us);
   times->objective_us = 0;
   if (!forward->answer_started && route->objective_ms * US_PER_MS > times->first_part_us)
     times->objective_us = forward->received_us + route->objective_ms * US_PER_MS;
   /* How much is left of a stream that goes on is not known. */
-  if (forward->answer_started)
+  if (forward->answer_started) {
     times->work_us = times->first_part_us;
+    times->own_work_us = 0;
+  }
 }
 
 /* Whether a request is answered before the end of a planned stop, if there is one. */
@@ -170,6 +189,8 @@
   forward->received_us = burdock_loop_now_us ();
   forward->deadline_us =
       forward->received_us + time_limit_ms (forward->route, &forward->caller) * US_PER_MS;
+  burdock_request_work_record (&traffic->request_work, forward->route->name,
+                               &forward->caller.tokens);
   burdock_forward_set_times (forward, forward->received_us);
   add_forward (traffic, forward);
   burdock_http_set_data (forward->http_request, forward);
--- a/gateway/local-endpoints.c
+++ b/gateway/local-endpoints.c
@@ -79,6 +79,24 @@
   return (burdock_loop_now_us () - burdock_table_watch_answered_us (watch)) / US_PER_MS;
 }
 
+static void
+add_priority_metrics (BurdockText *text, const BurdockBalancerStats *stats)
+{
+  for (uint32_t i = 0; i < BURDOCK_PRIORITY_LEVELS; i++) {
+    const BurdockPriorityStats *priority = &stats->priorities[i];
+
+    if (priority->sent_at_once + priority->waited + priority->refused == 0)
+      continue;
+    burdock_text_format (text,
+                         "burdock_priority_sent_at_once_total{priority=\"%u\"} %" PRIu64
+                         "\n"
+                         "burdock_priority_waited_total{priority=\"%u\"} %" PRIu64 "\n"
+                         "burdock_priority_refused_total{priority=\"%u\"} %" PRIu64 "\n",
+                         i, priority->sent_at_once, i, priority->waited, i,
+                         priority->refused);
+  }
+}
+
 static void
 answer_metrics (BurdockGateway *gateway, BurdockHttpRequest *request)
 {
@@ -126,6 +144,7 @@
 
   for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
     burdock_text_format (&text, "%s %" PRIu64 "\n", rows[i].name, rows[i].value);
+  add_priority_metrics (&text, &stats);
   for (uint32_t i = 0; i < BURDOCK_HISTOGRAM_BUCKETS; i++)
     burdock_text_format (&text, "burdock_first_event_ms{below=\"%u\"} %" PRIu64 "\n",
                          1u << i, counters->first_event_ms[i]);
--- a/libburdock/balancer-queue.c
+++ b/libburdock/balancer-queue.c
@@ -102,6 +102,12 @@
   balancer->stats.waiting++;
 }
 
+static BurdockPriorityStats *
+priority_stats (BurdockBalancer *balancer, uint32_t priority)
+{
+  return &balancer->stats.priorities[burdock_priority_share_number (priority)];
+}
+
 static BurdockPlacement
 remove_queued (BurdockBalancer *balancer, Pool *pool, QueuedRequest **at)
 {
@@ -165,8 +171,10 @@
       return false;
     node = burdock_balancer_select (balancer, pool, &(*at)->placement, true);
     if (node != NULL) {
+      uint32_t own_priority = (*at)->own_priority;
       BurdockPlacement placement = remove_queued (balancer, pool, at);
 
+      priority_stats (balancer, own_priority)->waited++;
       if (node->group != NULL && node->group->credit >= 1)
         node->group->credit -= 1;
       place_request (balancer, pool, node, &placement);
@@ -242,6 +250,8 @@
   return (BurdockQueueView){
     .now_us = balancer->now_us,
     .opens_us = burdock_balancer_opens_us (balancer, pool, placement),
+    .gives_way =
+        burdock_priority_share_is_limited (&pool->priorities, placement->priority),
     .is_mixed = burdock_priority_share_is_mixed (&pool->priorities),
     .credit = burdock_priority_share_credit (&pool->priorities, placement->priority),
     .starts_per_s = starts_of_priority_per_s (balancer, pool, placement->priority),
@@ -326,6 +336,7 @@
     burdock_priority_share_return_floor (&pool->priorities, own_priority);
   own.priority = own_priority;
   balancer->stats.refused++;
+  priority_stats (balancer, own_priority)->refused++;
   handler->refuse (handler->ctx, own.handle, decision->reason,
                    return_delay_ms (balancer, pool, &own, decision->retry_after_us));
 }
@@ -386,6 +397,7 @@
   if (decision.action == BURDOCK_QUEUE_REFUSE) {
     refuse_request (balancer, pool, &item, placement->priority, &decision);
   } else if (node != NULL && decision.action == BURDOCK_QUEUE_SEND) {
+    priority_stats (balancer, placement->priority)->sent_at_once++;
     place_request (balancer, pool, node, &item);
   } else {
     insert_queued (balancer, pool, &item, placement->priority);
--- a/libburdock/balancer.h
+++ b/libburdock/balancer.h
@@ -103,6 +103,18 @@
   BURDOCK_UPSTREAM_ABANDONED,   /* ended by the caller; no evidence about the upstream */
 } BurdockUpstreamOutcome;
 
+/**
+ * struct BurdockPriorityStats - requests of one priority
+ * @sent_at_once: sent when they were received
+ * @waited: sent after they had waited
+ * @refused: refused at once, or after they had waited
+ */
+typedef struct {
+  uint64_t sent_at_once;
+  uint64_t waited;
+  uint64_t refused;
+} BurdockPriorityStats;
+
 /**
  * struct BurdockBalancerStats - counters for metrics and logs
  * @waiting: requests in the queues
@@ -112,6 +124,7 @@
  * @outstanding_all: requests that all known gateways have at upstreams
  * @retries: retries granted by burdock_balancer_take_retry()
  * @retries_denied: retries denied because the budget was empty
+ * @priorities: requests by priority, in all pools; the last one includes less urgent ones
  */
 typedef struct {
   uint32_t waiting;
@@ -123,6 +136,7 @@
   uint64_t refused;
   uint64_t retries;
   uint64_t retries_denied;
+  BurdockPriorityStats priorities[BURDOCK_PRIORITY_LEVELS];
 } BurdockBalancerStats;
 
 /**
--- a/libburdock/burdock.h
+++ b/libburdock/burdock.h
@@ -102,6 +102,7 @@
   BURDOCK_REASON_CANCELLED,
   BURDOCK_REASON_STALE_GENERATION, /* sender's configuration is older than the agent's */
   BURDOCK_REASON_QUARANTINED,      /* a part of the prompt crashes upstreams */
+  BURDOCK_REASON_PRIORITY,         /* more urgent requests need the room */
   BURDOCK_REASON_COUNT,
 } BurdockReason;
 
--- a/libburdock/names.c
+++ b/libburdock/names.c
@@ -17,6 +17,7 @@
   [BURDOCK_REASON_CANCELLED] = "cancelled",
   [BURDOCK_REASON_STALE_GENERATION] = "stale-generation",
   [BURDOCK_REASON_QUARANTINED] = "quarantined",
+  [BURDOCK_REASON_PRIORITY] = "priority",
 };
 
 static const char *const event_kind_names[BURDOCK_EVENT_COUNT] = {
--- a/libburdock/priority-share.c
+++ b/libburdock/priority-share.c
@@ -53,8 +53,8 @@
 /* Lowest rate that is reported, so that a rate of 0 is not taken for an unknown one. */
 #define STARTS_MIN_PER_S 0.01
 
-static uint32_t
-level_number (uint32_t priority)
+uint32_t
+burdock_priority_share_number (uint32_t priority)
 {
   return priority < BURDOCK_PRIORITY_LEVELS ? priority : BURDOCK_PRIORITY_LEVELS - 1;
 }
@@ -62,7 +62,7 @@
 BurdockPriorityLevel *
 burdock_priority_share_level (BurdockPriorityShare *share, uint32_t priority)
 {
-  return &share->levels[level_number (priority)];
+  return &share->levels[burdock_priority_share_number (priority)];
 }
 
 void
@@ -88,7 +88,8 @@
   share->served += 1;
   level->floor_credit = fmax (level->floor_credit - 1, -FLOOR_CREDIT_MAX);
   level->income += 1; /* what it sends itself is no loss of income */
-  for (uint32_t i = level_number (priority); i < BURDOCK_PRIORITY_LEVELS; i++) {
+  for (uint32_t i = burdock_priority_share_number (priority); i < BURDOCK_PRIORITY_LEVELS;
+       i++) {
     share->levels[i].income -= 1;
     share->levels[i].credit = fmax (share->levels[i].credit - 1, CREDIT_MIN);
   }
@@ -114,7 +115,7 @@
 {
   if (share->rule == BURDOCK_PRIORITY_QUEUE_ORDER)
     return false;
-  for (uint32_t i = 0; i < level_number (priority); i++)
+  for (uint32_t i = 0; i < burdock_priority_share_number (priority); i++)
     if (is_used (share, &share->levels[i]))
       return true;
   return false;
@@ -136,21 +137,22 @@
 burdock_priority_share_has_room (const BurdockPriorityShare *share, uint32_t priority)
 {
   return !burdock_priority_share_is_limited (share, priority) ||
-         share->levels[level_number (priority)].credit >= 1;
+         share->levels[burdock_priority_share_number (priority)].credit >= 1;
 }
 
 double
 burdock_priority_share_credit (const BurdockPriorityShare *share, uint32_t priority)
 {
   return burdock_priority_share_is_limited (share, priority)
-             ? share->levels[level_number (priority)].credit
+             ? share->levels[burdock_priority_share_number (priority)].credit
              : 0;
 }
 
 double
 burdock_priority_share_starts_per_s (const BurdockPriorityShare *share, uint32_t priority)
 {
-  return fmax (share->levels[level_number (priority)].starts_per_s, STARTS_MIN_PER_S);
+  return fmax (share->levels[burdock_priority_share_number (priority)].starts_per_s,
+               STARTS_MIN_PER_S);
 }
 
 bool
--- a/libburdock/priority-share.h
+++ b/libburdock/priority-share.h
@@ -88,6 +88,9 @@
   uint64_t update_us;
 } BurdockPoolRoom;
 
+/** burdock_priority_share_number() - number of the level of @priority */
+uint32_t burdock_priority_share_number (uint32_t priority);
+
 /** burdock_priority_share_level() - the level of @priority */
 BurdockPriorityLevel *burdock_priority_share_level (BurdockPriorityShare *share,
                                                     uint32_t priority);
--- a/libburdock/queue-policy.c
+++ b/libburdock/queue-policy.c
@@ -30,8 +30,10 @@
 uint64_t
 burdock_queue_latest_start_us (const BurdockRequestTimes *times, bool is_mixed)
 {
+  bool is_own = is_mixed && times->own_work_us > 0;
+  uint64_t work_us = is_own ? times->own_work_us : times->work_us;
   uint64_t latest_us =
-      earlier (time_before (times->deadline_us, times->work_us),
+      earlier (time_before (times->deadline_us, work_us),
                time_before (times->first_part_deadline_us, times->first_part_us));
 
   if (!is_mixed || times->objective_us == 0)
@@ -104,6 +106,8 @@
     decision.reason = BURDOCK_REASON_NO_UPSTREAM;
   else if (times->deadline_us <= view->now_us)
     decision.reason = BURDOCK_REASON_DEADLINE;
+  else if (view->gives_way)
+    decision.reason = BURDOCK_REASON_PRIORITY;
   return decision;
 }
 
--- a/libburdock/queue-policy.h
+++ b/libburdock/queue-policy.h
@@ -29,6 +29,8 @@
  * @work_us: expected time from the start to the end, 0 if it is not known
  * @objective_us: time at which the first part is due by the latency objective, 0 for none
  *   or if it could not be met from the start
+ * @own_work_us: as @work_us, but by the tokens of the request; 0 if they are not known.
+ *   Used where requests of several priorities use the pool
  */
 typedef struct {
   uint64_t deadline_us;
@@ -36,6 +38,7 @@
   uint64_t first_part_us;
   uint64_t work_us;
   uint64_t objective_us;
+  uint64_t own_work_us;
 } BurdockRequestTimes;
 
 /**
@@ -44,6 +47,7 @@
  * @is_admitted: the request was sent or queued before, and is not measured against the
  *   length of the queue again
  * @is_mixed: requests of several priorities use the pool
+ * @gives_way: more urgent requests use the pool, and this one has a share of the rest
  * @opens_us: time at which an upstream is expected to take requests, not after @now_us if
  *   one does; UINT64_MAX if none is known that may
  * @ahead: waiting requests that start before it
@@ -60,6 +64,7 @@
   bool has_room;
   bool is_admitted;
   bool is_mixed;
+  bool gives_way;
   uint64_t opens_us;
   uint32_t ahead;
   double credit;
--- a/tests/support/overload-play.c
+++ b/tests/support/overload-play.c
@@ -4,6 +4,7 @@
 #include "random.h"
 
 #include <apr_general.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -26,6 +27,9 @@
 #define GATEWAYS_MAX 330
 #define UPSTREAMS_MAX 192
 #define REQUESTS_MAX 16384
+/* The work of a request is drawn from 0.5 to 1.5 times the mean. */
+#define LARGE_RATIO 1.4
+
 #define AT_ONCE_US (200 * US_PER_MS)
 
 typedef enum {
@@ -49,6 +53,7 @@
   uint64_t placed_us;
   uint64_t started_us;
   uint64_t work_us;
+  uint64_t stated_work_us; /* 0 if it is not stated */
 } Request;
 
 typedef struct Play Play;
@@ -78,6 +83,8 @@
   uint32_t kind_at_once[OVERLOAD_KINDS_MAX];
   uint64_t kind_first_us[OVERLOAD_KINDS_MAX];
   uint32_t kind_in_time[OVERLOAD_KINDS_MAX];
+  uint32_t kind_large[OVERLOAD_KINDS_MAX];
+  uint32_t kind_large_answered[OVERLOAD_KINDS_MAX];
   uint32_t kind_refused[OVERLOAD_KINDS_MAX];
   uint32_t kind_returned[OVERLOAD_KINDS_MAX];
   uint32_t kind_refused_again[OVERLOAD_KINDS_MAX];
@@ -116,6 +123,7 @@
     .first_part_deadline_us = request->end_us,
     .first_part_us = (load->streams ? load->first_ms : load->work_ms) * US_PER_MS,
     .work_us = load->work_ms * US_PER_MS,
+    .own_work_us = request->stated_work_us,
   };
 
   if (leaves_us (play, request) < times.deadline_us)
@@ -243,6 +251,14 @@
   return play->now_us >= COUNT_FROM_US && play->now_us < COUNT_UNTIL_US;
 }
 
+/* Whether a request is one of the tenth with the most work. */
+static bool
+is_large (const Play *play, const Request *request)
+{
+  return (double)request->work_us >=
+         LARGE_RATIO * (double)(play->load->work_ms * US_PER_MS);
+}
+
 static void
 receive (Play *play)
 {
@@ -257,9 +273,13 @@
   request->end_us = play->now_us + load->kinds[request->kind].left_ms * US_PER_MS;
   request->work_us = (uint64_t)((0.5 + random_unit (&play->random)) *
                                 (double)(load->work_ms * US_PER_MS));
+  if (load->work_is_stated)
+    request->stated_work_us = (uint64_t)((double)request->work_us *
+                                         pow (2, 2 * random_unit (&play->random) - 1));
   if (request->counted) {
     play->counted++;
     play->kind_callers[request->kind]++;
+    play->kind_large[request->kind] += is_large (play, request);
   }
   submit (play, request);
 }
@@ -281,6 +301,7 @@
         first_event_us (play, request) <= request->received_us + objective_us;
     play->useful_us += request->work_us;
     play->kind_answered[request->kind]++;
+    play->kind_large_answered[request->kind] += is_large (play, request);
     play->kind_first_us[request->kind] +=
         first_event_us (play, request) - request->received_us;
   }
@@ -474,6 +495,8 @@
       kind->refused = (double)play->kind_refused[k] / kind->callers;
       kind->returned = (double)play->kind_returned[k] / kind->callers;
     }
+    if (play->kind_large[k] > 0)
+      kind->large_answered = (double)play->kind_large_answered[k] / play->kind_large[k];
     if (play->kind_returned[k] > 0)
       kind->refused_again = (double)play->kind_refused_again[k] / play->kind_returned[k];
     if (play->kind_answered[k] > 0)
--- a/tests/support/overload-play.h
+++ b/tests/support/overload-play.h
@@ -49,6 +49,8 @@
  *   counted if there is one
  * @rule: what priorities decide
  * @in_order: gateways do not know the priorities
+ * @work_is_stated: gateways know the work of each request; callers state it right in the
+ *   median, between half of it and twice as much
  */
 typedef struct {
   const char *name;
@@ -66,6 +68,7 @@
   uint32_t burst_until_ms;
   BurdockPriorityRule rule;
   bool in_order;
+  bool work_is_stated;
   bool streams;
   uint32_t kind_count;
   OverloadCallers kinds[OVERLOAD_KINDS_MAX];
@@ -78,6 +81,7 @@
  * @first_ms: mean time from the request that was answered to its first event
  * @in_time: got the first event within their objective, counted from the request that
  *   was answered
+ * @large_answered: got their whole answer, as part of the tenth with the most work
  * @refused: refused for good
  * @returned: came back after a refusal
  * @refused_again: as part of @returned, were refused when they came back
@@ -88,6 +92,7 @@
   double refused_at_once;
   double first_ms;
   double in_time;
+  double large_answered;
   double refused;
   double returned;
   double refused_again;
--- a/tests/test-platform-decode.c
+++ b/tests/test-platform-decode.c
@@ -491,6 +491,40 @@
   CU_ASSERT_NOT_EQUAL (parts.ids[0], other.ids[0]);
 }
 
+typedef struct {
+  const char *usage;
+  const char *hint;
+  BurdockRequestTokens tokens;
+} TokensCase;
+
+static const TokensCase tokens_cases[] = {
+  { "812,256", "40", { 812, 256, 40 } },
+  { " 812 , 256 ", " 40 ", { 812, 256, 40 } },
+  { "812", NULL, { 812, 0, 0 } },
+  { "812,", "", { 812, 0, 0 } },
+  { ",256", "-1", { 0, 256, 0 } },
+  { "x,256x", "40x", { 0, 0, 0 } },
+  { "4294967295,4294967296", "99999999999999999999999", { UINT32_MAX, 0, 0 } },
+  { "1,2,3", "1.5", { 1, 0, 0 } },
+  { "", "1e3", { 0, 0, 0 } },
+  { NULL, NULL, { 0, 0, 0 } },
+};
+
+/* Guards against odd statements of a caller that are used as numbers. */
+static void
+tokens_of_a_request_are_parsed (void)
+{
+  for (size_t i = 0; i < TEST_COUNT (tokens_cases); i++) {
+    const TokensCase *row = &tokens_cases[i];
+    BurdockRequestTokens tokens;
+
+    burdock_exchange_parse_tokens (row->usage, row->hint, &tokens);
+    CU_ASSERT_EQUAL (tokens.prompt, row->tokens.prompt);
+    CU_ASSERT_EQUAL (tokens.answer_max, row->tokens.answer_max);
+    CU_ASSERT_EQUAL (tokens.answer_hint, row->tokens.answer_hint);
+  }
+}
+
 static const Test tests[] = {
   { "a request begins after its caller has left a stream",
     patience_follows_from_the_route },
@@ -505,6 +539,7 @@
   { "a part is quarantined by a row that is not about it", only_sound_evidence_is_read },
   { "evidence is altered in the store", evidence_is_stored_as_it_is },
   { "a shared part of a prompt is not recognized", shared_parts_of_a_prompt_are_parsed },
+  { "the tokens of a request are misread", tokens_of_a_request_are_parsed },
 };
 
 int
