--- a/bench/bench-priorities.c
+++ b/bench/bench-priorities.c
@@ -7,6 +7,7 @@
 #include "bench.h"
 #include "overload-play.h"
 
+#include <apr_general.h>
 #include <stdio.h>
 
 /* Ranks with 10 slots of which a group uses 0.7 until the gaps between events are known;
@@ -141,7 +142,9 @@
 void
 bench_priorities (void)
 {
+  apr_initialize ();
   for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
     for (size_t k = 0; k < sizeof rules / sizeof rules[0]; k++)
       report (&rows[i], &rules[k]);
+  apr_terminate ();
 }
