--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -21,6 +21,7 @@
 #include "row-decoder.h"
 #include "row-writer.h"
 #include "route-table.h"
+#include "request-work.h"
 #include "runtime.h"
 #include "settings.h"
 #include "slot.h"
@@ -198,6 +199,7 @@
  * @buffered_bytes: memory of the answers that are buffered until they are complete
  * @answer_times: times of whole answers, by route
  * @first_event_times: times to the first events of streams, by route
+ * @request_work: tokens of the requests, by route
  * @leaving_upstreams: starts of upstreams that have said that they leave
  * @evacuation: failure domains that are evacuated
  * @evacuation_changed: this set has changed since it was given to the balancer
@@ -230,6 +232,7 @@
   BurdockBalancer *balancer;
   BurdockAnswerTimes *answer_times;
   BurdockAnswerTimes *first_event_times;
+  BurdockRequestWork request_work;
   BurdockLeavingUpstreams *leaving_upstreams;
   BurdockEvacuation *evacuation;
   bool evacuation_changed;
--- a/libburdock/balancer-cold.c
+++ b/libburdock/balancer-cold.c
@@ -143,7 +143,9 @@
   if (!burdock_balancer_is_cold (balancer, node))
     return true;
   times = burdock_balancer_cold_times (node->pool, &placement->times);
-  return balancer->now_us <= burdock_queue_latest_start_us (&times);
+  return balancer->now_us <=
+         burdock_queue_latest_start_us (&times, burdock_priority_share_is_mixed (
+                                                    &node->pool->priorities));
 }
 
 bool
--- a/libburdock/balancer-queue.c
+++ b/libburdock/balancer-queue.c
@@ -22,6 +22,9 @@
  * become free once, or over this time if it is not known. */
 #define RETRY_SPREAD_DEFAULT_US UINT64_C (400000)
 
+/* Callers wait for at most this part of the time that they have left. */
+#define RETURN_TIME_DIVISOR 3
+
 /* Requests in a row that find a free place show that an overload is over. At an overload
  * one of them finds a place now and then, before another gateway takes it. */
 #define SENT_AT_ONCE_MIN 4
@@ -74,10 +77,19 @@
   return queued->latest_start_us <= latest_start_us;
 }
 
+static uint64_t
+latest_start (const Pool *pool, const BurdockPlacement *placement)
+{
+  return burdock_queue_latest_start_us (&placement->times,
+                                        burdock_priority_share_is_mixed (
+                                            &pool->priorities));
+}
+
 static void
-insert_queued (BurdockBalancer *balancer, Pool *pool, const BurdockPlacement *placement)
+insert_queued (BurdockBalancer *balancer, Pool *pool, const BurdockPlacement *placement,
+               uint32_t own_priority)
 {
-  uint64_t latest_start_us = burdock_queue_latest_start_us (&placement->times);
+  uint64_t latest_start_us = latest_start (pool, placement);
   QueuedRequest *queued = malloc (sizeof *queued);
   QueuedRequest **at = &pool->queue;
 
@@ -87,11 +99,18 @@
     at = &(*at)->next;
   *queued = (QueuedRequest){ .next = *at,
                              .placement = *placement,
+                             .own_priority = own_priority,
                              .latest_start_us = latest_start_us };
   *at = queued;
   balancer->stats.waiting++;
 }
 
+static BurdockPriorityStats *
+priority_stats (BurdockBalancer *balancer, uint32_t priority)
+{
+  return &balancer->stats.priorities[burdock_priority_share_number (priority)];
+}
+
 static BurdockPlacement
 remove_queued (BurdockBalancer *balancer, Pool *pool, QueuedRequest **at)
 {
@@ -105,7 +124,8 @@
 }
 
 static void
-place_request (BurdockBalancer *balancer, Pool *pool, Node *node, uint64_t handle)
+place_request (BurdockBalancer *balancer, Pool *pool, Node *node,
+               const BurdockPlacement *placement)
 {
   const BurdockBalancerHandler *handler = &balancer->handler;
 
@@ -114,10 +134,11 @@
   pool->own_outstanding++;
   burdock_rate_share_sent (&node->rate);
   burdock_cold_start_sent (&node->cold);
+  burdock_priority_share_sent (&pool->priorities, placement->priority);
   burdock_balancer_add_to_group (node);
   balancer->stats.placed++;
   balancer->stats.outstanding_own++;
-  handler->place (handler->ctx, handle, &node->info);
+  handler->place (handler->ctx, placement->handle, &node->info);
 }
 
 void
@@ -132,20 +153,37 @@
   if (pool->own_outstanding > 0)
     pool->own_outstanding--;
   pool->ended += 1;
+  burdock_priority_share_freed (&pool->priorities);
+}
+
+/* A request that has lost its upstream was counted when it was first sent. */
+static bool
+has_room (const Pool *pool, const BurdockPlacement *placement)
+{
+  return placement->admitted ||
+         burdock_priority_share_has_room (&pool->priorities, placement->priority);
 }
 
 /* Places the first waiting request that an upstream can take. Returns false if there is
- * none. A request that may not go to some upstreams does not keep the others waiting. */
+ * none. A request that may not go to some upstreams does not keep the others waiting. If
+ * there is no room for a priority, there is none for the less urgent ones. */
 static bool
 place_queued (BurdockBalancer *balancer, Pool *pool)
 {
   for (QueuedRequest **at = &pool->queue; *at != NULL; at = &(*at)->next) {
-    Node *node = burdock_balancer_select (balancer, pool, &(*at)->placement, true);
+    Node *node;
 
+    if (!has_room (pool, &(*at)->placement))
+      return false;
+    node = burdock_balancer_select (balancer, pool, &(*at)->placement, true);
     if (node != NULL) {
+      uint32_t own_priority = (*at)->own_priority;
+      BurdockPlacement placement = remove_queued (balancer, pool, at);
+
+      priority_stats (balancer, own_priority)->waited++;
       if (node->group != NULL && node->group->credit >= 1)
         node->group->credit -= 1;
-      place_request (balancer, pool, node, remove_queued (balancer, pool, at).handle);
+      place_request (balancer, pool, node, &placement);
       return true;
     }
     if ((*at)->placement.excluded_count == 0)
@@ -202,18 +240,37 @@
   return time_us > 0 ? freed * 1e6 / time_us : 0;
 }
 
+static double
+starts_of_priority_per_s (const BurdockBalancer *balancer, const Pool *pool,
+                          uint32_t priority)
+{
+  double per_s = starts_per_s (balancer, pool);
+  double limit_per_s;
+
+  if (per_s <= 0 || !burdock_priority_share_is_limited (&pool->priorities, priority))
+    return per_s;
+  limit_per_s = burdock_priority_share_starts_per_s (&pool->priorities, priority);
+  return per_s < limit_per_s ? per_s : limit_per_s;
+}
+
 static BurdockQueueView
-view_pool (const BurdockBalancer *balancer, const Pool *pool,
-           const BurdockPlacement *placement)
+view_pool (const BurdockBalancer *balancer, Pool *pool, const BurdockPlacement *placement)
 {
-  return (BurdockQueueView){ .now_us = balancer->now_us,
-                             .opens_us =
-                                 burdock_balancer_opens_us (balancer, pool, placement),
-                             .starts_per_s = starts_per_s (balancer, pool),
-                             .waiting_since_us = pool->waiting_since_us,
-                             .turnover_us = (uint64_t)turnover_us (pool),
-                             .update_us =
-                                 burdock_balancer_report_interval_us (balancer) };
+  const BurdockPriorityLevel *level =
+      burdock_priority_share_level (&pool->priorities, placement->priority);
+
+  return (BurdockQueueView){
+    .now_us = balancer->now_us,
+    .opens_us = burdock_balancer_opens_us (balancer, pool, placement),
+    .gives_way =
+        burdock_priority_share_is_limited (&pool->priorities, placement->priority),
+    .is_mixed = burdock_priority_share_is_mixed (&pool->priorities),
+    .credit = burdock_priority_share_credit (&pool->priorities, placement->priority),
+    .starts_per_s = starts_of_priority_per_s (balancer, pool, placement->priority),
+    .waiting_since_us = level->waiting_since_us,
+    .turnover_us = (uint64_t)turnover_us (pool),
+    .update_us = burdock_balancer_report_interval_us (balancer)
+  };
 }
 
 /* Counts the waiting requests before a new one. */
@@ -221,7 +278,7 @@
 count_waiting (const Pool *pool, const BurdockPlacement *placement,
                BurdockQueueView *view)
 {
-  uint64_t latest_start_us = burdock_queue_latest_start_us (&placement->times);
+  uint64_t latest_start_us = latest_start (pool, placement);
 
   for (const QueuedRequest *queued = pool->queue;
        queued != NULL && queued->placement.priority <= placement->priority;
@@ -267,13 +324,13 @@
 
 /* Notes whether an arriving request finds a free place. */
 static void
-note_arrival (const BurdockBalancer *balancer, Pool *pool, bool sent)
+note_arrival (const BurdockBalancer *balancer, BurdockPriorityLevel *level, bool sent)
 {
-  pool->sent_at_once = sent ? pool->sent_at_once + 1 : 0;
-  if (!sent && pool->waiting_since_us == 0)
-    pool->waiting_since_us = balancer->now_us;
-  if (pool->sent_at_once >= SENT_AT_ONCE_MIN)
-    pool->waiting_since_us = 0;
+  level->sent_at_once = sent ? level->sent_at_once + 1 : 0;
+  if (!sent && level->waiting_since_us == 0)
+    level->waiting_since_us = balancer->now_us;
+  if (level->sent_at_once >= SENT_AT_ONCE_MIN)
+    level->waiting_since_us = 0;
 }
 
 /* Callers that are refused together come back one after the other. */
@@ -289,15 +346,45 @@
                     1000);
 }
 
+/* Callers of a limited priority return one by one, as room is expected for them. One for
+ * whom there is no place in the time that callers wait is told the last time at which it
+ * can be served. */
+static uint32_t
+return_delay_ms (BurdockBalancer *balancer, Pool *pool, const BurdockPlacement *placement,
+                 uint64_t delay_us)
+{
+  uint64_t now_us = balancer->now_us;
+  uint64_t left_us =
+      placement->times.deadline_us > now_us ? placement->times.deadline_us - now_us : 0;
+  uint64_t return_us;
+
+  if (!burdock_priority_share_is_limited (&pool->priorities, placement->priority))
+    return delay_with_spread_ms (balancer, pool, delay_us);
+  return_us = burdock_priority_share_promise (&pool->priorities, placement->priority,
+                                              now_us + delay_us,
+                                              now_us + left_us / RETURN_TIME_DIVISOR);
+  if (return_us == 0)
+    return_us =
+        now_us + (left_us > placement->times.work_us ? left_us - placement->times.work_us
+                                                     : left_us);
+  return (uint32_t)((return_us - now_us) / 1000);
+}
+
+/* @own_priority is that of the request, which may have been raised for the floor. */
 static void
-refuse_request (BurdockBalancer *balancer, const Pool *pool, uint64_t handle,
-                const BurdockQueueDecision *decision)
+refuse_request (BurdockBalancer *balancer, Pool *pool, const BurdockPlacement *placement,
+                uint32_t own_priority, const BurdockQueueDecision *decision)
 {
   const BurdockBalancerHandler *handler = &balancer->handler;
+  BurdockPlacement own = *placement;
 
+  if (own_priority != placement->priority)
+    burdock_priority_share_return_floor (&pool->priorities, own_priority);
+  own.priority = own_priority;
   balancer->stats.refused++;
-  handler->refuse (handler->ctx, handle, decision->reason,
-                   delay_with_spread_ms (balancer, pool, decision->retry_after_us));
+  priority_stats (balancer, own_priority)->refused++;
+  handler->refuse (handler->ctx, own.handle, decision->reason,
+                   return_delay_ms (balancer, pool, &own, decision->retry_after_us));
 }
 
 uint32_t
@@ -313,8 +400,8 @@
   view = view_pool (balancer, pool, &again);
   count_waiting (pool, &again, &view);
   again.times = count_permits (balancer, pool, &again, &view);
-  return delay_with_spread_ms (balancer, pool,
-                               burdock_queue_retry_after_us (&again.times, &view));
+  return return_delay_ms (balancer, pool, placement,
+                          burdock_queue_retry_after_us (&again.times, &view));
 }
 
 static void
@@ -336,6 +423,9 @@
   if (placement->excluded_count > 0)
     return;
   balancer->submitted++;
+  if (!placement->admitted)
+    burdock_priority_share_arrived (&pool->priorities, placement->priority,
+                                    balancer->now_us);
   if (pool->retries_left < retry_allowance (balancer))
     pool->retries_left += balancer->settings.retry_ratio * RETRY_BUDGET_RATIO;
 }
@@ -345,28 +435,35 @@
                          uint64_t now_us)
 {
   Pool *pool = burdock_balancer_pool (balancer, placement->pool);
+  BurdockPlacement item = *placement;
   BurdockQueueView view;
   BurdockRequestTimes times;
   BurdockQueueDecision decision;
-  Node *node;
+  Node *node = NULL;
 
   balancer->now_us = now_us;
   count_submitted (balancer, pool, placement);
-  node = burdock_balancer_select (balancer, pool, placement, false);
-  view = view_pool (balancer, pool, placement);
+  if (!has_room (pool, &item) &&
+      burdock_priority_share_take_floor (&pool->priorities, item.priority))
+    item.priority = 0;
+  if (has_room (pool, &item))
+    node = burdock_balancer_select (balancer, pool, &item, false);
+  view = view_pool (balancer, pool, &item);
   view.has_room = node != NULL;
-  view.is_admitted = placement->admitted;
-  count_waiting (pool, placement, &view);
-  times = count_permits (balancer, pool, placement, &view);
+  view.is_admitted = item.admitted;
+  count_waiting (pool, &item, &view);
+  times = count_permits (balancer, pool, &item, &view);
   decision = burdock_queue_decide (&times, &view);
-  note_arrival (balancer, pool, decision.action == BURDOCK_QUEUE_SEND);
-  count_held_back (balancer, pool, placement, decision.action);
+  note_arrival (balancer, burdock_priority_share_level (&pool->priorities, item.priority),
+                decision.action == BURDOCK_QUEUE_SEND);
+  count_held_back (balancer, pool, &item, decision.action);
   if (decision.action == BURDOCK_QUEUE_REFUSE) {
-    refuse_request (balancer, pool, placement->handle, &decision);
+    refuse_request (balancer, pool, &item, placement->priority, &decision);
   } else if (node != NULL && decision.action == BURDOCK_QUEUE_SEND) {
-    place_request (balancer, pool, node, placement->handle);
+    priority_stats (balancer, placement->priority)->sent_at_once++;
+    place_request (balancer, pool, node, &item);
   } else {
-    insert_queued (balancer, pool, placement);
+    insert_queued (balancer, pool, &item, placement->priority);
     burdock_balancer_dispatch (balancer);
   }
 }
@@ -382,7 +479,8 @@
     return false;
   if (elsewhere.excluded_count < BURDOCK_EXCLUDED_MAX)
     elsewhere.excluded[elsewhere.excluded_count++] = upstream;
-  return burdock_balancer_select (balancer, pool, &elsewhere, false) != NULL;
+  return has_room (pool, placement) &&
+         burdock_balancer_select (balancer, pool, &elsewhere, false) != NULL;
 }
 
 void
@@ -430,8 +528,10 @@
     times = count_permits (balancer, pool, placement, &view);
     decision = burdock_queue_decide (&times, &view);
     if (decision.action == BURDOCK_QUEUE_REFUSE) {
-      refuse_request (balancer, pool, remove_queued (balancer, pool, at).handle,
-                      &decision);
+      uint32_t own_priority = (*at)->own_priority;
+      BurdockPlacement removed = remove_queued (balancer, pool, at);
+
+      refuse_request (balancer, pool, &removed, own_priority, &decision);
       continue;
     }
     ahead++;
@@ -445,17 +545,24 @@
 {
   BurdockPlacement any = { 0 };
 
-  if (pool->waiting_since_us != 0 &&
-      burdock_balancer_opens_us (balancer, pool, &any) > balancer->now_us)
-    pool->waiting_since_us = balancer->now_us;
+  if (burdock_balancer_opens_us (balancer, pool, &any) <= balancer->now_us)
+    return;
+  for (uint32_t i = 0; i < BURDOCK_PRIORITY_LEVELS; i++) {
+    BurdockPriorityLevel *level = &pool->priorities.levels[i];
+
+    if (level->waiting_since_us != 0)
+      level->waiting_since_us = balancer->now_us;
+  }
 }
 
 /* The places of an evacuated upstream take no other request when they become free. */
 void
 burdock_balancer_count_outstanding (BurdockBalancer *balancer)
 {
-  for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next)
+  for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next) {
     pool->own_outstanding = pool->outstanding = 0;
+    pool->usable_slots = 0;
+  }
   for (uint32_t i = 0; i < balancer->node_count; i++) {
     const Node *node = balancer->nodes[i];
 
@@ -463,6 +570,7 @@
       continue;
     node->pool->own_outstanding += node->own_outstanding;
     node->pool->outstanding += outstanding (node);
+    node->pool->usable_slots += burdock_balancer_usable_slots (balancer, node);
   }
 }
 
@@ -473,6 +581,28 @@
     pool->running_us += (double)pool->own_outstanding * (double)elapsed_us;
 }
 
+static void
+share_room (const BurdockBalancer *balancer, Pool *pool, uint64_t elapsed_us)
+{
+  BurdockPoolRoom room = { .now_us = balancer->now_us,
+                           .elapsed_us = elapsed_us,
+                           .slots = pool->usable_slots,
+                           .in_use = pool->outstanding,
+                           .gateways = apr_hash_count (balancer->peers) + 1,
+                           .update_us = burdock_balancer_report_interval_us (balancer) };
+
+  burdock_priority_share_advance (&pool->priorities, &room);
+}
+
+void
+burdock_balancer_start_sharing (BurdockBalancer *balancer)
+{
+  burdock_balancer_count_outstanding (balancer);
+  for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next)
+    if (!pool->priorities.started)
+      share_room (balancer, pool, TICK_US);
+}
+
 static void
 end_rate_interval (BurdockBalancer *balancer)
 {
@@ -560,6 +690,8 @@
     uint64_t elapsed_us = balancer->now_us - balancer->last_tick_us;
 
     update_turnover (balancer, elapsed_us);
+    for (Pool *pool = balancer->pools; pool != NULL; pool = pool->next)
+      share_room (balancer, pool, elapsed_us);
     refill_credit (balancer, elapsed_us);
     refill_rate_credit (balancer, elapsed_us);
   }
--- a/libburdock/balancer.h
+++ b/libburdock/balancer.h
@@ -16,6 +16,7 @@
 #include "burdock.h"
 #include "cold-start.h"
 #include "message.h"
+#include "priority-share.h"
 #include "queue-policy.h"
 
 typedef struct BurdockBalancer BurdockBalancer;
@@ -97,6 +98,7 @@
  * @cold_overage: all gateways together may send a cold upstream this multiple of the rate
  *   that it takes, plus @cold_allowance requests, in any second; 0 for no such bound, and
  *   no upstream is treated as cold
+ * @priority_rule: the others are baselines of the comparison in bench/
  */
 typedef struct {
   uint64_t seed;
@@ -105,6 +107,7 @@
   double retry_allowance;
   double cold_overage;
   double cold_allowance;
+  BurdockPriorityRule priority_rule;
 } BurdockBalancerSettings;
 
 /** struct BurdockColdPool - what the cold upstreams of a pool take */
@@ -124,6 +127,18 @@
   BURDOCK_UPSTREAM_ABANDONED,   /* ended by the caller; no evidence about the upstream */
 } BurdockUpstreamOutcome;
 
+/**
+ * struct BurdockPriorityStats - requests of one priority
+ * @sent_at_once: sent when they were received
+ * @waited: sent after they had waited
+ * @refused: refused at once, or after they had waited
+ */
+typedef struct {
+  uint64_t sent_at_once;
+  uint64_t waited;
+  uint64_t refused;
+} BurdockPriorityStats;
+
 /**
  * struct BurdockBalancerStats - counters for metrics and logs
  * @waiting: requests in the queues
@@ -136,6 +151,7 @@
  * @retries_denied: retries denied because the budget was empty
  * @cold_waits: requests that had to wait although a cold upstream had a free place
  * @cold_refused: requests that were refused although a cold upstream had one
+ * @priorities: requests by priority, in all pools; the last one includes less urgent ones
  */
 typedef struct {
   uint32_t waiting;
@@ -150,6 +166,7 @@
   uint64_t retries_denied;
   uint64_t cold_waits;
   uint64_t cold_refused;
+  BurdockPriorityStats priorities[BURDOCK_PRIORITY_LEVELS];
 } BurdockBalancerStats;
 
 /**
--- a/libburdock/queue-policy.h
+++ b/libburdock/queue-policy.h
@@ -11,6 +11,9 @@
  * waited without a break for as long as a running one keeps its place, the queue is kept
  * just long enough to refill the places. Whether a request finds it full does not depend
  * on the time that its caller has.
+ *
+ * If requests of several priorities use the pool, one waits no longer than its latency
+ * objective allows: if it starts later it is late, and makes those behind it late too.
  */
 #ifndef BURDOCK_QUEUE_POLICY_H
 #define BURDOCK_QUEUE_POLICY_H
@@ -24,12 +27,18 @@
  *   come; @deadline_us if it leaves no earlier
  * @first_part_us: expected time from the start to the first part, 0 if it is not known
  * @work_us: expected time from the start to the end, 0 if it is not known
+ * @objective_us: time at which the first part is due by the latency objective, 0 for none
+ *   or if it could not be met from the start
+ * @own_work_us: as @work_us, but by the tokens of the request; 0 if they are not known.
+ *   Used where requests of several priorities use the pool
  */
 typedef struct {
   uint64_t deadline_us;
   uint64_t first_part_deadline_us;
   uint64_t first_part_us;
   uint64_t work_us;
+  uint64_t objective_us;
+  uint64_t own_work_us;
 } BurdockRequestTimes;
 
 /**
@@ -37,9 +46,13 @@
  * @has_room: an upstream can start the request now
  * @is_admitted: the request was sent or queued before, and is not measured against the
  *   length of the queue again
+ * @is_mixed: requests of several priorities use the pool
+ * @gives_way: more urgent requests use the pool, and this one has a share of the rest
  * @opens_us: time at which an upstream is expected to take requests, not after @now_us if
  *   one does; UINT64_MAX if none is known that may
  * @ahead: waiting requests that start before it
+ * @credit: requests that may start without waiting for others to end, part of one if it
+ *   is less than 1
  * @waiting: waiting requests of the same or a more urgent priority, without it
  * @starts_per_s: waiting requests that start per second, 0 if it is not known
  * @waiting_since_us: time since which requests have to wait, 0 if they do not
@@ -50,8 +63,11 @@
   uint64_t now_us;
   bool has_room;
   bool is_admitted;
+  bool is_mixed;
+  bool gives_way;
   uint64_t opens_us;
   uint32_t ahead;
+  double credit;
   uint32_t waiting;
   double starts_per_s;
   uint64_t waiting_since_us;
@@ -79,9 +95,12 @@
   BurdockReason reason;
 } BurdockQueueDecision;
 
-/** burdock_queue_latest_start_us() - latest start with which the caller is expected to
- * get its answer; requests of the same priority start in this order */
-uint64_t burdock_queue_latest_start_us (const BurdockRequestTimes *times);
+/**
+ * burdock_queue_latest_start_us() - latest start with which the caller is expected to get
+ * its answer; requests of the same priority start in this order
+ * @is_mixed: see &struct BurdockQueueView
+ */
+uint64_t burdock_queue_latest_start_us (const BurdockRequestTimes *times, bool is_mixed);
 
 /** burdock_queue_retry_after_us() - time after which the caller of a request that is not
  * served now may be served */
--- a/tests/support/overload-play.c
+++ b/tests/support/overload-play.c
@@ -4,6 +4,7 @@
 #include "random.h"
 
 #include <apr_general.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -25,7 +26,10 @@
 
 #define GATEWAYS_MAX 330
 #define UPSTREAMS_MAX 192
-#define REQUESTS_MAX 4096
+#define REQUESTS_MAX 16384
+/* The work of a request is drawn from 0.5 to 1.5 times the mean. */
+#define LARGE_RATIO 1.4
+
 #define AT_ONCE_US (200 * US_PER_MS)
 
 typedef enum {
@@ -49,6 +53,7 @@
   uint64_t placed_us;
   uint64_t started_us;
   uint64_t work_us;
+  uint64_t stated_work_us; /* 0 if it is not stated */
 } Request;
 
 typedef struct Play Play;
@@ -77,6 +82,12 @@
   uint32_t kind_answered[OVERLOAD_KINDS_MAX];
   uint32_t kind_at_once[OVERLOAD_KINDS_MAX];
   uint64_t kind_first_us[OVERLOAD_KINDS_MAX];
+  uint32_t kind_in_time[OVERLOAD_KINDS_MAX];
+  uint32_t kind_large[OVERLOAD_KINDS_MAX];
+  uint32_t kind_large_answered[OVERLOAD_KINDS_MAX];
+  uint32_t kind_refused[OVERLOAD_KINDS_MAX];
+  uint32_t kind_returned[OVERLOAD_KINDS_MAX];
+  uint32_t kind_refused_again[OVERLOAD_KINDS_MAX];
 };
 
 static BurdockUpstream
@@ -112,13 +123,18 @@
     .first_part_deadline_us = request->end_us,
     .first_part_us = (load->streams ? load->first_ms : load->work_ms) * US_PER_MS,
     .work_us = load->work_ms * US_PER_MS,
+    .own_work_us = request->stated_work_us,
   };
 
   if (leaves_us (play, request) < times.deadline_us)
     times.first_part_deadline_us = leaves_us (play, request);
+  if (load->kinds[request->kind].objective_ms > 0)
+    times.objective_us =
+        request->received_us + load->kinds[request->kind].objective_ms * US_PER_MS;
   return (BurdockPlacement){ .handle = handle,
                              .pool = "pool",
-                             .priority = load->kinds[request->kind].priority,
+                             .priority =
+                                 load->in_order ? 0 : load->kinds[request->kind].priority,
                              .times = times };
 }
 
@@ -156,12 +172,18 @@
   uint64_t delay_us = retry_after_ms * US_PER_MS;
 
   request->phase = REQUEST_NONE;
+  if (request->counted && request->returns > 0)
+    play->kind_refused_again[request->kind]++;
   if (request->returns < play->load->returns) {
+    if (request->counted && request->returns == 0)
+      play->kind_returned[request->kind]++;
     request->returns++;
     request->phase = REQUEST_RETURNING;
     request->return_us = play->now_us + (delay_us < left_us / 3 ? delay_us : left_us / 3);
     return;
   }
+  if (request->counted)
+    play->kind_refused[request->kind]++;
   if (request->counted && play->now_us <= request->received_us + AT_ONCE_US)
     play->kind_at_once[request->kind]++;
 }
@@ -180,17 +202,63 @@
                            play->now_us);
 }
 
+static bool
+is_burst (const Play *play)
+{
+  return play->now_us >= play->load->burst_from_ms * US_PER_MS &&
+         play->now_us < play->load->burst_until_ms * US_PER_MS;
+}
+
+/* Requests of a kind now, as part of those of all kinds outside of a burst. */
+static double
+weight (const Play *play, uint32_t kind)
+{
+  const OverloadCallers *callers = &play->load->kinds[kind];
+
+  return is_burst (play) && callers->burst_factor > 0
+             ? callers->share * callers->burst_factor
+             : callers->share;
+}
+
+static double
+total_weight (const Play *play)
+{
+  double sum = 0;
+
+  if (!is_burst (play))
+    return 1;
+  for (uint32_t k = 0; k < play->load->kind_count; k++)
+    sum += weight (play, k);
+  return sum;
+}
+
 static uint32_t
 draw_kind (Play *play)
 {
-  double at = random_unit (&play->random);
+  double at = random_unit (&play->random) * total_weight (play);
   uint32_t kind = 0;
 
-  while (kind + 1 < play->load->kind_count && at >= play->load->kinds[kind].share)
-    at -= play->load->kinds[kind++].share;
+  while (kind + 1 < play->load->kind_count && at >= weight (play, kind))
+    at -= weight (play, kind++);
   return kind;
 }
 
+static bool
+is_counted (const Play *play)
+{
+  if (play->load->burst_until_ms > 0)
+    return is_burst (play);
+  return play->now_us >= COUNT_FROM_US && play->now_us < COUNT_UNTIL_US;
+}
+
+/* Whether a request is one of the tenth with the most work. */
+static bool
+is_large (const Play *play, const Request *request)
+{
+  return (double)request->work_us >=
+         LARGE_RATIO * (double)(play->load->work_ms * US_PER_MS);
+}
+
 static void
 receive (Play *play)
 {
@@ -201,15 +269,17 @@
     request++;
   if (request == &play->requests[play->used])
     play->used++;
-  *request = (Request){ .kind = draw_kind (play),
-                        .counted = play->now_us >= COUNT_FROM_US &&
-                                   play->now_us < COUNT_UNTIL_US };
+  *request = (Request){ .kind = draw_kind (play), .counted = is_counted (play) };
   request->end_us = play->now_us + load->kinds[request->kind].left_ms * US_PER_MS;
   request->work_us = (uint64_t)((0.5 + random_unit (&play->random)) *
                                 (double)(load->work_ms * US_PER_MS));
+  if (load->work_is_stated)
+    request->stated_work_us = (uint64_t)((double)request->work_us *
+                                         pow (2, 2 * random_unit (&play->random) - 1));
   if (request->counted) {
     play->counted++;
     play->kind_callers[request->kind]++;
+    play->kind_large[request->kind] += is_large (play, request);
   }
   submit (play, request);
 }
@@ -225,8 +295,13 @@
 end_request (Play *play, Request *request)
 {
   if (request->counted) {
+    uint64_t objective_us = play->load->kinds[request->kind].objective_ms * US_PER_MS;
+
+    play->kind_in_time[request->kind] +=
+        first_event_us (play, request) <= request->received_us + objective_us;
     play->useful_us += request->work_us;
     play->kind_answered[request->kind]++;
+    play->kind_large_answered[request->kind] += is_large (play, request);
     play->kind_first_us[request->kind] +=
         first_event_us (play, request) - request->received_us;
   }
@@ -373,7 +448,8 @@
     BurdockBalancerSettings settings = { .seed = play->random + i,
                                          .failure_domain = "a",
                                          .retry_ratio = 0.2,
-                                         .retry_allowance = 90 };
+                                         .retry_allowance = 90,
+                                         .priority_rule = load->rule };
     BurdockBalancerHandler handler = { .ctx = gateway,
                                        .place = place_request,
                                        .refuse = refuse_request };
@@ -396,8 +472,11 @@
 total (const Play *play)
 {
   const OverloadLoad *load = play->load;
-  double asked_per_s =
-      play->counted / ((double)(COUNT_UNTIL_US - COUNT_FROM_US) / (double)US_PER_S);
+  double counted_us =
+      load->burst_until_ms > 0
+          ? (double)((load->burst_until_ms - load->burst_from_ms) * US_PER_MS)
+          : (double)(COUNT_UNTIL_US - COUNT_FROM_US);
+  double asked_per_s = play->counted / (counted_us / (double)US_PER_S);
   double possible =
       load->possible_per_s < asked_per_s ? load->possible_per_s / asked_per_s : 1;
   double all_us = (double)(play->useful_us + play->wasted_us);
@@ -413,6 +492,15 @@
       kind->answered = (double)play->kind_answered[k] / kind->callers;
       kind->refused_at_once = (double)play->kind_at_once[k] / kind->callers;
     }
+    if (kind->callers > 0) {
+      kind->in_time = (double)play->kind_in_time[k] / kind->callers;
+      kind->refused = (double)play->kind_refused[k] / kind->callers;
+      kind->returned = (double)play->kind_returned[k] / kind->callers;
+    }
+    if (play->kind_large[k] > 0)
+      kind->large_answered = (double)play->kind_large_answered[k] / play->kind_large[k];
+    if (play->kind_returned[k] > 0)
+      kind->refused_again = (double)play->kind_refused_again[k] / play->kind_returned[k];
     if (play->kind_answered[k] > 0)
       kind->first_ms =
           (double)play->kind_first_us[k] / play->kind_answered[k] / US_PER_MS;
@@ -441,7 +529,8 @@
     advance (play);
     while (next_arrival_us <= (double)play->now_us) {
       receive (play);
-      next_arrival_us += random_exponential (&play->random) * US_PER_S / load->per_s;
+      next_arrival_us += random_exponential (&play->random) * US_PER_S /
+                         (load->per_s * total_weight (play));
     }
   }
   result = total (play);
