Let a request that was sent before wait past its objective

Cause: an idempotent request whose attempt failed would have been answered 502 in a pool with several priorities if no place was free at once, as its latency objective had passed.

Change: the objective bounds the wait of requests that were not sent yet.

--- a/gateway/intake.c
+++ b/gateway/intake.c
@@ -105,7 +105,8 @@
                  work_max_us);
   times->own_work_us = own_work_us (forward, work_max_us);
   times->objective_us = 0;
-  if (!forward->answer_started && route->objective_ms * US_PER_MS > times->first_part_us)
+  /* A request that was sent before may have run, and is late anyway. */
+  if (forward->send_count == 0 && route->objective_ms * US_PER_MS > times->first_part_us)
     times->objective_us = forward->received_us + route->objective_ms * US_PER_MS;
   /* How much is left of a stream that goes on is not known. */
   if (forward->answer_started) {
