--- a/tests/test-priority-share.c
+++ b/tests/test-priority-share.c
@@ -2,6 +2,7 @@
  */
 #include "overload-play.h"
 #include "priority-share.h"
+#include "queue-policy.h"
 #include "request-work.h"
 #include "test.h"
 
@@ -225,6 +226,34 @@
   CU_ASSERT_EQUAL (burdock_request_work_ratio (&work, "b", &rows[2].tokens), 1);
 }
 
+/* Guards against a wait that is of no use in a mixed pool, and against a bound on it
+ * where one priority is in use. */
+static void
+wait_ends_with_the_objective (void)
+{
+  BurdockRequestTimes times = { .deadline_us = 8 * US_PER_S,
+                                .first_part_deadline_us = 2 * US_PER_S,
+                                .first_part_us = 100 * US_PER_MS,
+                                .work_us = 2 * US_PER_S,
+                                .objective_us = US_PER_S };
+  BurdockQueueView view = { .now_us = 950 * US_PER_MS, .is_mixed = true };
+
+  CU_ASSERT_EQUAL (burdock_queue_latest_start_us (&times, false), 1900 * US_PER_MS);
+  CU_ASSERT_EQUAL (burdock_queue_latest_start_us (&times, true), 900 * US_PER_MS);
+  CU_ASSERT_EQUAL (burdock_queue_decide (&times, &view).action, BURDOCK_QUEUE_REFUSE);
+  CU_ASSERT_EQUAL (burdock_queue_decide (&times, &view).reason, BURDOCK_REASON_OVERLOAD);
+  view.gives_way = true;
+  CU_ASSERT_EQUAL (burdock_queue_decide (&times, &view).reason, BURDOCK_REASON_PRIORITY);
+  view.has_room = true;
+  CU_ASSERT_EQUAL (burdock_queue_decide (&times, &view).action, BURDOCK_QUEUE_SEND);
+  view.has_room = view.is_mixed = false;
+  CU_ASSERT_EQUAL (burdock_queue_decide (&times, &view).action, BURDOCK_QUEUE_WAIT);
+  times.objective_us = 0;
+  times.own_work_us = 7 * US_PER_S;
+  CU_ASSERT_EQUAL (burdock_queue_latest_start_us (&times, false), 1900 * US_PER_MS);
+  CU_ASSERT_EQUAL (burdock_queue_latest_start_us (&times, true), US_PER_S);
+}
+
 /* A group of ranks with 10 slots of which 0.7 are used; a stream takes 2 s. Three kinds
  * of streams, of which the two most urgent make up half of the load. */
 #define FLEET(gateways_, ranks, load_)                                                   \
@@ -410,6 +439,7 @@
   { "a priority is shut out", floor_of_a_priority },
   { "refused callers return together", returns_are_spread },
   { "the work of a request is misjudged", work_of_requests },
+  { "a request waits for a start that is too late", wait_ends_with_the_objective },
   { "urgent requests suffer from less urgent ones", callers_of_priorities },
 };
 
