Let requests wait beyond the objective for a pool that is closed

In a pool with several priorities nobody waited past the time at which a start still meets the latency objective. The objective now counts only against requests that have not met a closed pool. Table of cases in test-queue-policy. Pools with one priority are not affected.

--- a/libburdock/balancer-private.h
+++ b/libburdock/balancer-private.h
@@ -55,6 +55,7 @@
   BurdockPlacement placement; /* with the priority whose room it takes */
   uint32_t own_priority;
   uint64_t latest_start_us;
+  uint64_t since_us; /* when it began to wait */
 } QueuedRequest;
 
 typedef struct Pool {
@@ -62,6 +63,7 @@
   char name[BURDOCK_NAME_BYTES];
   QueuedRequest *queue; /* in the order in which they start */
   BurdockPriorityShare priorities;
+  uint64_t closed_us;       /* last tick at which no upstream took requests, 0 if none */
   uint32_t own_outstanding; /* requests of this gateway at its upstreams */
   uint32_t outstanding;     /* of all gateways, at the last tick */
   double usable_slots;      /* that all gateways may use, at the last tick */
--- a/libburdock/balancer-queue.c
+++ b/libburdock/balancer-queue.c
@@ -100,7 +100,8 @@
   *queued = (QueuedRequest){ .next = *at,
                              .placement = *placement,
                              .own_priority = own_priority,
-                             .latest_start_us = latest_start_us };
+                             .latest_start_us = latest_start_us,
+                             .since_us = balancer->now_us };
   *at = queued;
   balancer->stats.waiting++;
 }
@@ -524,6 +525,7 @@
     BurdockQueueDecision decision;
 
     view.is_admitted = true;
+    view.was_closed = pool->closed_us >= (*at)->since_us;
     view.ahead = view.waiting = ahead;
     times = count_permits (balancer, pool, placement, &view);
     decision = burdock_queue_decide (&times, &view);
@@ -547,6 +549,7 @@
 
   if (burdock_balancer_opens_us (balancer, pool, &any) <= balancer->now_us)
     return;
+  pool->closed_us = balancer->now_us;
   for (uint32_t i = 0; i < BURDOCK_PRIORITY_LEVELS; i++) {
     BurdockPriorityLevel *level = &pool->priorities.levels[i];
 
--- a/libburdock/queue-policy.c
+++ b/libburdock/queue-policy.c
@@ -27,20 +27,38 @@
   return a_us > b_us ? a_us : b_us;
 }
 
-uint64_t
-burdock_queue_latest_start_us (const BurdockRequestTimes *times, bool is_mixed)
+/* Latest start with which the caller still waits for the answer. */
+static uint64_t
+latest_useful_start_us (const BurdockRequestTimes *times, bool is_mixed)
 {
   bool is_own = is_mixed && times->own_work_us > 0;
   uint64_t work_us = is_own ? times->own_work_us : times->work_us;
-  uint64_t latest_us =
-      earlier (time_before (times->deadline_us, work_us),
-               time_before (times->first_part_deadline_us, times->first_part_us));
+
+  return earlier (time_before (times->deadline_us, work_us),
+                  time_before (times->first_part_deadline_us, times->first_part_us));
+}
+
+uint64_t
+burdock_queue_latest_start_us (const BurdockRequestTimes *times, bool is_mixed)
+{
+  uint64_t latest_us = latest_useful_start_us (times, is_mixed);
 
   if (!is_mixed || times->objective_us == 0)
     return latest_us;
   return earlier (latest_us, time_before (times->objective_us, times->first_part_us));
 }
 
+/* In an open pool, a request that would begin after its objective delays all that come
+ * after it. A pool that was closed has delayed all alike, and a late answer is worth more
+ * to a caller than none. */
+static uint64_t
+wait_until_us (const BurdockRequestTimes *times, const BurdockQueueView *view)
+{
+  if (view->was_closed || view->opens_us > view->now_us)
+    return latest_useful_start_us (times, view->is_mixed);
+  return burdock_queue_latest_start_us (times, view->is_mixed);
+}
+
 /* Time until @count waiting requests have started. */
 static uint64_t
 start_time_us (const BurdockQueueView *view, double count)
@@ -116,7 +134,7 @@
 BurdockQueueDecision
 burdock_queue_decide (const BurdockRequestTimes *times, const BurdockQueueView *view)
 {
-  uint64_t latest_us = burdock_queue_latest_start_us (times, view->is_mixed);
+  uint64_t latest_us = wait_until_us (times, view);
 
   if (times->deadline_us <= view->now_us)
     return refuse (times, view);
--- a/libburdock/queue-policy.h
+++ b/libburdock/queue-policy.h
@@ -47,6 +47,7 @@
  * @is_admitted: the request was sent or queued before, and is not measured against the
  *   length of the queue again
  * @is_mixed: requests of several priorities use the pool
+ * @was_closed: no upstream took requests at some time since the request began to wait
  * @gives_way: more urgent requests use the pool, and this one has a share of the rest
  * @opens_us: time at which an upstream is expected to take requests, not after @now_us if
  *   one does; UINT64_MAX if none is known that may
@@ -64,6 +65,7 @@
   bool has_room;
   bool is_admitted;
   bool is_mixed;
+  bool was_closed;
   bool gives_way;
   uint64_t opens_us;
   uint32_t ahead;
--- a/tests/test-queue-policy.c
+++ b/tests/test-queue-policy.c
@@ -228,7 +228,58 @@
   }
 }
 
+typedef struct {
+  const char *name;
+  bool is_mixed;
+  bool was_closed;
+  uint64_t opens_ms;
+  uint32_t ahead;
+  BurdockQueueAction action;
+  uint64_t until_ms; /* for a request that waits */
+} ObjectiveCase;
+
+static const ObjectiveCase objective_cases[] = {
+  { "one priority: until its caller leaves", false, false, 0, 0, BURDOCK_QUEUE_WAIT,
+    1900 },
+  { "open: until the objective", true, false, 0, 0, BURDOCK_QUEUE_WAIT, 300 },
+  { "open, no place within the objective", true, false, 0, 4, BURDOCK_QUEUE_REFUSE, 0 },
+  { "closed, opens after the objective", true, false, 1500, 0, BURDOCK_QUEUE_WAIT, 1900 },
+  { "closed, opens when its caller has left", true, false, 2500, 0, BURDOCK_QUEUE_REFUSE,
+    0 },
+  { "has waited for the pool to open", true, true, 0, 4, BURDOCK_QUEUE_WAIT, 1900 },
+};
+
+/* Guards against callers of a pool with several priorities who are refused because it was
+ * closed for longer than the latency objective, although they still wait. */
+static void
+a_closed_pool_suspends_the_objective (void)
+{
+  BurdockRequestTimes times = { .deadline_us = from_now_us (8000),
+                                .first_part_deadline_us = from_now_us (2000),
+                                .objective_us = from_now_us (400),
+                                .first_part_us = 100 * US_PER_MS,
+                                .work_us = 1100 * US_PER_MS };
+
+  for (uint32_t i = 0; i < TEST_COUNT (objective_cases); i++) {
+    const ObjectiveCase *row = &objective_cases[i];
+    BurdockQueueView view = { .now_us = from_now_us (0),
+                              .is_mixed = row->is_mixed,
+                              .was_closed = row->was_closed,
+                              .opens_us = from_now_us (row->opens_ms),
+                              .ahead = row->ahead,
+                              .waiting = row->ahead,
+                              .starts_per_s = 10 };
+    BurdockQueueDecision got = burdock_queue_decide (&times, &view);
+
+    if (got.action != row->action ||
+        (got.action == BURDOCK_QUEUE_WAIT && got.until_us != from_now_us (row->until_ms)))
+      CU_FAIL (row->name);
+  }
+}
+
 static const Test tests[] = {
+  { "the objective counts against those whom a closed pool has delayed",
+    a_closed_pool_suspends_the_objective },
   { "a decision does not follow from time and work",
     decisions_follow_from_time_and_work },
   { "equal callers are treated differently", equal_callers_are_treated_alike },
