--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -137,10 +137,13 @@
             "listen.registry": f"{ip}:8224", "platform.address": f"{self.net}.9.1:8223",
             "seeds": seeds})
 
+    def open_log(self, name):
+        """File that a process writes its log to; it is closed here once the process has it."""
+        return open(os.path.join(self.logs, name), "ab")
+
     async def start_process(self, name, command):
-        log = open(os.path.join(self.logs, name), "ab")
-        process = await asyncio.create_subprocess_exec(*command, stdout=log, stderr=log)
-        log.close()
+        with self.open_log(name) as log:
+            process = await asyncio.create_subprocess_exec(*command, stdout=log, stderr=log)
         self.processes.append(process)
         return process
 
@@ -231,9 +234,9 @@
 LIMIT_S = 100
 
 
-async def start_plain(record, runner_class=PlainRunner, runners=3, gateways=1):
+async def start_plain(record, runner_class=PlainRunner, runners=3, rig_class=Rig):
     """A deployment with the plain service of a small installation only."""
-    rig = Rig(record, gateways)
+    rig = rig_class(record)
     rig.runners = [runner_class(record, f"{rig.net}.3.{k + 1}", "app") for k in range(runners)]
     try:
         await rig.start(rig.manifest(ROUTES, SERVICES))
