--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -284,11 +284,13 @@
     record = Record(folder)
 
     async def bounded():
-        return await asyncio.wait_for(case(record), LIMIT_S)
+        task = asyncio.ensure_future(case(record))
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await asyncio.wait_for(task, LIMIT_S)
 
     try:
         broken = asyncio.run(bounded())
-    except Exception as error:  # the case could not run
+    except (Exception, asyncio.CancelledError) as error:  # the case could not run
         record.add(f"the case could not run: {type(error).__name__} {error}")
         print(f"could not run: {type(error).__name__} {error}")
         sys.exit(2)
