--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,12 +1,13 @@
-"""Streams whose events are numbered from 0. Half of the runners break one stream in twenty off
-after its first event; the gateway resumes it at another runner. No requester may get a piece
-twice."""
+"""Streams whose events are numbered from 0. For 5 s at a time, half of the runners break one stream
+in twenty off after its first event; the gateway resumes it at another runner. No requester may get
+a piece twice."""
 import asyncio
 import os
 import re
 import socket
 import struct
 import sys
+import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib-2"))
@@ -17,10 +18,10 @@
          "routeType": "streaming", "resumable": True, "timeoutMs": 8000, "sloMs": 400,
          "itlTargetMs": 120, "maxAttempts": 2, "priority": 1}
 RUNNERS, EVENTS, EVENT_PAUSE_S = 6, 8, 0.02
-STREAMS, STREAM_PAUSE_S = 400, 0.1
-# kinds: "garble: share (.5) break off or spoil x (.02) of their answers"; the site's days have
-# x up to 0.05.
-FAULTY_RUNNERS, BROKEN_OF = 3, 20
+STREAMS, STREAM_PAUSE_S = 800, 0.05
+# kinds: "garble: share (.5) break off or spoil x (.02) of their answers", for_s 5 if not said; the
+# site's days have x up to 0.05. It comes for 5 s in each 10 s.
+FAULTY_RUNNERS, BROKEN_OF, FAULTY_S, PERIOD_S = 3, 20, 5, 10
 
 
 def event(attempt, number):
@@ -34,6 +35,10 @@
     faulty = False
     streams = 0
 
+    def is_faulty_now(self):
+        elapsed_s = time.monotonic() - self.record.started_at
+        return self.faulty and elapsed_s % PERIOD_S < FAULTY_S
+
     def reset(self, writer):
         writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
                                                    struct.pack("ii", 1, 0))
@@ -46,7 +51,7 @@
                       f"Transfer-Encoding: chunked\r\n{fields}\r\n").encode())
         first = 0 if last is None else int(last) + 1
         breaks = False
-        if self.faulty and first == 0:
+        if first == 0 and self.is_faulty_now():
             self.streams += 1
             breaks = disrupted() and self.streams % BROKEN_OF == 0
         self.record.add(f"{self.id} streams {attempt} from {first}, Last-Event-Id {last}"
