Tell event 0 from no event

A stream of event 0 alone was cut as broken, and a caller that resumed one with Last-Event-Id: 0 got 502.

Cause: one 64-bit number was both the id of the last event and, as 0, its absence: where ids are read, compared, kept, sent on as Last-Event-Id, and used to decide that a stream is whole, that its upstream works and that an answer was a whole one. Last-Event-Id was read with strtoull(), which takes "-1" for the highest id, and ids that are no numbers of 64 bits were cut or dropped.

Change: an id is a number or none (BurdockEventId), everywhere. Events whose id is no number are passed on, and the stream is not resumed after them; such a Last-Event-Id is forwarded as it came. The log names the id that a stream has reached. The stand-ins of the soak draw where ids begin, how far apart they are and how events are written.

--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,7 @@
 	python3 tests/soak/scenarios.py retry-after --build $(BUILD) --seed $(SEED) --seconds 14
 	python3 tests/soak/scenarios.py endless-streams --build $(BUILD) --seed $(SEED) --seconds 30 --callers 4
 	python3 tests/soak/scenarios.py faulty-answers --build $(BUILD) --seed $(SEED) --seconds 15 --callers 24
+	python3 tests/soak/scenarios.py event-ids --build $(BUILD) --seed $(SEED)
 	python3 tests/soak/scenarios.py malformed-answers --build $(BUILD) --seed $(SEED) --seconds 15 --callers 24
 	python3 tests/soak/scenarios.py zero-status --build $(BUILD) --seed $(SEED) --seconds 10 --callers 24
 	python3 tests/soak/scenarios.py evacuation --build $(BUILD) --seed $(SEED) --callers 24
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -197,7 +197,7 @@
   forward->attempt_event_count++;
   forward->last_event_us = now_us;
   /* An event that does not advance the stream is no sign that its upstream works. */
-  if (forward->event_stream.last_id != forward->last_activity_id)
+  if (!burdock_event_id_equal (forward->event_stream.last_id, forward->last_activity_id))
     forward->last_activity_us = now_us;
   forward->last_activity_id = forward->event_stream.last_id;
   traffic->counters.events++;
@@ -318,17 +318,21 @@
                     const BurdockHttpResult *result)
 {
   char prompt[LOGGED_PROMPT_BYTES];
+  char last_id[BURDOCK_EVENT_ID_BYTES];
 
   burdock_prompt_parts_format (&forward->caller.prompt, prompt, sizeof prompt);
+  burdock_event_id_format (forward->event_stream.last_id, last_id);
   burdock_log_subject (BURDOCK_LOG_INFO, "attempt failed", forward->caller.request_id,
                        forward->upstream.id,
                        "result %d status %d http %d form %d sent %d new %d after_ms %u "
-                       "events %u prompt %s digest %016" PRIx64 "%s%s",
+                       "events %u last_id %s past_last_id %d prompt %s "
+                       "digest %016" PRIx64 "%s%s",
                        attempt_result, result->status, result->http_status,
                        forward->answer_kind, result->sent, result->new_connection,
                        (uint32_t)((burdock_loop_now_us () - forward->sent_us) /
                                   US_PER_MS),
-                       forward->attempt_event_count, prompt, forward->digest,
+                       forward->attempt_event_count, last_id,
+                       forward->event_stream.is_past_last_id, prompt, forward->digest,
                        result->malformed != NULL ? " malformed: " : "",
                        result->malformed != NULL ? result->malformed : "");
 }
@@ -394,7 +398,7 @@
 is_whole_answer (const BurdockForward *forward)
 {
   return forward->route->kind != BURDOCK_ROUTE_STREAM ||
-         (forward->caller.last_event_id == 0 && forward->run_count == 0);
+         (!forward->caller.resumes && forward->run_count == 0);
 }
 
 static void
@@ -467,7 +471,7 @@
     .workspace = forward->workspace,
     .forwards_api_key = !forward->table->has_workspaces,
     .remaining_ms = remaining_ms (forward, now_us),
-    .resume_after_id = forward->event_stream.last_id,
+    .resume_after = forward->event_stream.last_id,
   };
   char address[24];
   char url[40];
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -244,6 +244,7 @@
     .result = result,
     .send_count = forward->send_count,
     .answer_started = forward->answer_started,
+    .past_last_id = forward->event_stream.is_past_last_id,
     .enough_time =
         burdock_attempt_has_time (now_us, forward->deadline_us,
                                   estimate_elsewhere (forward, now_us).typical_us),
@@ -389,13 +390,15 @@
   uint64_t first_ms = forward->first_event_us > 0
                           ? (forward->first_event_us - forward->received_us) / US_PER_MS
                           : 0;
+  char last_id[BURDOCK_EVENT_ID_BYTES];
 
+  burdock_event_id_format (forward->event_stream.last_id, last_id);
   burdock_log_subject (
       BURDOCK_LOG_INFO, "request ended", forward->caller.request_id,
       forward->send_count > 0 ? forward->upstream.id : "-",
       "outcome %s status %u route %s pool %s generation %u upstreams %" PRIu64
       " delivered %d sent %u ran %u "
-      "reason %s first_ms %u total_ms %u placed_ms %u events %u pause_ms %u "
+      "reason %s first_ms %u total_ms %u placed_ms %u events %u last_id %s pause_ms %u "
       "digest %016" PRIx64 " stop_ms %" PRId64 " slow_caller_ms %u "
       "allowed_ms %u first_part_ms %u work_ms %u retry_after_ms %u "
       "priority %u own_work_ms %u",
@@ -406,8 +409,9 @@
       forward->send_count > 0
           ? (uint32_t)((forward->sent_us - forward->received_us) / US_PER_MS)
           : 0,
-      forward->attempt_event_count, (uint32_t)(forward->longest_gap_us / US_PER_MS),
-      forward->digest, received_in_stop_ms (forward),
+      forward->attempt_event_count, last_id,
+      (uint32_t)(forward->longest_gap_us / US_PER_MS), forward->digest,
+      received_in_stop_ms (forward),
       (uint32_t)(burdock_forward_paused_us (forward, now_us) / US_PER_MS),
       (uint32_t)(allowed_us (forward) / US_PER_MS),
       (uint32_t)(forward->placement.times.first_part_us / US_PER_MS),
@@ -554,6 +558,7 @@
     .run_count = forward->run_count + 1,
     .send_count = forward->send_count,
     .answer_started = forward->answer_started,
+    .past_last_id = forward->event_stream.is_past_last_id,
     .enough_time =
         burdock_attempt_has_time (now_us, forward->deadline_us, estimate->needed_us),
   };
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -53,7 +53,7 @@
  * @first_event_us: time of the first event, 0 before it
  * @last_event_us: time of the last event
  * @last_activity_us: time of the last event of the attempt with a new id, or of its start
- * @last_activity_id: id of the last event delivered
+ * @last_activity_id: highest id of the events delivered when the last one was
  * @longest_gap_us: longest time between two events of the same attempt
  * @body: body of an answer that is not a stream; complete before it is delivered
  * @final_status: HTTP status sent to the caller, 0 before the answer
@@ -100,7 +100,7 @@
   uint64_t first_event_us;
   uint64_t last_event_us;
   uint64_t last_activity_us;
-  uint64_t last_activity_id;
+  BurdockEventId last_activity_id;
   uint64_t longest_gap_us;
   char *body;
   uint32_t body_bytes;
--- a/gateway/intake.c
+++ b/gateway/intake.c
@@ -182,6 +182,7 @@
   forward->pool = burdock_route_pick_pool (forward->route,
                                            burdock_runtime_random (&traffic->runtime));
   forward->event_stream.last_id = forward->caller.last_event_id;
+  forward->last_activity_id = forward->caller.last_event_id;
   forward->digest = digest_request (forward);
   forward->caller.prompt.request = forward->digest;
   forward->placement.handle = ++traffic->next_handle;
@@ -195,6 +196,10 @@
   burdock_forward_set_times (forward, forward->received_us);
   add_forward (traffic, forward);
   burdock_http_set_data (forward->http_request, forward);
+  if (forward->caller.resumes && !forward->caller.last_event_id.is_set)
+    burdock_log_subject (BURDOCK_LOG_INFO, "last event unreadable",
+                         forward->caller.request_id, "-",
+                         "not a number of 64 bits; forwarded as received");
   if (!burdock_part_quarantine_admit (traffic->quarantine, &forward->caller.prompt,
                                       forward->received_us, &retry_after_ms)) {
     burdock_forward_refuse_quarantined (forward, retry_after_ms);
--- a/libburdock/attempt-policy.c
+++ b/libburdock/attempt-policy.c
@@ -83,7 +83,7 @@
 {
   const BurdockRoute *route = state->route;
 
-  if (state->run_count >= route->attempts_max)
+  if (state->run_count >= route->attempts_max || state->past_last_id)
     return false;
   if (state->run_count == 0)
     return true;
--- a/libburdock/attempt-policy.h
+++ b/libburdock/attempt-policy.h
@@ -37,6 +37,8 @@
  * @run_count: attempts that may have run, including the last one
  * @send_count: all attempts, including those that did not run
  * @answer_started: the caller has received a part of an answer
+ * @past_last_id: the caller has received events whose ids cannot be read, so no upstream
+ *   can be told where to go on
  * @enough_time: another attempt can end before the deadline
  */
 typedef struct {
@@ -45,6 +47,7 @@
   uint32_t run_count;
   uint32_t send_count;
   bool answer_started;
+  bool past_last_id;
   bool enough_time;
 } BurdockAttemptContext;
 
--- a/libburdock/event-stream.c
+++ b/libburdock/event-stream.c
@@ -1,12 +1,66 @@
 #include "event-stream.h"
 
 #include <errno.h>
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define DECIMAL_BASE 10
 #define ID_FIELD "id:"
 
+/** enum IdForm - what an event says of its id */
+typedef enum {
+  ID_MISSING = 1, /* no id, or an empty one, as in comments */
+  ID_NUMBER,
+  ID_UNREADABLE, /* not a number, or beyond 64 bits */
+} IdForm;
+
+static const char *
+skip_blanks (const char *at, const char *end)
+{
+  while (at < end && (*at == ' ' || *at == '\t'))
+    at++;
+  return at;
+}
+
+bool
+burdock_event_id_parse (const char *text, size_t length_bytes, BurdockEventId *out)
+{
+  const char *end = text + length_bytes;
+  const char *at = skip_blanks (text, end);
+  const char *digits = at;
+  uint64_t number = 0;
+
+  *out = (BurdockEventId){ 0 };
+  for (; at < end && *at >= '0' && *at <= '9'; at++) {
+    uint64_t digit = (uint64_t)(*at - '0');
+
+    if (number > (UINT64_MAX - digit) / DECIMAL_BASE)
+      return false;
+    number = number * DECIMAL_BASE + digit;
+  }
+  if (at == digits || skip_blanks (at, end) < end)
+    return false;
+  *out = (BurdockEventId){ .is_set = true, .number = number };
+  return true;
+}
+
+void
+burdock_event_id_format (BurdockEventId id, char out[BURDOCK_EVENT_ID_BYTES])
+{
+  if (id.is_set)
+    snprintf (out, BURDOCK_EVENT_ID_BYTES, "%" PRIu64, id.number);
+  else
+    snprintf (out, BURDOCK_EVENT_ID_BYTES, "none");
+}
+
+bool
+burdock_event_id_equal (BurdockEventId a, BurdockEventId b)
+{
+  return a.is_set == b.is_set && (!a.is_set || a.number == b.number);
+}
+
 void
 burdock_event_stream_clear (BurdockEventStream *stream)
 {
@@ -30,7 +84,7 @@
 bool
 burdock_event_stream_is_complete (const BurdockEventStream *stream)
 {
-  return stream->length_bytes == 0 && stream->last_id > 0;
+  return stream->length_bytes == 0 && (stream->last_id.is_set || stream->is_past_last_id);
 }
 
 /* Length of the first event at @offset of the buffer, including its terminating empty
@@ -55,42 +109,34 @@
   return 0;
 }
 
-/* Number at the start of a field, after spaces; 0 for none and for one beyond 64 bits. */
-static uint64_t
-parse_number (const char *at, const char *end)
+/* Form of the value of an id field, which ends before the end of its line. */
+static IdForm
+parse_id_field (const char *value, const char *line_end, BurdockEventId *out)
 {
-  uint64_t number = 0;
+  const char *end = line_end > value && line_end[-1] == '\r' ? line_end - 1 : line_end;
 
-  while (at < end && *at == ' ')
-    at++;
-  for (; at < end && *at >= '0' && *at <= '9'; at++) {
-    uint64_t digit = (uint64_t)(*at - '0');
-
-    if (number > (UINT64_MAX - digit) / DECIMAL_BASE)
-      return 0;
-    number = number * DECIMAL_BASE + digit;
-  }
-  return number;
+  if (skip_blanks (value, end) == end)
+    return ID_MISSING;
+  return burdock_event_id_parse (value, (size_t)(end - value), out) ? ID_NUMBER
+                                                                    : ID_UNREADABLE;
 }
 
-/* Id of an event, 0 if it has none. */
-static uint64_t
-event_id (const char *event, uint32_t length_bytes)
+/* Reads the id of a complete event, whose lines all end in LF. */
+static IdForm
+read_event_id (const char *event, uint32_t length_bytes, BurdockEventId *out)
 {
   const char *line = event;
   const char *end = event + length_bytes;
+  const char *line_end;
 
-  while (line < end) {
-    const char *next = memchr (line, '\n', (size_t)(end - line));
-
-    if ((size_t)(end - line) >= strlen (ID_FIELD) &&
+  *out = (BurdockEventId){ 0 };
+  while ((line_end = memchr (line, '\n', (size_t)(end - line))) != NULL) {
+    if ((size_t)(line_end - line) >= strlen (ID_FIELD) &&
         memcmp (line, ID_FIELD, strlen (ID_FIELD)) == 0)
-      return parse_number (line + strlen (ID_FIELD), end);
-    if (next == NULL)
-      return 0;
-    line = next + 1;
+      return parse_id_field (line + strlen (ID_FIELD), line_end, out);
+    line = line_end + 1;
   }
-  return 0;
+  return ID_MISSING;
 }
 
 static int
@@ -118,13 +164,17 @@
 handle_event (BurdockEventStream *stream, const char *event, uint32_t length_bytes,
               BurdockEventStreamSink sink, void *ctx)
 {
-  uint64_t id = event_id (event, length_bytes);
+  BurdockEventId id;
+  IdForm form = read_event_id (event, length_bytes, &id);
 
-  if (id != 0 && id <= stream->last_id)
-    return 0;
-  if (id != 0) {
+  if (form == ID_NUMBER) {
+    if (stream->last_id.is_set && id.number <= stream->last_id.number)
+      return 0;
     stream->last_id = id;
+    stream->is_past_last_id = false;
     stream->idle_bytes = 0;
+  } else if (form == ID_UNREADABLE) {
+    stream->is_past_last_id = true;
   }
   return sink (ctx, event, length_bytes);
 }
--- a/libburdock/event-stream.h
+++ b/libburdock/event-stream.h
@@ -13,14 +13,30 @@
  * error. */
 #define BURDOCK_STREAM_EVENT_MAX_BYTES (1u << 20)
 
+/* Size of a formatted id, including the terminating zero byte. */
+#define BURDOCK_EVENT_ID_BYTES 24
+
+/**
+ * struct BurdockEventId - id of an event, or none
+ * @is_set: false for none; a stream may begin with the id 0
+ * @number: valid if @is_set
+ */
+typedef struct {
+  bool is_set;
+  uint64_t number;
+} BurdockEventId;
+
 /**
  * struct BurdockEventStream - incremental parser of one answer
  * @scanned_bytes: bytes of complete lines in the buffer that do not end an event
  * @searched_bytes: bytes of the buffer that were searched for the end of a line
  * @idle_bytes: bytes received since the last event with a new id
- * @last_id: id of the last complete event with an id, 0 before the first one
+ * @last_id: highest id of a complete event
+ * @is_past_last_id: events whose ids are not numbers were passed on since the one with
+ *   @last_id, so that the stream cannot be resumed after what was passed on
  *
- * Initialize with zeros; release with burdock_event_stream_clear().
+ * Initialize with zeros, or with the @last_id of the events that were passed on before;
+ * release with burdock_event_stream_clear().
  */
 typedef struct {
   char *buffer;
@@ -29,7 +45,8 @@
   uint32_t scanned_bytes;
   uint32_t searched_bytes;
   uint32_t idle_bytes;
-  uint64_t last_id;
+  BurdockEventId last_id;
+  bool is_past_last_id;
 } BurdockEventStream;
 
 /** typedef BurdockEventStreamSink - receives one complete event, including its
@@ -38,18 +55,34 @@
 typedef int (*BurdockEventStreamSink) (void *ctx, const char *event,
                                        uint32_t length_bytes);
 
+/**
+ * burdock_event_id_parse() - parses an id
+ * @text: @length_bytes bytes; blanks around the digits are allowed
+ * @out: receives the id, none on failure
+ *
+ * Returns false unless the text is a decimal number up to 2^64 - 1.
+ */
+bool burdock_event_id_parse (const char *text, size_t length_bytes, BurdockEventId *out);
+
+/** burdock_event_id_format() - writes an id in decimal digits, or "none" */
+void burdock_event_id_format (BurdockEventId id, char out[BURDOCK_EVENT_ID_BYTES]);
+
+/** burdock_event_id_equal() - whether both are none, or the same number */
+bool burdock_event_id_equal (BurdockEventId a, BurdockEventId b);
+
 /** burdock_event_stream_clear() - releases the buffer and resets the parser */
 void burdock_event_stream_clear (BurdockEventStream *stream);
 
 /** burdock_event_stream_restart() - discards an incomplete event; keeps
- * @last_id, so that repeated events are dropped */
+ * @last_id, so that repeated events are dropped, and @is_past_last_id */
 void burdock_event_stream_restart (BurdockEventStream *stream);
 
 /**
  * burdock_event_stream_feed() - parses bytes and passes on the events that they complete
  *
  * Events whose id is not above @last_id were already delivered and are dropped; blocks
- * without an id, such as comments, are passed on. Returns 0; -EMSGSIZE if more than
+ * without an id, such as comments, and events whose id is not a number are passed on.
+ * Returns 0; -EMSGSIZE if more than
  * BURDOCK_STREAM_EVENT_MAX_BYTES arrive without an event that has a new id; -ENOMEM; or
  * the error of @sink, after which no further event is passed on.
  */
--- a/tests/soak/endless.py
+++ b/tests/soak/endless.py
@@ -4,6 +4,7 @@
 import socket
 import time
 
+from events import EventSequence
 from standin import Runner, attempt_id, read_body, read_head
 
 # Bodies of streams without end; {} is the attempt. The functions take the number of the block.
@@ -142,15 +143,15 @@
 class LargeStreamRunner(Runner):
     """Sends sound streams as fast as they are read."""
 
-    EVENTS, EVENT_BYTES = 1500, 2000
+    EVENTS = 1500
 
-    def event(self, attempt, number):
-        return f"id: {number}\ndata: {attempt}{'y' * self.EVENT_BYTES}\n\n".encode()
+    FILLING = "y" * 2000
 
     async def stream(self, path, attempt, headers, writer):
         writer.write(self.stream_head(attempt))
-        for number in range(int(headers.get("last-event-id", 0)) + 1, self.EVENTS + 1):
-            event = self.event(attempt, number)
+        events = EventSequence.of_attempt(attempt, self.EVENTS)
+        for index in range(events.first_after(headers.get("last-event-id")), self.EVENTS):
+            event = events.event(attempt, index, self.FILLING)
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
         writer.write(b"0\r\n\r\n")
@@ -172,8 +173,8 @@
                 body = await asyncio.wait_for(self.read_stream(k, attempt), 9)
             except (OSError, ValueError, asyncio.TimeoutError, asyncio.IncompleteReadError) as error:
                 body = repr(error)
-            whole = b"".join(self.runners[0].event(attempt, number)
-                             for number in range(1, LargeStreamRunner.EVENTS + 1))
+            events = EventSequence.of_attempt(attempt, LargeStreamRunner.EVENTS)
+            whole = events.text(attempt, filling=LargeStreamRunner.FILLING)
             ending = "whole" if body == whole else "wrong"
             if body != whole:
                 self.check.add_violation("CUT", f"a stream at gateway-{k} was read slowly and "
--- a/tests/soak/faulty.py
+++ b/tests/soak/faulty.py
@@ -40,7 +40,7 @@
 
     async def run_stream(self, path, attempt, headers, writer):
         """Breaks streams off, and answers some of those that are to be resumed with an error."""
-        if int(headers.get("last-event-id", 0)) > 0 and random.random() < 0.5:
+        if "last-event-id" in headers and random.random() < 0.5:
             self.check.record_run(self, path, attempt, headers)
             writer.write(answer(500, b"id: 99\ndata: internal error\n\n",
                                 self.answer_headers(attempt)))
--- a/tests/soak/leaving.py
+++ b/tests/soak/leaving.py
@@ -75,8 +75,8 @@
             return True
         return await super().handle(method, target, headers, body, writer)
 
-    async def pause_before(self, number):
-        if number == self.PAUSE_AFTER + 1 and time.monotonic() > PausingRunner.full_until:
+    async def pause_before(self, index):
+        if index == self.PAUSE_AFTER and time.monotonic() > PausingRunner.full_until:
             PausingRunner.full_until = time.monotonic() + self.FULL_S
             await asyncio.sleep(self.PAUSE_S)
 
--- a/tests/soak/malformed.py
+++ b/tests/soak/malformed.py
@@ -3,8 +3,9 @@
 import random
 import re
 
+from events import EventSequence
 from faulty import FaultyAnswersScenario
-from standin import Runner, answer, body_of, event_count
+from standin import Runner, answer, body_of
 
 MALFORMED_RATE = 0.2
 
@@ -57,9 +58,8 @@
             return await super().work(path, attempt, headers, writer)
         body, more = body_of(attempt), []
         if path.startswith("/stream/"):
-            first = int(headers.get("last-event-id", 0)) + 1
-            body = "".join(f"id: {n}\ndata: {attempt}-{n}\n\n"
-                           for n in range(first, event_count(attempt) + 1)).encode()
+            events = EventSequence.of_attempt(attempt)
+            body = events.text(attempt, events.first_after(headers.get("last-event-id")))
             more = [("Content-Type", "text/event-stream")]
         await asyncio.sleep(random.uniform(*self.work_s))
         sound = answer(200, body, self.answer_headers(attempt) + more)
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -10,6 +10,7 @@
 endless-streams: bodies of streams without end, read quickly and slowly.
 equal-callers: calls whose callers have more or less time, more than upstreams can end.
 evacuation: failure domains are evacuated and used again; one gateway cannot reach the store.
+event-ids: streams whose ids begin anywhere, broken off, and callers that resume them.
 malformed-answers: answers whose heads are no heads of HTTP/1.1.
 zero-status: answers with the status 000, to each kind of request.
 faulty-answers: refusals written twice, heads cut, errors where a stream is to be resumed.
@@ -38,6 +39,7 @@
 from endless import EndlessStreamsScenario, SlowReadersScenario
 from equal import EqualCallersScenario
 from evacuation import EvacuationScenario
+from eventids import EventIdsScenario
 from faulty import FaultyAnswersScenario
 from leaving import (LateRowScenario, LeavingAnswersScenario, PausedStreamScenario,
                      RetryAfterScenario)
@@ -407,7 +409,7 @@
 
 SCENARIOS = {"cold-upstreams": ColdUpstreamsScenario,
              "endless-streams": EndlessBodiesScenario, "equal-callers": EqualCallersScenario,
-             "evacuation": EvacuationScenario,
+             "evacuation": EvacuationScenario, "event-ids": EventIdsScenario,
              "faulty-answers": FaultyAnswersScenario, "late-row": LateRowScenario,
              "leaving-answers": LeavingAnswersScenario,
              "limit": LimitScenario, "malformed-answers": MalformedAnswersScenario,
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,8 +14,9 @@
 import sys
 import time
 
+from events import EventSequence
 from standin import (EXPERTS, LAYERS, EXPERT_SLOTS, LOADS_MAX, Group, HttpServer, Proxy, Runner,
-                     Store, attempt_id, body_of, event_count, gateway_of, read_body, read_head)
+                     Store, attempt_id, body_of, gateway_of, read_body, read_head)
 from stops import StopCheck, stop_process
 
 GROUP_COUNT, RANK_COUNT, PLAIN_RUNNER_COUNT = 2, 4, 2
@@ -311,8 +312,7 @@
             return
         expected = body_of(attempt)
         if kind == "stream":
-            expected = "".join(f"id: {n}\ndata: {attempt}-{n}\n\n"
-                             for n in range(1, event_count(attempt) + 1)).encode()
+            expected = EventSequence.of_attempt(attempt).text(attempt)
         if body != expected or "burdockwind-instance-signature" not in headers:
             self.check.add_violation("MIXED", f"{attempt} ({kind}) received a wrong answer: "
                                               f"{body[:80]!r}")
--- a/tests/soak/standin.py
+++ b/tests/soak/standin.py
@@ -10,6 +10,8 @@
 import time
 from urllib.parse import parse_qs, urlsplit
 
+from events import EventSequence
+
 # Duration of a step of a group, and of loading the experts of a map, in s.
 STEP_S = 0.04
 COPY_S = 0.1
@@ -303,10 +305,6 @@
     return hashlib.sha256(attempt.encode()).hexdigest().encode() * 10
 
 
-def event_count(attempt):
-    return 6 + int(hashlib.sha256(attempt.encode()).hexdigest()[:2], 16) % 20
-
-
 class Runner:
     """One upstream; reports the requests that it runs to the checker.
 
@@ -476,7 +474,7 @@
         self.down = False
         await self.store.put("servers", self.id, self.store_row())
 
-    async def pause_before(self, number):
+    async def pause_before(self, index):
         if random.random() < PAUSE_RATE:
             await asyncio.sleep(random.random() * self.pause_s)
 
@@ -486,26 +484,26 @@
             return await self.crash(attempt, writer)
         writer.write(self.stream_head(attempt))
         epoch = self.group.epoch
-        for number in range(int(headers.get("last-event-id", 0)) + 1,
-                            event_count(attempt) + 1):
+        events = EventSequence.of_attempt(attempt)
+        for index in range(events.first_after(headers.get("last-event-id")), len(events)):
             step = self.group.step
             while self.group.step == step and self.group.epoch == epoch:
                 await asyncio.sleep(STEP_S / 4)
-            await self.pause_before(number)
+            await self.pause_before(index)
             if writer.is_closing():
                 raise ConnectionResetError
             if self.group.epoch != epoch:
                 writer.transport.abort()
                 return False
-            event = f"id: {number}\ndata: {attempt}-{number}\n\n"
+            event = events.event(attempt, index)
             if random.random() < self.error_rate / 4:
                 # Aborts in the middle of an event, after a part of it was sent.
-                writer.write(f"8\r\n{event[:8]}\r\n".encode())
+                writer.write(b"8\r\n%s\r\n" % event[:8])
                 await writer.drain()
                 await asyncio.sleep(0.02)
                 writer.transport.abort()
                 return False
-            writer.write(f"{len(event):x}\r\n{event}\r\n".encode())
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
         await writer.drain()
--- a/tests/test-attempt-policy.c
+++ b/tests/test-attempt-policy.c
@@ -57,6 +57,15 @@
     STATE (resumable, BURDOCK_ATTEMPT_NOT_RUN, 1, 4, true, true), BURDOCK_ACTION_WAIT },
   { "the same, shortly before its deadline",
     STATE (resumable, BURDOCK_ATTEMPT_NOT_RUN, 1, 4, true, false), BURDOCK_ACTION_ABORT },
+  { "resumable stream truncated after an event whose id is no number",
+    { .route = &resumable,
+      .result = BURDOCK_ATTEMPT_TRUNCATED,
+      .run_count = 1,
+      .send_count = 1,
+      .answer_started = true,
+      .past_last_id = true,
+      .enough_time = true },
+    BURDOCK_ACTION_ABORT },
   { "resumable stream truncated twice",
     STATE (resumable, BURDOCK_ATTEMPT_TRUNCATED, 2, 2, true, true),
     BURDOCK_ACTION_ABORT },
@@ -77,26 +86,29 @@
 
 /* Checks every combination of inputs. Guards against a second run of a request that may
  * run at most once, against reporting "not run" to the caller when the request may have
- * run, and against a retry or failure answer after a part of an answer was delivered. */
+ * run, against a retry or failure answer after a part of an answer was delivered, and
+ * against a stream that is resumed although its events cannot be told apart. */
 static void
 guarantees_hold_in_every_state (void)
 {
   static const BurdockRoute *const routes[] = { &idempotent, &once, &stream, &resumable };
 
-  for (uint32_t bits = 0; bits < 4 * 6 * 4 * 5 * 4; bits++) {
+  for (uint32_t bits = 0; bits < 4 * 6 * 4 * 5 * 8; bits++) {
     BurdockAttemptContext state = { .route = routes[bits % 4],
                                     .result = 1 + bits / 4 % 6,
                                     .run_count = bits / 24 % 4,
                                     .send_count = bits / 96 % 5,
                                     .answer_started = bits / 480 % 2 != 0,
-                                    .enough_time = bits / 960 % 2 != 0 };
+                                    .enough_time = bits / 960 % 2 != 0,
+                                    .past_last_id =
+                                        bits / 480 % 2 != 0 && bits / 1920 % 2 != 0 };
     BurdockAttemptAction action = burdock_attempt_next_action (&state);
     bool again = action == BURDOCK_ACTION_RETRY || action == BURDOCK_ACTION_RESUME;
 
     if (again && state.run_count > 0)
       CU_ASSERT_TRUE (state.route == &idempotent || state.route == &resumable);
     if (again)
-      CU_ASSERT_TRUE (state.run_count < state.route->attempts_max);
+      CU_ASSERT_TRUE (state.run_count < state.route->attempts_max && !state.past_last_id);
     if (action == BURDOCK_ACTION_REFUSE)
       CU_ASSERT_TRUE (state.run_count == 0 && !state.answer_started);
     if (state.answer_started)
@@ -115,6 +127,15 @@
   { "the same, shortly before its deadline",
     STATE (resumable, BURDOCK_ATTEMPT_TRUNCATED, 1, 1, true, false),
     BURDOCK_ACTION_ABORT },
+  { "truncated stream after an event whose id is no number",
+    { .route = &resumable,
+      .result = BURDOCK_ATTEMPT_TRUNCATED,
+      .run_count = 1,
+      .send_count = 1,
+      .answer_started = true,
+      .past_last_id = true,
+      .enough_time = true },
+    BURDOCK_ACTION_ABORT },
   { "truncated stream that may not be resumed",
     STATE (stream, BURDOCK_ATTEMPT_TRUNCATED, 1, 1, true, true), BURDOCK_ACTION_ABORT },
 };
--- a/tests/test-endless.c
+++ b/tests/test-endless.c
@@ -275,6 +275,8 @@
   { "empty lines", "\n" },
   { "events without an id", "data: x\n\n" },
   { "an event that was delivered before", "id: 1\ndata: x\n\n" },
+  { "an event 0 after event 1", "id: 0\ndata: x\n\n" },
+  { "ids beyond 64 bits", "id: 18446744073709551616\ndata: x\n\n" },
 };
 
 static int
@@ -301,7 +303,7 @@
                                           ignore_event, NULL);
     if (status != -EMSGSIZE)
       CU_FAIL (stream_cases[i].name);
-    CU_ASSERT_EQUAL (stream.last_id, 1);
+    CU_ASSERT_TRUE (stream.last_id.is_set && stream.last_id.number == 1);
     burdock_event_stream_clear (&stream);
   }
 }
--- a/tests/test-platform-decode.c
+++ b/tests/test-platform-decode.c
@@ -706,7 +706,43 @@
   }
 }
 
+typedef struct {
+  const char *value;
+  bool resumes;
+  BurdockEventId id;
+} LastEventCase;
+
+static const LastEventCase last_event_cases[] = {
+  { NULL, false, { .is_set = false } },
+  { "0", true, { .is_set = true, .number = 0 } },
+  { "12", true, { .is_set = true, .number = 12 } },
+  { "18446744073709551615", true, { .is_set = true, .number = UINT64_MAX } },
+  { "18446744073709551616", true, { .is_set = false } },
+  { "", true, { .is_set = false } },
+  { "abc", true, { .is_set = false } },
+  { "-1", true, { .is_set = false } },
+  { "1,2", true, { .is_set = false } },
+};
+
+/* Guards against a caller that goes on after event 0 and gets it again, and against odd
+ * text that is taken for an id, so that the events up to it are dropped. */
+static void
+last_events_of_callers_are_parsed (void)
+{
+  for (size_t i = 0; i < TEST_COUNT (last_event_cases); i++) {
+    const LastEventCase *row = &last_event_cases[i];
+    BurdockCallerRequest caller = { .last_event_id = { .is_set = true, .number = 3 } };
+
+    burdock_exchange_parse_last_event (row->value, &caller);
+    if (caller.resumes != row->resumes ||
+        !burdock_event_id_equal (caller.last_event_id, row->id))
+      CU_FAIL (row->value);
+  }
+}
+
 static const Test tests[] = {
+  { "a caller goes on elsewhere than after the event that it names",
+    last_events_of_callers_are_parsed },
   { "a request begins after its caller has left a stream",
     patience_follows_from_the_route },
   { "the limits of cold upstreams are lost or invented",
