Make the optional number of event ids a type for all numbers from outside

The number of an event id, or none, was a type of the parser of streams. Other numbers that come from outside need the same two states, so it is a type of its own (optional.h), with its parser, its format and its comparisons.

--- a/fuzz/fuzz-event-stream.c
+++ b/fuzz/fuzz-event-stream.c
@@ -90,7 +90,7 @@
   if (events.count != expected.count || events.hash != expected.hash ||
       events.text_bytes != expected.text_bytes ||
       memcmp (events.text, expected.text, events.text_bytes) != 0 ||
-      !burdock_event_id_equal (whole.last_id, parts.last_id) ||
+      !burdock_optional_equal (whole.last_id, parts.last_id) ||
       whole.is_past_last_id != parts.is_past_last_id ||
       burdock_event_stream_is_complete (&whole) !=
           burdock_event_stream_is_complete (&parts))
--- a/gateway/attempt.c
+++ b/gateway/attempt.c
@@ -197,7 +197,7 @@
   forward->attempt_event_count++;
   forward->last_event_us = now_us;
   /* An event that does not advance the stream is no sign that its upstream works. */
-  if (!burdock_event_id_equal (forward->event_stream.last_id, forward->last_activity_id))
+  if (!burdock_optional_equal (forward->event_stream.last_id, forward->last_activity_id))
     forward->last_activity_us = now_us;
   forward->last_activity_id = forward->event_stream.last_id;
   traffic->counters.events++;
@@ -318,10 +318,10 @@
                     const BurdockHttpResult *result)
 {
   char prompt[LOGGED_PROMPT_BYTES];
-  char last_id[BURDOCK_EVENT_ID_BYTES];
+  char last_id[BURDOCK_OPTIONAL_BYTES];
 
   burdock_prompt_parts_format (&forward->caller.prompt, prompt, sizeof prompt);
-  burdock_event_id_format (forward->event_stream.last_id, last_id);
+  burdock_optional_format (forward->event_stream.last_id, last_id);
   burdock_log_subject (BURDOCK_LOG_INFO, "attempt failed", forward->caller.request_id,
                        forward->upstream.id,
                        "result %d status %d http %d form %d sent %d new %d after_ms %u "
--- a/gateway/forward.c
+++ b/gateway/forward.c
@@ -390,9 +390,9 @@
   uint64_t first_ms = forward->first_event_us > 0
                           ? (forward->first_event_us - forward->received_us) / US_PER_MS
                           : 0;
-  char last_id[BURDOCK_EVENT_ID_BYTES];
+  char last_id[BURDOCK_OPTIONAL_BYTES];
 
-  burdock_event_id_format (forward->event_stream.last_id, last_id);
+  burdock_optional_format (forward->event_stream.last_id, last_id);
   burdock_log_subject (
       BURDOCK_LOG_INFO, "request ended", forward->caller.request_id,
       forward->send_count > 0 ? forward->upstream.id : "-",
--- a/gateway/forward.h
+++ b/gateway/forward.h
@@ -100,7 +100,7 @@
   uint64_t first_event_us;
   uint64_t last_event_us;
   uint64_t last_activity_us;
-  BurdockEventId last_activity_id;
+  BurdockOptional last_activity_id;
   uint64_t longest_gap_us;
   char *body;
   uint32_t body_bytes;
--- a/libburdock/event-stream.c
+++ b/libburdock/event-stream.c
@@ -1,12 +1,9 @@
 #include "event-stream.h"
 
 #include <errno.h>
-#include <inttypes.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define DECIMAL_BASE 10
 #define ID_FIELD "id:"
 
 /** enum IdForm - what an event says of its id */
@@ -16,51 +13,6 @@
   ID_UNREADABLE, /* not a number, or beyond 64 bits */
 } IdForm;
 
-static const char *
-skip_blanks (const char *at, const char *end)
-{
-  while (at < end && (*at == ' ' || *at == '\t'))
-    at++;
-  return at;
-}
-
-bool
-burdock_event_id_parse (const char *text, size_t length_bytes, BurdockEventId *out)
-{
-  const char *end = text + length_bytes;
-  const char *at = skip_blanks (text, end);
-  const char *digits = at;
-  uint64_t number = 0;
-
-  *out = (BurdockEventId){ 0 };
-  for (; at < end && *at >= '0' && *at <= '9'; at++) {
-    uint64_t digit = (uint64_t)(*at - '0');
-
-    if (number > (UINT64_MAX - digit) / DECIMAL_BASE)
-      return false;
-    number = number * DECIMAL_BASE + digit;
-  }
-  if (at == digits || skip_blanks (at, end) < end)
-    return false;
-  *out = (BurdockEventId){ .is_set = true, .number = number };
-  return true;
-}
-
-void
-burdock_event_id_format (BurdockEventId id, char out[BURDOCK_EVENT_ID_BYTES])
-{
-  if (id.is_set)
-    snprintf (out, BURDOCK_EVENT_ID_BYTES, "%" PRIu64, id.number);
-  else
-    snprintf (out, BURDOCK_EVENT_ID_BYTES, "none");
-}
-
-bool
-burdock_event_id_equal (BurdockEventId a, BurdockEventId b)
-{
-  return a.is_set == b.is_set && (!a.is_set || a.number == b.number);
-}
-
 void
 burdock_event_stream_clear (BurdockEventStream *stream)
 {
@@ -111,25 +63,25 @@
 
 /* Form of the value of an id field, which ends before the end of its line. */
 static IdForm
-parse_id_field (const char *value, const char *line_end, BurdockEventId *out)
+parse_id_field (const char *value, const char *line_end, BurdockOptional *out)
 {
   const char *end = line_end > value && line_end[-1] == '\r' ? line_end - 1 : line_end;
 
-  if (skip_blanks (value, end) == end)
+  if (value + strspn (value, " \t") >= end)
     return ID_MISSING;
-  return burdock_event_id_parse (value, (size_t)(end - value), out) ? ID_NUMBER
+  return burdock_optional_parse (value, (size_t)(end - value), out) ? ID_NUMBER
                                                                     : ID_UNREADABLE;
 }
 
 /* Reads the id of a complete event, whose lines all end in LF. */
 static IdForm
-read_event_id (const char *event, uint32_t length_bytes, BurdockEventId *out)
+read_event_id (const char *event, uint32_t length_bytes, BurdockOptional *out)
 {
   const char *line = event;
   const char *end = event + length_bytes;
   const char *line_end;
 
-  *out = (BurdockEventId){ 0 };
+  *out = (BurdockOptional){ 0 };
   while ((line_end = memchr (line, '\n', (size_t)(end - line))) != NULL) {
     if ((size_t)(line_end - line) >= strlen (ID_FIELD) &&
         memcmp (line, ID_FIELD, strlen (ID_FIELD)) == 0)
@@ -164,11 +116,11 @@
 handle_event (BurdockEventStream *stream, const char *event, uint32_t length_bytes,
               BurdockEventStreamSink sink, void *ctx)
 {
-  BurdockEventId id;
+  BurdockOptional id;
   IdForm form = read_event_id (event, length_bytes, &id);
 
   if (form == ID_NUMBER) {
-    if (stream->last_id.is_set && id.number <= stream->last_id.number)
+    if (!burdock_optional_is_above (id, stream->last_id))
       return 0;
     stream->last_id = id;
     stream->is_past_last_id = false;
--- a/libburdock/event-stream.h
+++ b/libburdock/event-stream.h
@@ -8,24 +8,12 @@
 #define BURDOCK_EVENT_STREAM_H
 
 #include "burdock.h"
+#include "optional.h"
 
 /* Maximum size of an event, and of all bytes between two events with new ids; more is an
  * error. */
 #define BURDOCK_STREAM_EVENT_MAX_BYTES (1u << 20)
 
-/* Size of a formatted id, including the terminating zero byte. */
-#define BURDOCK_EVENT_ID_BYTES 24
-
-/**
- * struct BurdockEventId - id of an event, or none
- * @is_set: false for none; a stream may begin with the id 0
- * @number: valid if @is_set
- */
-typedef struct {
-  bool is_set;
-  uint64_t number;
-} BurdockEventId;
-
 /**
  * struct BurdockEventStream - incremental parser of one answer
  * @scanned_bytes: bytes of complete lines in the buffer that do not end an event
@@ -45,7 +33,7 @@
   uint32_t scanned_bytes;
   uint32_t searched_bytes;
   uint32_t idle_bytes;
-  BurdockEventId last_id;
+  BurdockOptional last_id;
   bool is_past_last_id;
 } BurdockEventStream;
 
@@ -55,21 +43,6 @@
 typedef int (*BurdockEventStreamSink) (void *ctx, const char *event,
                                        uint32_t length_bytes);
 
-/**
- * burdock_event_id_parse() - parses an id
- * @text: @length_bytes bytes; blanks around the digits are allowed
- * @out: receives the id, none on failure
- *
- * Returns false unless the text is a decimal number up to 2^64 - 1.
- */
-bool burdock_event_id_parse (const char *text, size_t length_bytes, BurdockEventId *out);
-
-/** burdock_event_id_format() - writes an id in decimal digits, or "none" */
-void burdock_event_id_format (BurdockEventId id, char out[BURDOCK_EVENT_ID_BYTES]);
-
-/** burdock_event_id_equal() - whether both are none, or the same number */
-bool burdock_event_id_equal (BurdockEventId a, BurdockEventId b);
-
 /** burdock_event_stream_clear() - releases the buffer and resets the parser */
 void burdock_event_stream_clear (BurdockEventStream *stream);
 
--- a/tests/test-endless.c
+++ b/tests/test-endless.c
@@ -303,7 +303,7 @@
                                           ignore_event, NULL);
     if (status != -EMSGSIZE)
       CU_FAIL (stream_cases[i].name);
-    CU_ASSERT_TRUE (stream.last_id.is_set && stream.last_id.number == 1);
+    CU_ASSERT_TRUE (stream.last_id.is_set && stream.last_id.value == 1);
     burdock_event_stream_clear (&stream);
   }
 }
--- a/tests/test-event-stream.c
+++ b/tests/test-event-stream.c
@@ -36,7 +36,7 @@
   }
 #define ID(number_)                                                                      \
   {                                                                                      \
-    .is_set = true, .number = (number_)                                                  \
+    .is_set = true, .value = (number_)                                                   \
   }
 
 /**
@@ -47,9 +47,9 @@
 typedef struct {
   const char *name;
   const char *input;
-  BurdockEventId delivered;
+  BurdockOptional delivered;
   const char *output;
-  BurdockEventId last_id;
+  BurdockOptional last_id;
   uint32_t events;
   bool partial;
   bool past_last_id;
@@ -119,7 +119,7 @@
                                  record_event, &output);
       CU_ASSERT_STRING_EQUAL (output.text, test->output);
       CU_ASSERT_EQUAL (output.events, test->events);
-      if (!burdock_event_id_equal (stream.last_id, test->last_id) ||
+      if (!burdock_optional_equal (stream.last_id, test->last_id) ||
           stream.is_past_last_id != test->past_last_id)
         CU_FAIL (test->name);
       CU_ASSERT_EQUAL (burdock_event_stream_has_partial (&stream), test->partial);
@@ -165,12 +165,12 @@
 
 /* First event that an upstream sends which is asked to go on after @last_id. */
 static uint32_t
-next_event (const Numbering *numbering, BurdockEventId last_id)
+next_event (const Numbering *numbering, BurdockOptional last_id)
 {
   uint32_t next = 0;
 
   while (last_id.is_set && next < RUN_EVENTS &&
-         numbering->first_id + next * numbering->id_step <= last_id.number)
+         numbering->first_id + next * numbering->id_step <= last_id.value)
     next++;
   return next;
 }
@@ -296,7 +296,7 @@
 }
 
 typedef struct {
-  BurdockEventId resumed_after; /* id of the last event of an earlier run */
+  BurdockOptional resumed_after; /* id of the last event of an earlier run */
   const char *text;
   bool complete;
 } EndCase;
@@ -363,14 +363,14 @@
 {
   for (size_t i = 0; i < TEST_COUNT (id_cases); i++) {
     const IdCase *test = &id_cases[i];
-    BurdockEventId expected = { .is_set = test->valid, .number = test->number };
-    char formatted[BURDOCK_EVENT_ID_BYTES];
-    BurdockEventId id;
+    BurdockOptional expected = { .is_set = test->valid, .value = test->number };
+    char formatted[BURDOCK_OPTIONAL_BYTES];
+    BurdockOptional id;
 
-    if (burdock_event_id_parse (test->text, strlen (test->text), &id) != test->valid ||
-        !burdock_event_id_equal (id, expected))
+    if (burdock_optional_parse (test->text, strlen (test->text), &id) != test->valid ||
+        !burdock_optional_equal (id, expected))
       CU_FAIL (test->text);
-    burdock_event_id_format (id, formatted);
+    burdock_optional_format (id, formatted);
     CU_ASSERT_STRING_EQUAL (formatted, test->formatted);
   }
 }
--- a/tests/test-platform-decode.c
+++ b/tests/test-platform-decode.c
@@ -709,14 +709,14 @@
 typedef struct {
   const char *value;
   bool resumes;
-  BurdockEventId id;
+  BurdockOptional id;
 } LastEventCase;
 
 static const LastEventCase last_event_cases[] = {
   { NULL, false, { .is_set = false } },
-  { "0", true, { .is_set = true, .number = 0 } },
-  { "12", true, { .is_set = true, .number = 12 } },
-  { "18446744073709551615", true, { .is_set = true, .number = UINT64_MAX } },
+  { "0", true, { .is_set = true, .value = 0 } },
+  { "12", true, { .is_set = true, .value = 12 } },
+  { "18446744073709551615", true, { .is_set = true, .value = UINT64_MAX } },
   { "18446744073709551616", true, { .is_set = false } },
   { "", true, { .is_set = false } },
   { "abc", true, { .is_set = false } },
@@ -731,11 +731,11 @@
 {
   for (size_t i = 0; i < TEST_COUNT (last_event_cases); i++) {
     const LastEventCase *row = &last_event_cases[i];
-    BurdockCallerRequest caller = { .last_event_id = { .is_set = true, .number = 3 } };
+    BurdockCallerRequest caller = { .last_event_id = { .is_set = true, .value = 3 } };
 
     burdock_exchange_parse_last_event (row->value, &caller);
     if (caller.resumes != row->resumes ||
-        !burdock_event_id_equal (caller.last_event_id, row->id))
+        !burdock_optional_equal (caller.last_event_id, row->id))
       CU_FAIL (row->value);
   }
 }
