Apply a first configuration with the version 0

No caller would be served on a platform whose first configuration has the version 0 and whose store names no era: the gateways read it and did not apply it, as "in conflict" with the one in force, of which there was none.

Change: the stamp says whether it is set, and versions of the own and of other gateways are optional numbers. The heartbeat keeps its form, for a gateway of another version beside: a ready gateway has a configuration, so that its generation 0 is a version.

Rows with the version 0 in test-config-stamp and test-handover-policy.

--- a/gateway/configuration.c
+++ b/gateway/configuration.c
@@ -56,17 +56,20 @@
 burdock_gateway_configuration_check (BurdockGateway *gateway, uint64_t now_us)
 {
   BurdockGatewayControl *control = &gateway->control;
-  uint64_t peer_version = gateway->peer_config_version;
+  BurdockOptional own = burdock_config_stamp_version (&control->config);
+  BurdockOptional reported = burdock_gateway_peer_config (gateway);
+  char own_text[BURDOCK_OPTIONAL_BYTES];
   uint64_t due_us;
 
   if (!burdock_store_lag_is_due (&control->config_lag,
-                                 peer_version > control->config.version, CONFIG_LAG_US,
+                                 burdock_optional_is_above (reported, own), CONFIG_LAG_US,
                                  now_us, &due_us))
     return due_us;
+  burdock_optional_format (own, own_text);
   burdock_log (BURDOCK_LOG_WARNING, "configuration behind", "-",
-               "version %" PRIu64 ", another gateway has %" PRIu64
+               "version %s, another gateway has %" PRIu64
                "; calling the store and that gateway again",
-               control->config.version, peer_version);
+               own_text, reported.value);
   burdock_table_watch_call_again (control->config_watch, CONFIG_LAG_US, now_us);
   burdock_table_watch_call_again (control->upstream_watch, CONFIG_LAG_US, now_us);
   burdock_gateway_handover_ask (gateway, now_us);
--- a/gateway/gateway.h
+++ b/gateway/gateway.h
@@ -275,7 +275,8 @@
  *   before the traffic thread is told of the stop
  * @published_table: &BurdockRouteTable from the control to the traffic thread
  * @peer_config_version: highest version of the configuration that another gateway has
- *   reported, from the traffic to the control thread
+ *   reported, from the traffic to the control thread; valid if @peer_has_config, see
+ *   burdock_gateway_peer_config()
  * @newest_peer: control address of a gateway that has reported this version, as the IP
  *   address and 16 bits for the port; 0 for none
  * @peer_ready: a gateway that is ready was heard
@@ -301,6 +302,7 @@
   BurdockSlot published_table;
   BurdockSlot published_upstreams;
   _Atomic uint64_t peer_config_version;
+  _Atomic bool peer_has_config;
   _Atomic uint64_t newest_peer;
   _Atomic bool peer_ready;
   _Atomic uint64_t peer_store_era;
@@ -376,6 +378,10 @@
  * few heartbeat intervals of the peer */
 bool burdock_gateway_peer_is_alive (const BurdockGatewayPeer *peer, uint64_t now_us);
 
+/** burdock_gateway_peer_config() - highest version of the configuration that another
+ * gateway has reported; callable from both threads */
+BurdockOptional burdock_gateway_peer_config (const BurdockGateway *gateway);
+
 /** burdock_gateway_send_to_peers() - sends the message of @type in @outgoing of the
  * traffic state to all gateways */
 void burdock_gateway_send_to_peers (BurdockGateway *gateway, BurdockMessageType type);
--- a/gateway/handover.c
+++ b/gateway/handover.c
@@ -134,6 +134,16 @@
   burdock_loop_wake_at (control->runtime.loop, burdock_loop_now_us ());
 }
 
+/* Versions of the own configuration and of the highest one of another gateway, for the
+ * log. */
+static void
+format_versions (const BurdockGateway *gateway, char own[BURDOCK_OPTIONAL_BYTES],
+                 char reported[BURDOCK_OPTIONAL_BYTES])
+{
+  burdock_optional_format (burdock_config_stamp_version (&gateway->control.config), own);
+  burdock_optional_format (burdock_gateway_peer_config (gateway), reported);
+}
+
 void
 burdock_gateway_handover_ask (BurdockGateway *gateway, uint64_t now_us)
 {
@@ -144,6 +154,8 @@
   char text[24];
   char source[24];
   char url[URL_BYTES];
+  char own[BURDOCK_OPTIONAL_BYTES];
+  char reported[BURDOCK_OPTIONAL_BYTES];
   BurdockHttpCall call = { .method = "GET",
                            .url = url,
                            .source_ip = source,
@@ -160,9 +172,9 @@
                           sizeof source);
   *strchr (source, ':') = '\0';
   snprintf (url, sizeof url, "http://%s" STATE_PATH, text);
+  format_versions (gateway, own, reported);
   burdock_log (BURDOCK_LOG_INFO, "take over state", text,
-               "own version %" PRIu64 ", reported version %" PRIu64,
-               control->config.version, gateway->peer_config_version);
+               "own version %s, reported version %s", own, reported);
   if (burdock_http_client_start_transfer (control->runtime.client, &call,
                                           &control->handover_transfer) < 0)
     control->handover_transfer = NULL;
@@ -181,12 +193,16 @@
 finish_start (BurdockGateway *gateway)
 {
   BurdockGatewayControl *control = &gateway->control;
-  bool behind = gateway->peer_config_version > control->config.version;
+  bool behind =
+      burdock_optional_is_above (burdock_gateway_peer_config (gateway),
+                                 burdock_config_stamp_version (&control->config));
+  char own[BURDOCK_OPTIONAL_BYTES];
+  char reported[BURDOCK_OPTIONAL_BYTES];
 
   control->handover_done = true;
+  format_versions (gateway, own, reported);
   burdock_log (behind ? BURDOCK_LOG_WARNING : BURDOCK_LOG_INFO, "state complete", "-",
-               "version %" PRIu64 ", reported version %" PRIu64 " taken over %d",
-               control->config.version, gateway->peer_config_version,
+               "version %s, reported version %s taken over %d", own, reported,
                control->handover.taken_over);
   burdock_loop_post (gateway->traffic.runtime.loop, mark_done, gateway);
 }
@@ -204,8 +220,8 @@
     view->listed_us = now_us;
   view->era = control->store.era;
   view->peer_ready = gateway->peer_ready;
-  view->peer_version = gateway->peer_config_version;
-  view->own_version = control->config.version;
+  view->peer_version = burdock_gateway_peer_config (gateway);
+  view->own_version = burdock_config_stamp_version (&control->config);
   switch (burdock_handover_next (view, now_us, &due_us)) {
   case BURDOCK_HANDOVER_WAIT:
     return due_us;
--- a/gateway/peers.c
+++ b/gateway/peers.c
@@ -178,17 +178,36 @@
   send_message (gateway, BURDOCK_MSG_GATEWAY_LOAD, to, count);
 }
 
+BurdockOptional
+burdock_gateway_peer_config (const BurdockGateway *gateway)
+{
+  return gateway->peer_has_config ? burdock_optional (gateway->peer_config_version)
+                                  : (BurdockOptional){ 0 };
+}
+
+/* Version of the configuration of a gateway. A heartbeat without one has the generation
+ * 0, which may also be a version; only a gateway with a configuration is ready. */
+static BurdockOptional
+reported_config (const BurdockGatewayLoadMessage *load)
+{
+  return load->generation > 0 || load->ready ? burdock_optional (load->generation)
+                                             : (BurdockOptional){ 0 };
+}
+
 /* Wakes the control thread if it may have to call the other gateway. */
 static void
 note_configuration (BurdockGateway *gateway, BurdockAddress from,
                     const BurdockGatewayLoadMessage *load)
 {
-  bool newer = load->generation > gateway->peer_config_version;
+  BurdockOptional known = burdock_gateway_peer_config (gateway);
+  BurdockOptional reported = reported_config (load);
+  bool newer = burdock_optional_is_above (reported, known);
 
-  if (load->generation < gateway->peer_config_version || load->generation == 0)
+  if (!newer && !(reported.is_set && burdock_optional_equal (reported, known)))
     return;
   gateway->newest_peer = ((uint64_t)from.ipv4 << PORT_BITS) | from.port;
   gateway->peer_config_version = load->generation;
+  gateway->peer_has_config = true;
   gateway->peer_ready = gateway->peer_ready || load->ready;
   if (newer || !gateway->traffic.handover_done)
     burdock_loop_post (gateway->control.runtime.loop, burdock_gateway_control_wake,
--- a/libburdock/config-stamp.c
+++ b/libburdock/config-stamp.c
@@ -6,7 +6,7 @@
 burdock_config_stamp (uint64_t version, uint64_t era, BurdockBytes text)
 {
   static const uint8_t key[crypto_shorthash_KEYBYTES] = { 0 };
-  BurdockConfigStamp stamp = { .version = version, .era = era };
+  BurdockConfigStamp stamp = { .is_set = true, .version = version, .era = era };
 
   _Static_assert(sizeof stamp.digest == crypto_shorthash_BYTES, "size of the hash");
   crypto_shorthash ((uint8_t *)&stamp.digest, text.data, text.length_bytes, key);
@@ -16,6 +16,8 @@
 BurdockConfigOrder
 burdock_config_order (const BurdockConfigStamp *in_force, const BurdockConfigStamp *read)
 {
+  if (!in_force->is_set)
+    return BURDOCK_CONFIG_NEWER;
   if (read->version != in_force->version)
     return read->version > in_force->version ? BURDOCK_CONFIG_NEWER
                                              : BURDOCK_CONFIG_OLDER;
@@ -26,6 +28,12 @@
   return read->era > in_force->era ? BURDOCK_CONFIG_NEWER : BURDOCK_CONFIG_CONFLICT;
 }
 
+BurdockOptional
+burdock_config_stamp_version (const BurdockConfigStamp *stamp)
+{
+  return stamp->is_set ? burdock_optional (stamp->version) : (BurdockOptional){ 0 };
+}
+
 const char *
 burdock_config_order_name (BurdockConfigOrder order)
 {
@@ -39,7 +47,8 @@
 burdock_config_stamp_replace (BurdockConfigStamp *in_force,
                               const BurdockConfigStamp *read)
 {
-  uint64_t replaced = in_force->version == read->version ? in_force->digest : 0;
+  bool same_version = in_force->is_set && in_force->version == read->version;
+  uint64_t replaced = same_version ? in_force->digest : 0;
 
   *in_force = *read;
   in_force->replaced_digest = replaced;
--- a/libburdock/config-stamp.h
+++ b/libburdock/config-stamp.h
@@ -10,16 +10,19 @@
 #define BURDOCK_CONFIG_STAMP_H
 
 #include "burdock.h"
+#include "optional.h"
 
 /**
  * struct BurdockConfigStamp - identity of a configuration
- * @version: number given by the operator, 0 for no configuration
+ * @is_set: false for no configuration; initialize with zeros
+ * @version: number given by the operator
  * @era: era of the store in which it was read
  * @digest: hash of its text
  * @replaced_digest: hash of the configuration with the same number that it has replaced,
  *   0 for none
  */
 typedef struct {
+  bool is_set;
   uint64_t version;
   uint64_t era;
   uint64_t digest;
@@ -38,10 +41,13 @@
 BurdockConfigStamp burdock_config_stamp (uint64_t version, uint64_t era,
                                          BurdockBytes text);
 
-/** burdock_config_order() - order of @read, beside @in_force */
+/** burdock_config_order() - order of @read, beside @in_force; newer than none */
 BurdockConfigOrder burdock_config_order (const BurdockConfigStamp *in_force,
                                          const BurdockConfigStamp *read);
 
+/** burdock_config_stamp_version() - version of the configuration, none without one */
+BurdockOptional burdock_config_stamp_version (const BurdockConfigStamp *stamp);
+
 /** burdock_config_order_name() - text for the log */
 const char *burdock_config_order_name (BurdockConfigOrder order);
 
--- a/libburdock/handover-policy.c
+++ b/libburdock/handover-policy.c
@@ -28,7 +28,7 @@
 BurdockHandoverStep
 burdock_handover_next (const BurdockHandoverView *view, uint64_t now_us, uint64_t *due_us)
 {
-  bool behind = view->peer_version > view->own_version;
+  bool behind = burdock_optional_is_above (view->peer_version, view->own_version);
 
   *due_us = UINT64_MAX;
   if (view->listed_us == 0)
--- a/libburdock/handover-policy.h
+++ b/libburdock/handover-policy.h
@@ -7,16 +7,15 @@
 #ifndef BURDOCK_HANDOVER_POLICY_H
 #define BURDOCK_HANDOVER_POLICY_H
 
-#include <stdbool.h>
-#include <stdint.h>
+#include "optional.h"
 
 /**
  * struct BurdockHandoverView - what a gateway that starts knows
  * @era: era of the store, 0 if it names none
  * @listed_us: time at which the store had been read, 0 if it has not been read yet
  * @peer_ready: another gateway that is ready was heard
- * @own_version: version of its configuration, 0 for none
- * @peer_version: highest version that another gateway has reported, 0 for none
+ * @own_version: version of its configuration
+ * @peer_version: highest version that another gateway has reported
  * @taken_over: the state of another gateway has been received
  * @failures: calls to other gateways that failed
  * @asked_us: time of the last call, 0 before the first one
@@ -25,8 +24,8 @@
   uint64_t era;
   uint64_t listed_us;
   bool peer_ready;
-  uint64_t own_version;
-  uint64_t peer_version;
+  BurdockOptional own_version;
+  BurdockOptional peer_version;
   bool taken_over;
   uint32_t failures;
   uint64_t asked_us;
--- a/tests/soak/scenarios.py
+++ b/tests/soak/scenarios.py
@@ -353,6 +353,8 @@
         await self.store.put("servers", runner.id, runner.store_row())
         runner.left_at = time.monotonic()
         await asyncio.gather(*callers)
+        if not any(key.endswith(" 200") for key in self.outcome_counts):
+            self.check.add_violation("SETUP", "no request was answered")
         self.check_logs()
 
     def check_logs(self):
@@ -369,10 +371,15 @@
 
 
 class SilentPollNoEraScenario(SilentPollScenario):
-    """The store names no era, as one that was never restored."""
+    """The store names no era, as one that was never restored, and the first configuration has
+    the version 0."""
 
     names_era = False
 
+    def __init__(self, options):
+        super().__init__(options)
+        self.version = 0
+
 
 class SilentPollAllScenario(SilentPollNoEraScenario):
     """All gateways get no answer to their long polls."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,6 +23,9 @@
 # API key: name of its workspace.
 WORKSPACES_BY_KEY = {"key-a": "depot", "key-b": "press"}
 
+# Versions of the configuration grow in uneven steps, from any number on.
+FIRST_VERSIONS = (0, 1, 61, 1 << 40)
+
 # Limits that the users documented, in s: after the start of a shutdown, an upstream gets no
 # new requests; after the last fault, requests are answered again.
 DRAIN_S = 2.0
@@ -136,7 +139,8 @@
         self.logs = options.logs
         self.net = f"127.{options.net}"
         self.store = Store(f"{self.net}.9.1", 8000)
-        self.version, self.outcome_counts = 1, {}
+        self.version = random.Random(f"version {options.seed}").choice(FIRST_VERSIONS)
+        self.outcome_counts = {}
         self.faults_ended_at = False
         self.restoring = False
         self.late_requests = [0, 0]  # answered with 200, all; after the recovery time
--- a/tests/test-config-stamp.c
+++ b/tests/test-config-stamp.c
@@ -20,6 +20,22 @@
 
 static const ReadCase read_cases[] = {
   { "first", { { 4, 1, "a" } }, 1, BURDOCK_CONFIG_NEWER, "a" },
+  { "first version 0", { { 0, 1, "a" } }, 1, BURDOCK_CONFIG_NEWER, "a" },
+  { "first version 0 of a store without eras",
+    { { 0, 0, "a" } },
+    1,
+    BURDOCK_CONFIG_NEWER,
+    "a" },
+  { "next one after version 0",
+    { { 0, 0, "a" }, { 1, 0, "b" } },
+    2,
+    BURDOCK_CONFIG_NEWER,
+    "b" },
+  { "version 0 read again",
+    { { 0, 0, "a" }, { 0, 0, "a" } },
+    2,
+    BURDOCK_CONFIG_SAME,
+    "a" },
   { "next one", { { 4, 1, "a" }, { 7, 1, "b" } }, 2, BURDOCK_CONFIG_NEWER, "b" },
   { "read again", { { 7, 1, "b" }, { 7, 1, "b" } }, 2, BURDOCK_CONFIG_SAME, "b" },
   { "late answer", { { 7, 1, "b" }, { 4, 1, "a" } }, 2, BURDOCK_CONFIG_OLDER, "b" },
@@ -65,6 +81,8 @@
     "b" },
 };
 
+/* Guards against a configuration that is lost or reverts, among them a first one with the
+ * version 0. */
 static void
 a_configuration_never_reverts (void)
 {
