Count a step 0 as the first one that a silent group reports

A group that was silent and whose agents then report the step 0 stayed ejected until a second higher step was reported: the first report was taken for none. Agents of a large group report rarely, so its callers waited for another interval, or until the ejection ended after 3 s.

Cause: the step 0 stood for no report. Change: an optional number.

Measured: test-balancer plays the recovery from the steps 12, 1, 0 and 2^40: it fails from 0 before, now none does.

--- a/libburdock/balancer-private.h
+++ b/libburdock/balancer-private.h
@@ -11,6 +11,7 @@
 #define BURDOCK_BALANCER_PRIVATE_H
 
 #include "balancer.h"
+#include "optional.h"
 #include "rate-share.h"
 
 #include <apr_hash.h>
@@ -43,8 +44,8 @@
   double relative_gap_sum;      /* gaps as multiples of their target */
   double credit;                /* waiting requests that this gateway may place now */
   Liveness liveness;
-  uint64_t silent_step;      /* first step reported since the group was marked silent */
-  uint32_t silent_step_rank; /* rank that reported it */
+  BurdockOptional silent_step; /* first step reported since it was marked silent */
+  uint32_t silent_step_rank;   /* rank that reported it */
 } Group;
 
 /* Interval of burdock_balancer_tick(). */
--- a/libburdock/balancer.c
+++ b/libburdock/balancer.c
@@ -337,10 +337,11 @@
 {
   if (group->liveness.silent_until_us == 0)
     return;
-  if (group->silent_step == 0) {
-    group->silent_step = step;
+  if (!group->silent_step.is_set) {
+    group->silent_step = burdock_optional (step);
     group->silent_step_rank = rank;
-  } else if (step > group->silent_step + (rank != group->silent_step_rank ? 1 : 0)) {
+  } else if (step >
+             group->silent_step.value + (rank != group->silent_step_rank ? 1 : 0)) {
     group->liveness.silent_until_us = 0;
   }
 }
@@ -610,7 +611,7 @@
       now_us >= node->group->liveness.last_activity_us + SILENCE_MIN_US) {
     if (!mark_silent (&node->group->liveness, now_us))
       return false;
-    node->group->silent_step = 0;
+    node->group->silent_step = (BurdockOptional){ 0 };
     return true;
   }
   return mark_silent (&node->liveness, now_us);
--- a/tests/test-balancer.c
+++ b/tests/test-balancer.c
@@ -222,9 +222,10 @@
 }
 
 /* Guards against a recovered group that stays ejected: it has no requests left whose data
- * could show that it runs, so the steps that its agents report must do. */
+ * could show that it runs, so the steps that its agents report must do, wherever their
+ * numbers begin. */
 static void
-advancing_steps_end_the_ejection_of_a_group (void)
+advance_from_step (uint64_t step)
 {
   Fixture fixture;
 
@@ -233,21 +234,30 @@
   burdock_balancer_report_silence (fixture.balancer, 1, 900 * US_PER_MS, fixture.now_us);
   /* This step may have begun before the group was marked silent. */
   advance_time (&fixture, 100 * US_PER_MS);
-  report_step (&fixture, 0, 12);
+  report_step (&fixture, 0, step);
   submit (&fixture, 0);
   CU_ASSERT_EQUAL (fixture.placed, 0);
   advance_time (&fixture, 500 * US_PER_MS);
-  report_step (&fixture, 0, 12);
+  report_step (&fixture, 0, step);
   submit (&fixture, 0);
   CU_ASSERT_EQUAL (fixture.placed, 0);
   advance_time (&fixture, 100 * US_PER_MS);
-  report_step (&fixture, 0, 13);
+  report_step (&fixture, 0, step + 1);
   submit (&fixture, 0);
   CU_ASSERT_EQUAL (fixture.placed, 1);
   CU_ASSERT_EQUAL (fixture.refusals, 2);
   burdock_balancer_free (fixture.balancer);
 }
 
+static void
+advancing_steps_end_the_ejection_of_a_group (void)
+{
+  static const uint64_t steps[] = { 12, 1, 0, UINT64_C (1) << 40 };
+
+  for (size_t i = 0; i < TEST_COUNT (steps); i++)
+    advance_from_step (steps[i]);
+}
+
 /* In a large group each agent reports rarely. Guards against a recovered group that stays
  * ejected until one agent has reported twice, and against taking two ranks that report
  * the last two steps before the silence for progress. */
