Know the tokens of steps in a group that begins at step 0

The coordinator of a group whose ranks report the step 0 at the end of its first interval did not know for one more interval how many tokens a step has, and planned without it.

Cause: the step 0 stood for no earlier interval. Change: an optional number, set with the first report. Measured: the new table of test-planner fails before (step 0) and passes now.

--- a/libburdock/group-load.c
+++ b/libburdock/group-load.c
@@ -127,14 +127,15 @@
 update_step_tokens (BurdockGroupLoad *load)
 {
   const BurdockRankLoad *first = &load->reports[0];
-  uint64_t steps = first->step - first->interval_step;
+  const BurdockOptional *began = &first->interval_step;
   double sum = 0;
 
   for (uint32_t r = 0; r < load->ranks; r++)
     sum += (double)load->reports[r].tokens;
   load->step_tokens = 0;
-  if (first->interval_step != 0 && first->step > first->interval_step)
-    load->step_tokens = sum / load->ranks / load->layers / (double)steps;
+  if (began->is_set && first->step > began->value)
+    load->step_tokens =
+        sum / load->ranks / load->layers / (double)(first->step - began->value);
 }
 
 void
@@ -151,7 +152,8 @@
     load->reports[r].pause_us = 0;
     load->reports[r].reported = false;
     load->reports[r].tokens = 0;
-    load->reports[r].interval_step = load->reports[r].step;
+    if (load->reports[r].last_report_us > 0)
+      load->reports[r].interval_step = burdock_optional (load->reports[r].step);
   }
 }
 
--- a/libburdock/group-load.h
+++ b/libburdock/group-load.h
@@ -9,13 +9,14 @@
 
 #include "expert-map.h"
 #include "message.h"
+#include "optional.h"
 #include "popularity.h"
 
 /** struct BurdockRankLoad - reports of one rank */
 typedef struct {
   uint64_t last_report_us; /* 0 before the first report */
   uint64_t step;
-  uint64_t interval_step; /* step when the interval began */
+  BurdockOptional interval_step; /* step when the interval began, none in the first */
   uint32_t step_time_us;
   uint32_t pause_us; /* since the interval began */
   uint64_t tokens;   /* since the interval began */
--- a/tests/test-planner.c
+++ b/tests/test-planner.c
@@ -216,6 +216,48 @@
   burdock_expert_map_clear (&map);
 }
 
+typedef struct {
+  uint64_t steps[2]; /* of the reports that end two intervals */
+  double step_tokens;
+} StepTokensCase;
+
+static const StepTokensCase step_tokens_cases[] = {
+  { { 0, 10 }, 10 }, { { 1, 11 }, 10 },
+  { { 0, 1 }, 100 }, { { UINT64_C (1) << 40, (UINT64_C (1) << 40) + 4 }, 25 },
+  { { 0, 0 }, 0 }, /* no step in the interval */
+  { { 7, 2 }, 0 }, /* an engine that started again */
+};
+
+/* Guards against tokens per step that are not known for one more interval, in a group
+ * whose first report is of step 0. */
+static void
+tokens_of_steps_are_known_from_any_step_on (void)
+{
+  for (size_t i = 0; i < TEST_COUNT (step_tokens_cases); i++) {
+    const StepTokensCase *test = &step_tokens_cases[i];
+    BurdockExpertMap map;
+    BurdockGroupLoad load;
+
+    burdock_expert_map_init (&map, 1, 1, 1);
+    burdock_expert_map_spread (&map, 1);
+    burdock_group_load_init (&load, 1, 1, 1);
+    for (uint32_t interval = 0; interval < 2; interval++) {
+      uint8_t tokens[4] = { 0, 0, 0, 100 };
+      BurdockPopularityMessage message = { .step = test->steps[interval],
+                                           .step_time_us = 900,
+                                           .tokens = { tokens, 4 } };
+
+      burdock_group_load_add_report (&load, &message, &map, interval + 1);
+      burdock_group_load_end_interval (&load);
+      if (interval == 0)
+        CU_ASSERT_DOUBLE_EQUAL (load.step_tokens, 0, 0.01);
+    }
+    CU_ASSERT_DOUBLE_EQUAL (load.step_tokens, test->step_tokens, 0.01);
+    burdock_group_load_clear (&load);
+    burdock_expert_map_clear (&map);
+  }
+}
+
 /* Guards against metrics of a group that are missing or wrong, and against metrics of
  * groups that this process no longer coordinates. */
 static void
@@ -257,6 +299,8 @@
   { "noise counts as a surge, or a surge as noise", surge_is_distinguished_from_noise },
   { "an idle interval resets the estimate", idle_interval_changes_nothing },
   { "a loaded rank counts as a straggler", loaded_rank_is_not_a_straggler },
+  { "the tokens of steps are not known in a group that begins at step 0",
+    tokens_of_steps_are_known_from_any_step_on },
 };
 
 int
