Do not take a missing number of a token line for 0

An engine that ended a token stream without the number of its tokens, before the first one, had its answer taken for a complete one of 0 tokens. A token without an index, or with one beyond 32 bits, was taken for another token, mostly the first.

Cause: json_integer_value() gives 0 for what is missing or no number, and the cast cuts larger ones. docs/platform.md: {"index":i,"token":"text"} and {"end":true,"tokens":n}, where both may be 0.

Change: such a line is malformed, and the stream fails as with any other one.

--- a/daemon/engine.c
+++ b/daemon/engine.c
@@ -190,6 +190,19 @@
           burdock_loop_now_us () - stream->cancelled_at_us > CANCEL_TIMEOUT_US);
 }
 
+/* Reads member @name of @root; false if it is missing or no number of 32 bits. */
+static bool
+read_u32 (const json_t *root, const char *name, uint32_t *out)
+{
+  const json_t *value = json_object_get (root, name);
+
+  if (!json_is_integer (value) || json_integer_value (value) < 0 ||
+      json_integer_value (value) > UINT32_MAX)
+    return false;
+  *out = (uint32_t)json_integer_value (value);
+  return true;
+}
+
 /* Handles one line of a token stream. */
 static int
 handle_line (void *ctx, const char *line, size_t line_bytes)
@@ -198,6 +211,7 @@
   BurdockEngineEvent event = { .kind = BURDOCK_ENGINE_EVENT_TOKEN };
   json_t *root;
   json_t *token;
+  uint32_t number;
 
   if (is_unwanted (pending))
     return -ECANCELED;
@@ -209,15 +223,14 @@
   }
   root = json_loadb (line, line_bytes, 0, NULL);
   token = json_object_get (root, "token");
-  if (json_is_string (token))
+  if (json_is_string (token) && read_u32 (root, "index", &number))
     emit (pending, (BurdockEngineEvent){ .kind = BURDOCK_ENGINE_EVENT_TOKEN,
-                                         .index = (uint32_t)json_integer_value (
-                                             json_object_get (root, "index")),
+                                         .index = number,
                                          .body = string_bytes (token) });
-  else if (json_is_true (json_object_get (root, "end")))
+  else if (!json_is_string (token) && json_is_true (json_object_get (root, "end")) &&
+           read_u32 (root, "tokens", &number))
     emit (pending, (BurdockEngineEvent){ .kind = BURDOCK_ENGINE_EVENT_DONE,
-                                         .token_count = (uint32_t)json_integer_value (
-                                             json_object_get (root, "tokens")) });
+                                         .token_count = number });
   else
     fail (pending, -EIO);
   json_decref (root);
--- a/tests/test-upstream.c
+++ b/tests/test-upstream.c
@@ -332,6 +332,23 @@
     CHUNKED "2\r\nx\n\r\n0\r\n\r\n", "", NULL, NULL },
   { "token that is not UTF-8", BURDOCK_ENGINE_GENERATE, 0, -EIO, 0,
     CHUNKED "19\r\n{\"index\":0,\"token\":\"a\xff\"}\n\r\n0\r\n\r\n", "", NULL, NULL },
+  { "token without an index", BURDOCK_ENGINE_GENERATE, 0, -EIO, 0,
+    "200 {\"token\":\"a\"}\n{\"end\":true,\"tokens\":1}\n", "", NULL, NULL },
+  { "index that is text", BURDOCK_ENGINE_GENERATE, 0, -EIO, 0,
+    "200 {\"index\":\"0\",\"token\":\"a\"}\n{\"end\":true,\"tokens\":1}\n", "", NULL,
+    NULL },
+  { "index beyond 32 bits", BURDOCK_ENGINE_GENERATE, 0, -EIO, 0,
+    "200 {\"index\":4294967296,\"token\":\"a\"}\n{\"end\":true,\"tokens\":1}\n", "", NULL,
+    NULL },
+  { "negative index", BURDOCK_ENGINE_GENERATE, 0, -EIO, 0,
+    "200 {\"index\":-4294967296,\"token\":\"a\"}\n{\"end\":true,\"tokens\":1}\n", "",
+    NULL, NULL },
+  { "end without the number of tokens", BURDOCK_ENGINE_GENERATE, 0, -EIO, 0,
+    "200 {\"end\":true}\n", "", NULL, NULL },
+  { "end with a number beyond 32 bits", BURDOCK_ENGINE_GENERATE, 0, -EIO, 0,
+    "200 {\"end\":true,\"tokens\":4294967296}\n", "", NULL, NULL },
+  { "end of an answer without tokens", BURDOCK_ENGINE_GENERATE, 0, 0, 0,
+    "200 {\"end\":true,\"tokens\":0}\n", "", NULL, NULL },
   { "engine full", BURDOCK_ENGINE_GENERATE, 0, -EAGAIN, 0, "429 ", "", NULL, NULL },
   { "engine joining", BURDOCK_ENGINE_GENERATE, 0, -EAGAIN, 0, "409 ", "", NULL, NULL },
   { "response of a service", BURDOCK_ENGINE_CALL, 0, 0, 0, "200 {\"answer\":\"y\"}", "y",
@@ -370,7 +387,8 @@
 }
 
 /* Guards against a response or token stream of the upstream that is truncated, or
- * reported with the wrong status. */
+ * reported with the wrong status, and against a number that is missing and taken for 0.
+ */
 static void
 upstream_responses_map_to_events (void)
 {
