Read the quarantine of the prompt part 0

Gateways wrote the quarantine of a prompt part with the id 0 to the store and ignored its row when they read it, so that it was forgotten once all of them had started again, and the part went on to crash upstreams.

Cause: the part 0 stood for a key that is none. A key that is none is told by comparison with the text of the number that was read.

The row "0" of test-platform-decode asked for the fault; rows for keys that are still none ("", "00", "-0") take its place beside it.

--- a/tests/test-platform-decode.c
+++ b/tests/test-platform-decode.c
@@ -514,7 +514,10 @@
   { "a1", "[" SOUND_CRASH "]", 0 },
   { "a1", "", 0 },
   { "a1", "\xff", 0 },
-  { "0", "{\"crashes\":[" SOUND_CRASH "]}", 0 },
+  { "0", "{\"crashes\":[" SOUND_CRASH "]}", 1 },
+  { "", "{\"crashes\":[" SOUND_CRASH "]}", 0 },
+  { "00", "{\"crashes\":[" SOUND_CRASH "]}", 0 },
+  { "-0", "{\"crashes\":[" SOUND_CRASH "]}", 0 },
   { "-1", "{\"crashes\":[" SOUND_CRASH "]}", 0 },
   { "A1", "{\"crashes\":[" SOUND_CRASH "]}", 0 },
   { "0xa1", "{\"crashes\":[" SOUND_CRASH "]}", 0 },
@@ -525,7 +528,8 @@
 };
 
 /* Guards against a quarantine, and a removal, of a part that the row of another writer is
- * not about, and against one that never ends because its crashes are in the future. */
+ * not about, against one that never ends because its crashes are in the future, and
+ * against one of the part 0 that is lost with the last gateway. */
 static void
 only_sound_evidence_is_read (void)
 {
