Do not take what is missing in the report of a rank for 0

The report of a runner without its rank made its agent take the place of rank 0, one without its epoch or size those of epoch 0, and a map, an armed map or a held step that was no number counted as the initial map, as none armed and as none held, so that a coordinator could switch maps beside them.

Cause: a missing or unreadable number gave 0.

--- a/tests/test-platform-client.c
+++ b/tests/test-platform-client.c
@@ -619,10 +619,24 @@
   REPORT ("1", HUGE_NUMBER, HUGE_NUMBER, "5"),
   REPORT ("-1", "0", "4", "5"),
   REPORT (HUGE_NUMBER, "0", "4", "5"),
+  REPORT ("null", "0", "4", "5"),
+  REPORT ("1", "null", "4", "5"),
+  REPORT ("1", "0", "null", "5"),
+  REPORT ("1", "0", "4", "null"),
+  REPORT ("1", "0", "4", "5,\"mapping\":\"4\""),
+  REPORT ("1", "0", "4", "5,\"mapping\":{}"),
+  REPORT ("1", "0", "4", "5,\"mapping\":{\"version\":null}"),
+  REPORT ("1", "0", "4", "5,\"preloaded\":-7"),
+  REPORT ("1", "0", "4", "5,\"enabled\":\"7\""),
+  REPORT ("1", "0", "4", "5,\"enabled\":{\"step\":7}"),
+  REPORT ("1", "0", "4", "5,\"enabled\":{\"version\":7,\"step\":\"70\"}"),
+  REPORT ("1", "0", "4", "5,\"held\":" HUGE_NUMBER),
+  REPORT ("1", "0", "4", "5,\"held\":[70]"),
 };
 
 /* Guards against an agent that takes the place of another rank, or joins another group,
- * because a number of the report is wrapped or taken for 0, or a name is cut. */
+ * because a number of the report is wrapped or taken for 0, or a name is cut, and against
+ * a rank that is taken for one on its initial map, or for one that holds no step. */
 static void
 odd_reports_are_rejected (void)
 {
