Ignore the row of an upstream whose start is no number

A row whose "born" was a text or an object was used as that of an upstream whose start is not known.

Cause: what is no number was read as 0, which stands for a start that is not stated: "the Unix millisecond of its start" is never 0.

--- a/tests/test-platform-decode.c
+++ b/tests/test-platform-decode.c
@@ -68,6 +68,15 @@
   { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":12,"
     "\"state\":\"available\",\"born\":-1}",
     0, false },
+  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":12,"
+    "\"state\":\"available\",\"born\":null}",
+    0, false },
+  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":12,"
+    "\"state\":\"available\",\"born\":\"1764860000000\"}",
+    -EINVAL, false },
+  { "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":12,"
+    "\"state\":\"available\",\"born\":{}}",
+    -EINVAL, false },
   { "[1,2]", -EINVAL, false },
   { "\xff\xfe{", -EINVAL, false },
   { "", -EINVAL, false },
