Do not take text in the header of the store's era for an era

A store that answered once with an era of -1, or beyond 64 bits, would have had none of its later answers accepted: strtoull() gives the highest number for both, and no lower era is accepted any more.

Cause: as with Last-Event-Id, text that is no number was read as one; 0 is none, as eras begin at 1 (docs/platform.md). Measured: test-upstream fails before for three new rows of five and passes now.

--- a/daemon/http-client.c
+++ b/daemon/http-client.c
@@ -538,6 +538,17 @@
   return header->value;
 }
 
+BurdockOptional
+burdock_http_transfer_number (BurdockHttpTransfer *transfer, const char *name)
+{
+  const char *value = burdock_http_transfer_header (transfer, name);
+  BurdockOptional number = { 0 };
+
+  if (value != NULL)
+    burdock_optional_parse (value, strlen (value), &number);
+  return number;
+}
+
 bool
 burdock_http_transfer_is_first (const BurdockHttpTransfer *transfer)
 {
--- a/daemon/http-client.h
+++ b/daemon/http-client.h
@@ -9,6 +9,7 @@
 #define BURDOCK_HTTP_CLIENT_H
 
 #include "loop.h"
+#include "optional.h"
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -138,6 +139,11 @@
 const char *burdock_http_transfer_header (BurdockHttpTransfer *transfer,
                                           const char *name);
 
+/** burdock_http_transfer_number() - number in a response header; none if it is missing or
+ * no decimal number of 64 bits */
+BurdockOptional burdock_http_transfer_number (BurdockHttpTransfer *transfer,
+                                              const char *name);
+
 /** burdock_http_transfer_is_first() - whether no other request was sent on the connection
  * of a transfer before; valid in the callbacks */
 bool burdock_http_transfer_is_first (const BurdockHttpTransfer *transfer);
--- a/daemon/http-store.c
+++ b/daemon/http-store.c
@@ -149,9 +149,10 @@
 answer_head (void *ctx, BurdockHttpTransfer *transfer, int32_t http_status)
 {
   PendingCall *pending = ctx;
-  const char *era = burdock_http_transfer_header (transfer, ERA_HEADER);
+  BurdockOptional era = burdock_http_transfer_number (transfer, ERA_HEADER);
 
-  pending->era = era != NULL ? strtoull (era, NULL, 10) : 0;
+  /* Eras begin at 1, so that 0 is none. */
+  pending->era = era.is_set ? era.value : 0;
   return 0;
 }
 
--- a/tests/test-upstream.c
+++ b/tests/test-upstream.c
@@ -122,29 +122,40 @@
     0, "", "GET /instances HTTP" },
 };
 
-static const char *const era_responses[] = {
-  "200 <Burdock-Store-Era: 4>{\"key\":\"a\",\"value\":\"v\",\"version\":7}",
-  "404 <Burdock-Store-Era: 4>",
-  "503 <Burdock-Store-Era: 4>",
+typedef struct {
+  const char *response;
+  uint64_t era; /* 0 for none */
+} EraCase;
+
+static const EraCase era_cases[] = {
+  { "200 <Burdock-Store-Era: 4>{\"key\":\"a\",\"value\":\"v\",\"version\":7}", 4 },
+  { "404 <Burdock-Store-Era: 4>", 4 },
+  { "503 <Burdock-Store-Era: 4>", 4 },
+  { "404 <Burdock-Store-Era: -1>", 0 },
+  { "404 <Burdock-Store-Era: 4x>", 0 },
+  { "404 <Burdock-Store-Era: 18446744073709551616>", 0 },
+  { "404 <Burdock-Store-Era: 18446744073709551615>", UINT64_MAX },
+  { "404 <X-Era: 4>", 0 },
 };
 
-/* Guards against an era of the store that only some of its answers tell. */
+/* Guards against an era of the store that only some of its answers tell, and against text
+ * that is taken for an era: no era that is lower is accepted any more. */
 static void
 responses_tell_the_era (void)
 {
-  for (uint32_t i = 0; i < TEST_COUNT (era_responses); i++) {
+  for (uint32_t i = 0; i < TEST_COUNT (era_cases); i++) {
     BurdockStoreCall call = {
       .id = 5, .op = BURDOCK_STORE_ROW_GET, .key = "a", .timeout_ms = TIMEOUT_MS
     };
     BurdockHttpStore *store;
     Fixture fixture;
 
-    open_fixture (&fixture, &era_responses[i], 1);
+    open_fixture (&fixture, &era_cases[i].response, 1);
     store = burdock_http_store_new (fixture.client, fixture.url, on_result, &fixture);
     CU_ASSERT_EQUAL (burdock_http_store_call (store, &call), 0);
     burdock_loop_run (fixture.loop);
     close_fixture (&fixture);
-    CU_ASSERT_EQUAL (fixture.store.era, 4);
+    CU_ASSERT_EQUAL (fixture.store.era, era_cases[i].era);
     burdock_http_store_free (store);
   }
 }
