--- a/tests/test-attempt-policy.c
+++ b/tests/test-attempt-policy.c
@@ -22,6 +22,13 @@
     .send_count = (send_count_), .answer_started = (started), .enough_time = (time)      \
   }
 
+/* A stream that broke off after an event whose id is no number. */
+#define PAST_LAST_ID                                                                     \
+  {                                                                                      \
+    .route = &resumable, .result = BURDOCK_ATTEMPT_TRUNCATED, .run_count = 1,            \
+    .send_count = 1, .answer_started = true, .past_last_id = true, .enough_time = true   \
+  }
+
 static const ActionCase action_cases[] = {
   { "complete answer", STATE (once, BURDOCK_ATTEMPT_COMPLETE, 1, 1, false, true),
     BURDOCK_ACTION_FORWARD },
@@ -57,14 +64,7 @@
     STATE (resumable, BURDOCK_ATTEMPT_NOT_RUN, 1, 4, true, true), BURDOCK_ACTION_WAIT },
   { "the same, shortly before its deadline",
     STATE (resumable, BURDOCK_ATTEMPT_NOT_RUN, 1, 4, true, false), BURDOCK_ACTION_ABORT },
-  { "resumable stream truncated after an event whose id is no number",
-    { .route = &resumable,
-      .result = BURDOCK_ATTEMPT_TRUNCATED,
-      .run_count = 1,
-      .send_count = 1,
-      .answer_started = true,
-      .past_last_id = true,
-      .enough_time = true },
+  { "resumable stream truncated after an event whose id is no number", PAST_LAST_ID,
     BURDOCK_ACTION_ABORT },
   { "resumable stream truncated twice",
     STATE (resumable, BURDOCK_ATTEMPT_TRUNCATED, 2, 2, true, true),
@@ -127,14 +127,7 @@
   { "the same, shortly before its deadline",
     STATE (resumable, BURDOCK_ATTEMPT_TRUNCATED, 1, 1, true, false),
     BURDOCK_ACTION_ABORT },
-  { "truncated stream after an event whose id is no number",
-    { .route = &resumable,
-      .result = BURDOCK_ATTEMPT_TRUNCATED,
-      .run_count = 1,
-      .send_count = 1,
-      .answer_started = true,
-      .past_last_id = true,
-      .enough_time = true },
+  { "truncated stream after an event whose id is no number", PAST_LAST_ID,
     BURDOCK_ACTION_ABORT },
   { "truncated stream that may not be resumed",
     STATE (stream, BURDOCK_ATTEMPT_TRUNCATED, 1, 1, true, true), BURDOCK_ACTION_ABORT },
