--- a/review/lib-3/bed.py
+++ b/review/lib-3/bed.py
@@ -67,15 +67,13 @@
 
     def __init__(self, bed, name, arguments):
         self.bed, self.name, self.arguments, self.process = bed, name, arguments, None
-        self.output = None  # descriptor for the standard output; a log file if None
 
     async def start(self):
         log = open(os.path.join(self.bed.folder, self.name + ".log"), "ab")
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG")
                        if name in os.environ}
-        output = log if self.output is None else self.output
         self.process = await asyncio.create_subprocess_exec(
-            *self.arguments, stdout=output, stderr=log, cwd=ROOT, env=environment)
+            *self.arguments, stdout=log, stderr=log, cwd=ROOT, env=environment)
         log.close()
 
     def send_signal(self, number):
