review: show that keys are compared by 127 characters

ROUTE: beside a key of 127 characters in the manifest, requests with that key and more behind it, which no manifest holds, run as that tenant's; a longer key of another tenant that begins with it runs as the wrong tenant's (UNASKED).

--- a/review/lib-3/bed.py
+++ b/review/lib-3/bed.py
@@ -160,11 +160,11 @@
             await process.end()
 
 
-def request_head(method, target, attempt, deadline_ms, lines=()):
+def request_head(method, target, attempt, deadline_ms, lines=(), key=API_KEY):
     """Head of a request of a client, with its empty line."""
     lines = [f"{method} {target} HTTP/1.1", "Host: ficu95.example",
              f"Burdockwind-Attempt-Id: {attempt}", f"Burdockwind-Deadline-Ms: {deadline_ms}",
-             f"Authorization: Bearer {API_KEY}", *lines]
+             f"Authorization: Bearer {key}", *lines]
     return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
 
@@ -217,5 +217,5 @@
             "tenants": [{"name": TENANT, "apiKeys": [API_KEY], "priority": 1}]}
 
 
-__all__ = ["Bed", "CannotRun", "HttpServer", "manifest", "play", "read_answer", "request_head",
-           "server_row"]
+__all__ = ["API_KEY", "TENANT", "Bed", "CannotRun", "HttpServer", "manifest", "play", "read_answer",
+           "request_head", "server_row"]
--- a/review/lib-3/plain.py
+++ b/review/lib-3/plain.py
@@ -2,7 +2,7 @@
 import asyncio
 import time
 
-from bed import HttpServer, manifest, read_answer, request_head, server_row
+from bed import API_KEY, HttpServer, manifest, read_answer, request_head, server_row
 
 SERVICE = "booking-app"
 RUNNERS = 3
@@ -16,6 +16,7 @@
         self.record, self.ip, self.respond = record, ip, respond
         self.id = f"i-{number:08x}"
         self.runs = []  # (attempt, method, target, body)
+        self.tenants = []  # (attempt, tenant)
         self.http = HttpServer(ip, 9000, self.handle)
 
     async def handle(self, method, target, headers, body, writer):
@@ -25,6 +26,7 @@
                                        ("Burdockwind-Instance-Id", self.id)], b""))
             return True
         self.runs.append((attempt, method, target, body))
+        self.tenants.append((attempt, headers.get("burdockwind-tenant")))
         self.record.add(f"{self.id} runs {attempt}: {method} {target}, body of {len(body)} bytes")
         status, more, answer = self.respond(method, target, headers, body)
         data = message(status, [("Burdockwind-Attempt-Id", attempt),
@@ -47,17 +49,18 @@
             "maxAttempts": 2, "public": False}
 
 
-async def start(bed, record, respond):
-    """Starts store, runners and one gateway; returns the runners."""
+async def start(bed, record, respond, tenants=None):
+    """Starts store, runners and one gateway; returns the runners. The manifest has one tenant if
+    tenants is None."""
     await bed.store.http.start()
     runners = [PlainRunner(record, f"{bed.net}.3.{n + 1}", n + 1, respond) for n in range(RUNNERS)]
     for runner in runners:
         await runner.http.start()
         row = server_row(SERVICE, f"{runner.ip}:9000", "akl-a", 6, int(time.time() * 1000))
         await bed.store.put("servers", runner.id, row)
-    await bed.store.put("op", "config", manifest(7, [
-        route("slot-booking", "/once/", "non_idempotent"),
-        route("slot-lookup", "/safe/", "idempotent")], [{"name": SERVICE}]))
+    config = manifest(7, [route("slot-booking", "/once/", "non_idempotent"),
+                          route("slot-lookup", "/safe/", "idempotent")], [{"name": SERVICE}])
+    await bed.store.put("op", "config", {**config, "tenants": tenants or config["tenants"]})
     await bed.gateway(0).start()
     await bed.until_ready(1)
     return runners
@@ -69,14 +72,14 @@
     def __init__(self, bed, record):
         self.bed, self.record, self.streams = bed, record, None
 
-    async def exchange(self, method, target, attempt, lines=(), body=b""):
+    async def exchange(self, method, target, attempt, lines=(), body=b"", key=API_KEY):
         """Sends a request and returns (status, body), or None if the channel ends without a whole
         answer."""
         if self.streams is None:
             self.streams = await asyncio.open_connection(self.bed.gateway_ip(0), 8227)
         reader, writer = self.streams
         head = request_head(method, target, attempt, 1500,
-                            [*lines, f"Content-Length: {len(body)}"] if body else lines)
+                            [*lines, f"Content-Length: {len(body)}"] if body else lines, key)
         self.record.add(f"{attempt} sent: {method} {target}, head of {len(head)} bytes, "
                         f"body of {len(body)} bytes")
         try:
