--- a/review/12/play.py
+++ b/review/12/play.py
@@ -1,18 +1,18 @@
-"""Requests with keys that differ from a tenant's key only behind its 127th character."""
+"""Look-ups with a method of more than seven letters, and look-ups by GET that have a body."""
 import os
 import sys
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "lib-3"))
 
-import plain  # noqa: E402
-from bed import API_KEY, TENANT, play  # noqa: E402
+from bed import play  # noqa: E402
+from plain import Channel, start  # noqa: E402
 
-# Keys of 127 characters and more, as signed tokens have them; the pages set no length.
-LONG_KEY = "".join(f"{n:04x}" for n in range(40))[:127]
-LONGER_KEY = LONG_KEY + "-ham-c"
-TENANTS = {API_KEY: TENANT, LONG_KEY: "lino204", LONGER_KEY: "vasu118"}
-UNKNOWN_KEYS = (LONG_KEY + "x", LONG_KEY + "-akl-b", LONGER_KEY[:-1])
+QUERY = b'{"from":"2026-12-07","to":"2026-12-14"}'
+
+# Method and body; the first ones are also sent without trouble.
+PLAIN = (("GET", b""), ("POST", QUERY), ("PUT", QUERY), ("DELETE", b""), ("OPTIONS", b""))
+UNUSUAL = (("PROPFIND", QUERY), ("SUBSCRIBE", b""), ("GET", QUERY), ("MKCALENDAR", QUERY))
 ROUNDS = 3
 
 
@@ -21,25 +21,20 @@
 
 
 async def case(bed, record, trouble):
-    tenants = [{"name": name, "apiKeys": [key], "priority": 1} for key, name in TENANTS.items()]
-    runners = await plain.start(bed, record, respond, tenants)
-    channel, sent = plain.Channel(bed, record), {}
-    keys = [API_KEY, LONG_KEY] + ([LONGER_KEY, *UNKNOWN_KEYS] if trouble else [LONG_KEY[:-1]])
+    runners = await start(bed, record, respond)
+    channel, sent = Channel(bed, record), {}
     for number in range(ROUNDS):
-        for key in keys:
+        for method, body in PLAIN + (UNUSUAL if trouble else ()):
             attempt = f"{number:08x}{len(sent):08x}"
-            sent[attempt] = key
-            await channel.exchange("GET", f"/safe/{number}/slots", attempt, key=key)
+            target = f"/safe/{number}/slots?zone=akl-a"
+            sent[attempt] = (method, target, body)
+            await channel.exchange(method, target, attempt, (), body)
     channel.close()
     for runner in runners:
-        for attempt, tenant in runner.tenants:
-            key = sent[attempt]
-            if key not in TENANTS:
-                record.add_violation("ROUTE", f"{attempt} ran, as {tenant}, with the key {key}, "
-                                              f"which no manifest holds")
-            elif TENANTS[key] != tenant:
-                record.add_violation("UNASKED", f"{attempt} ran as {tenant} with the key {key} "
-                                                f"of {TENANTS[key]}")
+        for attempt, method, target, body in runner.runs:
+            if sent.get(attempt) != (method, target, body):
+                record.add_violation("UNASKED", f"{attempt} was sent as {sent.get(attempt)} and "
+                                                f"run as {(method, target, body)}")
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/review/13/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+exec python3 -B "$(dirname "$0")/play.py"
