review: show that long queries hang gateways

CONFIG: one client sends a look-up with 400 fields in its query (a head of 5 KB) each 0.5 s to three gateways in turn.

daemon/http-server.c keeps a pointer to a connection that libmicrohttpd has freed: requests that were never presented to the application are not notified of their end.

--- a/review/lib-3/bed.py
+++ b/review/lib-3/bed.py
@@ -94,7 +94,7 @@
         self.net = free_net()
         self.store_address = f"{self.net}.9.1:8000"
         self.store = Store(f"{self.net}.9.1", 8000)
-        self.processes = []
+        self.processes, self.ended = [], False
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.roles = tomllib.load(file)["roles"]
 
@@ -156,6 +156,7 @@
             return False
 
     async def end(self):
+        self.ended = True
         for process in self.processes:
             await process.end()
 
--- a/review/lib-3/plain.py
+++ b/review/lib-3/plain.py
@@ -7,6 +7,9 @@
 SERVICE = "booking-app"
 RUNNERS = 3
 
+# Of all routes, in ms.
+TIMEOUT_MS = 800
+
 
 class PlainRunner:
     """Runs each request once and answers as respond(method, target, headers, body) says, with
@@ -45,12 +48,12 @@
 
 def route(name, prefix, kind):
     return {"name": name, "host": "ficu95.example", "prefix": prefix, "priority": 2,
-            "service": SERVICE, "routeType": kind, "timeoutMs": 1500, "sloMs": 300,
+            "service": SERVICE, "routeType": kind, "timeoutMs": TIMEOUT_MS, "sloMs": 300,
             "maxAttempts": 2, "public": False}
 
 
-async def start(bed, record, respond, tenants=None):
-    """Starts store, runners and one gateway; returns the runners. The manifest has one tenant if
+async def start(bed, record, respond, tenants=None, gateways=1):
+    """Starts store, runners and gateways; returns the runners. The manifest has one tenant if
     tenants is None."""
     await bed.store.http.start()
     runners = [PlainRunner(record, f"{bed.net}.3.{n + 1}", n + 1, respond) for n in range(RUNNERS)]
@@ -61,8 +64,9 @@
     config = manifest(7, [route("slot-booking", "/once/", "non_idempotent"),
                           route("slot-lookup", "/safe/", "idempotent")], [{"name": SERVICE}])
     await bed.store.put("op", "config", {**config, "tenants": tenants or config["tenants"]})
-    await bed.gateway(0).start()
-    await bed.until_ready(1)
+    for k in range(gateways):
+        await bed.gateway(k).start()
+    await bed.until_ready(gateways)
     return runners
 
 
