--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -8,4 +8,4 @@
     python3 -B -c 'import ast, sys; ast.parse (open (sys.argv[1]).read ())' "$file"
   fi
 done
-PYTHONPATH=lib-3 python3 -B -c 'import bed'
+PYTHONPATH=lib-3 python3 -B -c 'import bed, plain'
--- a/review/lib-3/bed.py
+++ b/review/lib-3/bed.py
@@ -177,10 +177,9 @@
     return int(head[0].split()[1]), head[1], await read_body(reader, head[1])
 
 
-def play(case, folder):
+def play(case, folder, trouble):
     """Runs case(bed, record, trouble) and exits with the result of the case."""
     record = Record(os.path.join(folder, "record.txt"))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     logs = os.environ.get("LOGS")
 
     async def run(logs):
@@ -195,7 +194,7 @@
     try:
         with tempfile.TemporaryDirectory() as temporary:
             asyncio.run(run(logs or temporary))
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # An error of the case shows no fault.
         record.add(f"cannot run: {type(error).__name__} {error}")
         print(f"cannot run: {type(error).__name__} {error}")
         sys.exit(CANNOT_RUN)
--- a/review/lib-3/plain.py
+++ b/review/lib-3/plain.py
@@ -2,7 +2,7 @@
 import asyncio
 import time
 
-from bed import API_KEY, HttpServer, manifest, read_answer, request_head, server_row
+from bed import API_KEY, CannotRun, HttpServer, manifest, read_answer, request_head, server_row
 
 SERVICE = "booking-app"
 RUNNERS = 3
@@ -102,3 +102,9 @@
         if self.streams is not None:
             self.streams[1].close()
         self.streams = None
+
+    async def check(self, status, *arguments, **more):
+        """An exchange that has to end with a status in any case."""
+        reply = await self.exchange(*arguments, **more)
+        if reply is None or reply[0] != status:
+            raise CannotRun(f"answered {reply and reply[0]} instead of {status}")
