--- a/review/12/play.py
+++ b/review/12/play.py
@@ -28,7 +28,10 @@
             attempt = f"{number:08x}{len(sent):08x}"
             target = f"/safe/{number}/slots?zone=akl-a"
             sent[attempt] = (method, target, body)
-            await channel.exchange(method, target, attempt, (), body)
+            if (method, body) in PLAIN:
+                await channel.check(200, method, target, attempt, (), body)
+            else:
+                await channel.exchange(method, target, attempt, (), body)
     channel.close()
     for runner in runners:
         for attempt, method, target, body in runner.runs:
@@ -38,4 +41,4 @@
 
 
 if __name__ == "__main__":
-    play(case, HERE)
+    play(case, HERE, os.environ.get("TROUBLE", "1") != "0")
