--- a/review/13/play.py
+++ b/review/13/play.py
@@ -24,12 +24,15 @@
     tenants = [{"name": name, "apiKeys": [key], "priority": 1} for key, name in TENANTS.items()]
     runners = await plain.start(bed, record, respond, tenants)
     channel, sent = plain.Channel(bed, record), {}
-    keys = [API_KEY, LONG_KEY] + ([LONGER_KEY, *UNKNOWN_KEYS] if trouble else [LONG_KEY[:-1]])
+    plain_keys = {API_KEY: 200, LONG_KEY: 200, LONG_KEY[:-1]: 401}
     for number in range(ROUNDS):
-        for key in keys:
+        for key in (*plain_keys, *((LONGER_KEY, *UNKNOWN_KEYS) if trouble else ())):
             attempt = f"{number:08x}{len(sent):08x}"
-            sent[attempt] = key
-            await channel.exchange("GET", f"/safe/{number}/slots", attempt, key=key)
+            target, sent[attempt] = f"/safe/{number}/slots", key
+            if key in plain_keys:
+                await channel.check(plain_keys[key], "GET", target, attempt, key=key)
+            else:
+                await channel.exchange("GET", target, attempt, key=key)
     channel.close()
     for runner in runners:
         for attempt, tenant in runner.tenants:
@@ -43,4 +46,4 @@
 
 
 if __name__ == "__main__":
-    play(case, HERE)
+    play(case, HERE, os.environ.get("TROUBLE", "1") != "0")
